--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Targets for a machine with Go and a C compiler.
+GO ?= go
+SEED ?= 1
+N ?= 10000
+BIN := bin
+
+.PHONY: build test demo matrix soak measure generate fmt vet lint links fuzz
+
+build:
+	$(GO) build -o $(BIN)/eelgrassreach ./cmd/eelgrassreach
+	$(GO) build -o $(BIN)/standin ./cmd/standin
+
+test:
+	$(GO) test -race -timeout 20m ./...
+
+demo: build
+	bash scripts/demo.sh
+
+fmt:
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(GO) tool staticcheck ./...
+
+# Needs protoc; the plugins are tool dependencies of the module. The build itself
+# uses the committed output.
+generate:
+	bash scripts/generate.sh
--- /dev/null
+++ b/internal/control/service.go
@@ -0,0 +1,157 @@
+// Package control owns the control state of a VM: the replica of the log, terms,
+// jobs, leases and backend server health. One goroutine applies typed events to
+// the state by a pure transition that returns typed actions; other goroutines
+// carry the actions out.
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/config"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+)
+
+// JobState is the state of a job.
+type JobState string
+
+// The states of a job.
+const (
+	JobWaiting       JobState = "waiting"
+	JobHolding       JobState = "holding"
+	JobStarting      JobState = "starting"
+	JobRunning       JobState = "running"
+	JobCheckpointing JobState = "checkpointing"
+	JobStopping      JobState = "stopping"
+	JobDone          JobState = "done"
+	JobFailed        JobState = "failed"
+	JobCancelled     JobState = "cancelled"
+)
+
+// Ended reports whether the job will not run again.
+func (s JobState) Ended() bool {
+	return s == JobDone || s == JobFailed || s == JobCancelled
+}
+
+// JobStatus is the view of one job.
+type JobStatus struct {
+	Job   model.Job `json:"job"`
+	State JobState  `json:"state"`
+	// Reason says why a job waits or how it ended.
+	Reason model.Reason `json:"reason,omitempty"`
+	// Durable is set once the job was read back from the log.
+	Durable  bool                    `json:"durable"`
+	Attempt  model.AttemptID         `json:"attempt,omitempty"`
+	Attempts int                     `json:"attempts"`
+	Servers  []model.BackendServerID `json:"servers,omitempty"`
+	Borrowed bool                    `json:"borrowed"`
+}
+
+// JobReceipt answers a submission.
+type JobReceipt struct {
+	Job     model.JobID `json:"job"`
+	Durable bool        `json:"durable"` // false: known to this VM alone until the log is reachable
+	HomeAZ  model.AZ    `json:"homeAZ"`
+}
+
+// CancelReceipt answers a cancellation. Cancelling an ended job changes nothing.
+type CancelReceipt struct {
+	Job     model.JobID `json:"job"`
+	State   JobState    `json:"state"`
+	Durable bool        `json:"durable"`
+}
+
+// BackendState is what control knows of a backend server.
+type BackendState struct {
+	Server      model.BackendServer `json:"server"`
+	Live        bool                `json:"live"`
+	Leaving     bool                `json:"leaving"`
+	Quarantined bool                `json:"quarantined"`
+	FreeSlots   int                 `json:"freeSlots"`
+	LastSeen    time.Time           `json:"lastSeen"`
+}
+
+// TermState is the term of an availability zone as this VM sees it.
+type TermState struct {
+	AZ      model.AZ          `json:"az"`
+	Holder  model.Incarnation `json:"holder"`
+	Address string            `json:"address"`
+	Token   model.Token       `json:"token"`
+	Mine    bool              `json:"mine"`
+}
+
+// GuaranteeState reports a guarantee that cannot be honoured in full.
+type GuaranteeState struct {
+	Organisation model.OrganisationID `json:"organisation"`
+	Guarantee    model.Guarantee      `json:"guarantee"`
+	Honoured     int                  `json:"honoured"` // of Guarantee.Count
+}
+
+// PeerState is another VM as this one sees it.
+type PeerState struct {
+	Address     string            `json:"address"`
+	Incarnation model.Incarnation `json:"incarnation"`
+	AZ          model.AZ          `json:"az"`
+	Alive       bool              `json:"alive"`
+	Leaving     bool              `json:"leaving"`
+	Applied     int64             `json:"applied"`
+}
+
+// View is an immutable picture of the control state for queries and traffic.
+type View struct {
+	Time           time.Time
+	Incarnation    model.Incarnation
+	AZ             model.AZ
+	Ready          bool
+	Applied        int64 // offset of the last record applied
+	Config         *config.Current
+	LogReachable   bool
+	LogSince       time.Time // since when LogReachable has its value
+	ConfigStalled  string    // set when a record newer than this VM's schema stopped configuration
+	Terms          map[model.AZ]TermState
+	Backends       map[model.BackendServerID]BackendState
+	Peers          []PeerState
+	AtRisk         []GuaranteeState
+	Fragmentation  float64
+	Violations     int64
+	JobsByState    map[JobState]int
+	VMs            []platform.VMEntry
+	PartialBecause string // set when this VM is cut off and sees only a part
+	ConfigHistory  []journal.Decision
+	lookup         func(model.JobID) (JobStatus, bool)
+	list           func(model.OrganisationID) []JobStatus
+}
+
+// Job returns the status of a job that this VM knows.
+func (v *View) Job(id model.JobID) (JobStatus, bool) { return v.lookup(id) }
+
+// Jobs returns the jobs of an organisation, or all for an empty ID, ordered by ID.
+func (v *View) Jobs(org model.OrganisationID) []JobStatus { return v.list(org) }
+
+// Service is the part of the control loop that commands and queries use.
+type Service interface {
+	// Submit accepts a job whose shape was checked, or returns a *Refusal.
+	Submit(ctx context.Context, job model.Job) (JobReceipt, error)
+	// Cancel cancels jobs; a wave is handled in one pass. A job that is not known
+	// gets a receipt with an empty state.
+	Cancel(ctx context.Context, ids []model.JobID) ([]CancelReceipt, error)
+	// Publish appends a configuration change whose records were checked, reads it
+	// back and returns the verdict. The verdict is unknown when ctx ends first.
+	Publish(ctx context.Context, entryID string, change journal.ConfigChange) (journal.Decision, error)
+	// Decision returns the verdict on an entry that this VM has replayed.
+	Decision(ctx context.Context, entryID string) (journal.Decision, bool)
+	// View returns the newest view. It never returns nil.
+	View() *View
+}
+
+// Refusal says that a command certainly had no effect.
+type Refusal struct {
+	Reason     model.Reason
+	Message    string
+	RetryAfter time.Duration // 0 when a retry does not help
+}
+
+// Error returns the message.
+func (r *Refusal) Error() string { return r.Message }
--- /dev/null
+++ b/internal/journal/entry.go
@@ -0,0 +1,148 @@
+// Package journal defines the system's own records in the platform's log and
+// moves them: a follower reads them in order, a publisher appends them within a
+// budget and resolves lost answers by entry ID.
+package journal
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// Kind names the type of an entry's body.
+type Kind string
+
+// The kinds of entries. A record that no reader knows is an error for config
+// entries and is skipped by no one: see config.State.
+const (
+	KindConfig       Kind = "config"        // ConfigChange
+	KindJobAccepted  Kind = "job-accepted"  // JobAccepted
+	KindJobCancelled Kind = "job-cancelled" // JobCancelled
+	KindJobMoved     Kind = "job-moved"     // JobMoved
+	KindAttempt      Kind = "attempt"       // AttemptClaimed
+	KindJobEnded     Kind = "job-ended"     // JobEnded
+	KindTerm         Kind = "term"          // TermClaimed
+	KindSnapshot     Kind = "snapshot"      // Snapshot
+)
+
+// Entry is one change proposed to the replicated state.
+type Entry struct {
+	// ID is unique and makes the append idempotent: a second entry with the same
+	// ID has no effect in replay.
+	ID     string            `json:"id"`
+	Kind   Kind              `json:"kind"`
+	Author model.Incarnation `json:"author"`
+	Body   json.RawMessage   `json:"body"`
+}
+
+// Packet is the content of one log record: entries that were coalesced into one append.
+type Packet struct {
+	Entries []Entry `json:"entries"`
+}
+
+// Located is an entry with its place in the log. Entries of one packet share an
+// offset and differ in Index.
+type Located struct {
+	Offset int64
+	Index  int
+	Time   time.Time
+	Entry  Entry
+}
+
+// Verdict is what replay decided about an entry. Every VM reaches the same one.
+type Verdict string
+
+// The verdicts.
+const (
+	VerdictAccepted  Verdict = "accepted"
+	VerdictConflict  Verdict = "conflict"  // another entry won against the same expected revision
+	VerdictDuplicate Verdict = "duplicate" // an entry with this ID was applied before
+	VerdictMalformed Verdict = "malformed" // the body cannot be read
+	VerdictUnknown   Verdict = "unknown"   // appended in doubt and not yet read back
+)
+
+// Decision is the verdict on one entry and, for a conflict, the entry that won.
+type Decision struct {
+	EntryID string
+	Offset  int64
+	Verdict Verdict
+	// Winner is the offset of the entry that holds the current revision after a conflict.
+	Winner int64
+	// Detail explains a conflict or a malformed entry.
+	Detail string
+}
+
+// JobAccepted records a job that a VM accepted.
+type JobAccepted struct {
+	Job model.Job `json:"job"`
+	// Acceptor alone grants start permits for attempts made before this record was sent.
+	Acceptor model.Incarnation `json:"acceptor"`
+	// Attempt is set when the acceptor granted an attempt before the record was sent.
+	Attempt model.AttemptID `json:"attempt,omitempty"`
+}
+
+// JobCancelled records a cancellation. It is idempotent.
+type JobCancelled struct {
+	Job model.JobID `json:"job"`
+}
+
+// JobMoved gives a job a new home availability zone. It wins only against the
+// expected home revision.
+type JobMoved struct {
+	Job              model.JobID `json:"job"`
+	Home             model.AZ    `json:"home"`
+	ExpectedRevision int64       `json:"expectedRevision"`
+}
+
+// AttemptClaimed is the start permit for one attempt. It wins only when the job
+// has no open attempt and Number is one more than the last.
+type AttemptClaimed struct {
+	Job        model.JobID     `json:"job"`
+	Attempt    model.AttemptID `json:"attempt"`
+	Number     int             `json:"number"`
+	Term       model.Token     `json:"term"`
+	Checkpoint string          `json:"checkpoint,omitempty"`
+}
+
+// JobEnded closes an attempt. When Final is set it closes the job too.
+type JobEnded struct {
+	Job        model.JobID     `json:"job"`
+	Attempt    model.AttemptID `json:"attempt,omitempty"`
+	Final      bool            `json:"final"`
+	Result     string          `json:"result"` // JobResult of the replica
+	Reason     model.Reason    `json:"reason,omitempty"`
+	Checkpoint string          `json:"checkpoint,omitempty"`
+}
+
+// TermClaimed claims the term of an availability zone; the entry's offset is the
+// fencing token. It wins only when Previous is the offset of the current term.
+type TermClaimed struct {
+	AZ       model.AZ          `json:"az"`
+	Holder   model.Incarnation `json:"holder"`
+	Address  string            `json:"address"`
+	Previous int64             `json:"previous"`
+	// Successors act in this order, with ranks from 1, when the log is unreachable.
+	Successors []Successor `json:"successors"`
+}
+
+// Successor names a VM that may act for a term holder.
+type Successor struct {
+	Incarnation model.Incarnation `json:"incarnation"`
+	Address     string            `json:"address"`
+}
+
+// ConfigChange is a set of configuration records published as one change.
+type ConfigChange struct {
+	// ExpectedRevision is the offset of the newest accepted change of the domain
+	// that the publisher saw.
+	ExpectedRevision int64             `json:"expectedRevision"`
+	Records          []json.RawMessage `json:"records"` // each with schemaVersion and type
+	Comment          string            `json:"comment,omitempty"`
+}
+
+// Snapshot holds the whole replicated state as it was after Offset.
+type Snapshot struct {
+	Offset int64           `json:"offset"`
+	State  json.RawMessage `json:"state"`
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,76 @@
+// Package platform defines the ports to everything outside the system: the
+// platform's append-only log, its VM list, and the backend servers. The HTTP
+// clients of these ports are in the same package; fakes live in tests.
+package platform
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+var (
+	// ErrUnavailable means that the call certainly had no effect.
+	ErrUnavailable = errors.New("unavailable")
+	// ErrInDoubt means that the call was sent and its answer lost: it may have had an effect.
+	ErrInDoubt = errors.New("in doubt")
+	// ErrTrimmed means that the log no longer keeps the requested offset.
+	ErrTrimmed = errors.New("offset is past retention")
+	// ErrNotFound means that the other side knows nothing of the requested item.
+	ErrNotFound = errors.New("not found")
+)
+
+// Record is one record of the platform's log.
+type Record struct {
+	Offset int64     `json:"offset"` // first offset is 1
+	Time   time.Time `json:"time"`   // when the log stored it
+	Data   []byte    `json:"data"`
+}
+
+// Batch is the answer to a read of the log.
+type Batch struct {
+	Records []Record `json:"records"` // in order of offset, without gaps
+	First   int64    `json:"first"`   // the oldest offset still kept
+	Next    int64    `json:"next"`    // the offset that the next append will get
+}
+
+// Log is the platform's append-only log.
+type Log interface {
+	// Append stores data as one record and returns its offset. The error wraps
+	// ErrUnavailable when nothing was stored, ErrInDoubt when that is not known.
+	Append(ctx context.Context, data []byte) (int64, error)
+	// Read returns up to limit records from offset from on, and waits up to wait
+	// for the first one. The error wraps ErrTrimmed or ErrUnavailable.
+	Read(ctx context.Context, from int64, limit int, wait time.Duration) (Batch, error)
+}
+
+// VMState is the state of a VM in the platform's list.
+type VMState string
+
+// The states of a VM. One that is missing from the list is gone.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VMEntry is one row of the platform's VM list, which lags. It lists the VMs of
+// the system and the backend servers.
+type VMEntry struct {
+	Address string   `json:"address"` // IP:port
+	Role    string   `json:"role"`    // RoleEntry or RoleBackendServer
+	AZ      model.AZ `json:"az"`
+	State   VMState  `json:"state"`
+}
+
+// The roles in the VM list.
+const (
+	RoleEntry         = "entry"
+	RoleBackendServer = "backend"
+)
+
+// VMList is the platform's lagging list of VMs.
+type VMList interface {
+	List(ctx context.Context) ([]VMEntry, error)
+}
