--- /dev/null
+++ b/internal/journal/decided.go
@@ -0,0 +1,108 @@
+package journal
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+const (
+	// SendWindow is the number of offsets, counted from the newest that its
+	// publisher knew, within which an entry may take effect.
+	SendWindow int64 = 16_384
+	// DecidedWindow is the number of offsets for which a decision stays known. It
+	// is twice SendWindow, so that a decision outlives every copy of its entry and
+	// can still be looked up for a while after the last copy could take effect.
+	DecidedWindow = 2 * SendWindow
+)
+
+// Decided remembers the decisions of the newest DecidedWindow offsets by entry ID.
+// It is part of the replicated state: it depends on the log alone. It is not safe
+// for concurrent use.
+type Decided struct {
+	byID  map[string]Decision
+	order []Decision // by offset, as recorded
+	last  int64      // the newest offset seen
+}
+
+// NewDecided returns an empty memory.
+func NewDecided() *Decided {
+	return &Decided{byID: make(map[string]Decision)}
+}
+
+// Screen decides on entries that must not be applied: one that was decided before
+// and one that comes after its NotAfter offset. ok is false when the entry is to
+// be applied; its decision is then given to Record.
+func (d *Decided) Screen(e Located) (decision Decision, ok bool) {
+	d.Advance(e.Offset)
+	if first, seen := d.byID[e.Entry.ID]; seen {
+		return Decision{EntryID: e.Entry.ID, Offset: e.Offset, Verdict: VerdictDuplicate, Winner: first.Offset}, true
+	}
+	if e.Entry.NotAfter > 0 && e.Offset > e.Entry.NotAfter {
+		expired := Decision{EntryID: e.Entry.ID, Offset: e.Offset, Verdict: VerdictExpired}
+		d.Record(expired)
+		return expired, true
+	}
+	return Decision{}, false
+}
+
+// Record keeps the first decision on an entry ID; later ones change nothing.
+func (d *Decided) Record(decision Decision) {
+	if _, seen := d.byID[decision.EntryID]; seen {
+		return
+	}
+	d.Advance(decision.Offset)
+	d.byID[decision.EntryID] = decision
+	d.order = append(d.order, decision)
+}
+
+// Lookup returns the decision on an entry ID.
+func (d *Decided) Lookup(entryID string) (Decision, bool) {
+	decision, ok := d.byID[entryID]
+	return decision, ok
+}
+
+// Advance forgets decisions that are DecidedWindow offsets or more behind offset.
+func (d *Decided) Advance(offset int64) {
+	if offset <= d.last {
+		return
+	}
+	d.last = offset
+	expired := 0
+	for expired < len(d.order) && d.order[expired].Offset <= offset-DecidedWindow {
+		delete(d.byID, d.order[expired].EntryID)
+		expired++
+	}
+	d.order = d.order[expired:]
+}
+
+// Len returns the number of decisions that are kept.
+func (d *Decided) Len() int { return len(d.order) }
+
+// decidedForm is the encoded form of a Decided.
+type decidedForm struct {
+	Last      int64      `json:"last"`
+	Decisions []Decision `json:"decisions"`
+}
+
+// Encode returns the memory as JSON. Equal memories have equal encodings.
+func (d *Decided) Encode() (json.RawMessage, error) {
+	data, err := json.Marshal(decidedForm{Last: d.last, Decisions: d.order})
+	if err != nil {
+		return nil, fmt.Errorf("encode decisions: %w", err)
+	}
+	return data, nil
+}
+
+// RestoreDecided reads what Encode returned.
+func RestoreDecided(data []byte) (*Decided, error) {
+	var form decidedForm
+	if err := json.Unmarshal(data, &form); err != nil {
+		return nil, fmt.Errorf("decode decisions: %w", err)
+	}
+	d := NewDecided()
+	for _, decision := range form.Decisions {
+		d.Record(decision)
+	}
+	d.Advance(form.Last)
+	return d, nil
+}
--- a/internal/journal/entry.go
+++ b/internal/journal/entry.go
@@ -33,7 +33,10 @@
 	ID     string            `json:"id"`
 	Kind   Kind              `json:"kind"`
 	Author model.Incarnation `json:"author"`
-	Body   json.RawMessage   `json:"body"`
+	// NotAfter is the last log offset at which the entry may take effect; 0 sets
+	// no bound. The publisher sets it before it first sends the entry.
+	NotAfter int64           `json:"notAfter,omitempty"`
+	Body     json.RawMessage `json:"body"`
 }
 
 // Packet is the content of one log record: entries that were coalesced into one append.
@@ -59,18 +62,19 @@
 	VerdictConflict  Verdict = "conflict"  // another entry won against the same expected revision
 	VerdictDuplicate Verdict = "duplicate" // an entry with this ID was applied before
 	VerdictMalformed Verdict = "malformed" // the body cannot be read
+	VerdictExpired   Verdict = "expired"   // stored after its NotAfter offset, so it has no effect
 	VerdictUnknown   Verdict = "unknown"   // appended in doubt and not yet read back
 )
 
 // Decision is the verdict on one entry and, for a conflict, the entry that won.
 type Decision struct {
-	EntryID string
-	Offset  int64
-	Verdict Verdict
+	EntryID string  `json:"entryID"`
+	Offset  int64   `json:"offset"`
+	Verdict Verdict `json:"verdict"`
 	// Winner is the offset of the entry that holds the current revision after a conflict.
-	Winner int64
+	Winner int64 `json:"winner,omitempty"`
 	// Detail explains a conflict or a malformed entry.
-	Detail string
+	Detail string `json:"detail,omitempty"`
 }
 
 // JobAccepted records a job that a VM accepted.
--- /dev/null
+++ b/internal/journal/packet.go
@@ -0,0 +1,63 @@
+package journal
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+)
+
+// EncodePacket returns the log record content that holds entries.
+func EncodePacket(entries []Entry) ([]byte, error) {
+	data, err := json.Marshal(Packet{Entries: entries})
+	if err != nil {
+		return nil, fmt.Errorf("encode packet: %w", err)
+	}
+	return data, nil
+}
+
+// DecodePacket reads the content of a log record. Fields that are not known are
+// ignored, so that an old reader can read the packets of a new writer.
+func DecodePacket(data []byte) (Packet, error) {
+	var p Packet
+	if err := json.Unmarshal(data, &p); err != nil {
+		return Packet{}, fmt.Errorf("decode packet: %w", err)
+	}
+	return p, nil
+}
+
+// Locate returns the entries of a log record with their places. A record that is
+// no packet has no entries: every reader passes over it alike.
+func Locate(r platform.Record) []Located {
+	packet, err := DecodePacket(r.Data)
+	if err != nil {
+		return nil
+	}
+	located := make([]Located, 0, len(packet.Entries))
+	for i, e := range packet.Entries {
+		located = append(located, Located{Offset: r.Offset, Index: i, Time: r.Time, Entry: e})
+	}
+	return located
+}
+
+// SnapshotOf returns the snapshot that e holds; ok is false for another kind of
+// entry and for a body that cannot be read.
+func SnapshotOf(e Entry) (s Snapshot, ok bool) {
+	if e.Kind != KindSnapshot {
+		return Snapshot{}, false
+	}
+	if err := json.Unmarshal(e.Body, &s); err != nil {
+		return Snapshot{}, false
+	}
+	return s, s.Offset > 0 && len(s.State) > 0
+}
+
+// NewSnapshotEntry returns an entry that carries s. The ID depends on the offset
+// alone, so that snapshots of two writers at one offset count once.
+func NewSnapshotEntry(s Snapshot) (Entry, error) {
+	body, err := json.Marshal(s)
+	if err != nil {
+		return Entry{}, fmt.Errorf("encode snapshot at offset %d: %w", s.Offset, err)
+	}
+	return Entry{ID: fmt.Sprintf("snapshot-%d", s.Offset), Kind: KindSnapshot, Body: body}, nil
+}
