--- a/internal/journal/decided.go
+++ b/internal/journal/decided.go
@@ -8,7 +8,7 @@
 const (
 	// SendWindow is the number of offsets, counted from the newest that its
 	// publisher knew, within which an entry may take effect.
-	SendWindow int64 = 16_384
+	SendWindow int64 = 8_192
 	// DecidedWindow is the number of offsets for which a decision stays known. It
 	// is twice SendWindow, so that a decision outlives every copy of its entry and
 	// can still be looked up for a while after the last copy could take effect.
@@ -86,7 +86,7 @@
 
 // Encode returns the memory as JSON. Equal memories have equal encodings.
 func (d *Decided) Encode() (json.RawMessage, error) {
-	data, err := json.Marshal(decidedForm{Last: d.last, Decisions: d.order})
+	data, err := json.Marshal(decidedForm{Last: d.last, Decisions: append([]Decision{}, d.order...)})
 	if err != nil {
 		return nil, fmt.Errorf("encode decisions: %w", err)
 	}
--- /dev/null
+++ b/internal/journal/snapshot_rule.go
@@ -0,0 +1,46 @@
+package journal
+
+import "time"
+
+// The default options of the snapshot rule.
+const (
+	DefaultSnapshotRecords = 4096
+	DefaultSnapshotAge     = time.Hour
+)
+
+// SnapshotRule says when a snapshot is due. A zero field takes its default.
+type SnapshotRule struct {
+	// Records is the number of offsets after the newest snapshot.
+	Records int64
+	// Age is the age of the newest snapshot. It applies without new records too,
+	// since the log also drops records by time; it must be well below the log's
+	// retention time.
+	Age time.Duration
+}
+
+// SnapshotState is what the rule decides on.
+type SnapshotState struct {
+	Applied    int64     // the newest offset applied
+	Snapshot   int64     // the offset of the newest snapshot seen in the log; 0 for none
+	SnapshotAt time.Time // when the log stored that snapshot; without one, the first record seen
+	First      int64     // the oldest offset the log keeps; 0 when not known
+	Now        time.Time
+}
+
+// SnapshotDue reports whether a snapshot should be appended: enough records
+// follow the newest one, it is old, or it comes near the oldest record kept.
+func (r SnapshotRule) SnapshotDue(s SnapshotState) bool {
+	setDefault(&r.Records, DefaultSnapshotRecords)
+	setDefault(&r.Age, DefaultSnapshotAge)
+	if s.Applied == 0 {
+		return false
+	}
+	if s.Applied-s.Snapshot >= r.Records {
+		return true
+	}
+	if !s.SnapshotAt.IsZero() && s.Now.Sub(s.SnapshotAt) >= r.Age {
+		return true
+	}
+	kept := s.Applied - s.First
+	return s.First > 1 && kept > 0 && s.Snapshot-s.First < kept/2
+}
