--- /dev/null
+++ b/internal/config/record.go
@@ -0,0 +1,259 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/netip"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// record is one configuration record as read. Exactly one of the values is set,
+// unless the record deletes.
+type record struct {
+	key           Key
+	deleted       bool
+	organisation  *model.Organisation
+	backendServer *model.BackendServer
+	requestKind   *model.RequestKind
+	limits        *model.Limits
+}
+
+// unlimited marks a number without an upper bound.
+const unlimited = math.MaxInt64
+
+// readRecord reads a record of any schema version that this release knows. The
+// record is valid only without findings.
+func readRecord(raw json.RawMessage) (record, Findings) {
+	var findings Findings
+	o := newObject(raw, "", &findings)
+	if o.fields == nil {
+		return record{}, findings
+	}
+	version := o.integer("schemaVersion", 1, unlimited)
+	kind := Type(o.text("type"))
+	if len(findings) > 0 {
+		return record{}, findings
+	}
+	if version != SchemaVersion1 && version != SchemaVersion2 {
+		o.add("schemaVersion", "version %d is not known to this release, which reads %d and %d", version, SchemaVersion1, SchemaVersion2)
+		return record{}, findings
+	}
+	r := readTyped(o, kind, int(version))
+	o.end()
+	return r, findings
+}
+
+// readTyped reads the fields below the schema version and the type.
+func readTyped(o *object, kind Type, version int) record {
+	r := record{key: Key{Type: kind}}
+	switch kind {
+	case TypeOrganisation, TypeBackendServer, TypeRequestKind:
+		r.key.ID = o.text("id")
+	case TypeLimits:
+	default:
+		o.add("type", "%q is not a known type", kind)
+		o.fields = nil
+		return r
+	}
+	r.deleted = o.flag("deleted")
+	if r.deleted {
+		return r
+	}
+	switch kind {
+	case TypeOrganisation:
+		r.organisation = readOrganisation(o, version, r.key.ID)
+	case TypeBackendServer:
+		r.backendServer = readBackendServer(o, version, r.key.ID)
+	case TypeRequestKind:
+		r.requestKind = readRequestKind(o, version, r.key.ID)
+	case TypeLimits:
+		r.limits = readLimits(o, version)
+	}
+	return r
+}
+
+// readOrganisation reads an organisation. Version 1 has no weight.
+func readOrganisation(o *object, version int, id string) *model.Organisation {
+	org := &model.Organisation{ID: model.OrganisationID(id), Weight: 1}
+	for _, item := range o.list("guarantees") {
+		org.Guarantees = append(org.Guarantees, readGuarantee(item, version))
+	}
+	if version == SchemaVersion1 {
+		org.MaxAccelerators = int(o.optional("maxAccelerators", 0, math.MaxInt32, 0))
+		return org
+	}
+	if _, ok := o.take("quota"); ok {
+		quota := o.object("quota")
+		org.MaxAccelerators = int(quota.integer("accelerators", 0, math.MaxInt32))
+		quota.end()
+	}
+	org.Weight = int(o.optional("weight", 1, maxWeight, 1))
+	return org
+}
+
+// maxWeight bounds the weight of an organisation.
+const maxWeight = 1000
+
+// readGuarantee reads one guarantee. Version 2 nests the shape.
+func readGuarantee(o *object, version int) model.Guarantee {
+	g := model.Guarantee{AZ: model.AZ(o.text("az"))}
+	shape := o
+	if version != SchemaVersion1 {
+		shape = o.object("shape")
+	}
+	g.Shape.Tasks = int(shape.integer("tasks", 1, maxTasks))
+	g.Shape.Accelerators = int(shape.integer("accelerators", 1, maxAcceleratorsPerTask))
+	g.Shape.Adjacency = readAdjacency(shape)
+	if shape != o {
+		shape.end()
+	}
+	g.Count = int(o.integer("count", 1, maxGuaranteeCount))
+	o.end()
+	return g
+}
+
+// The bounds on the numbers of a guarantee.
+const (
+	maxTasks               = 4096
+	maxAcceleratorsPerTask = 1024
+	maxGuaranteeCount      = 10_000
+)
+
+// readAdjacency reads an adjacency level.
+func readAdjacency(o *object) model.Adjacency {
+	adjacency := model.Adjacency(o.text("adjacency"))
+	if adjacency != "" && !adjacency.Valid() {
+		o.add(o.path+"adjacency", "must be %s, %s or %s", model.AdjacentServer, model.AdjacentRack, model.AdjacentAny)
+	}
+	return adjacency
+}
+
+// readBackendServer reads a backend server. Version 2 nests location and capacity.
+func readBackendServer(o *object, version int, id string) *model.BackendServer {
+	server := &model.BackendServer{ID: model.BackendServerID(id), Address: readAddress(o)}
+	location, capacity := o, o
+	if version != SchemaVersion1 {
+		location, capacity = o.object("location"), o.object("capacity")
+	}
+	server.AZ = model.AZ(location.text("az"))
+	server.Region = model.Region(location.text("region"))
+	server.Rack = model.RackID(location.text("rack"))
+	server.Accelerators = int(capacity.integer("accelerators", 0, maxAcceleratorsPerTask))
+	server.Slots = int(capacity.integer("slots", 0, math.MaxInt32))
+	server.Connections = int(capacity.integer("connections", 1, math.MaxInt32))
+	server.Cores = int(capacity.optional("cores", 0, math.MaxInt32, 0))
+	server.MemoryMB = int(capacity.optional("memoryMB", 0, math.MaxInt32, 0))
+	if location != o {
+		location.end()
+		capacity.end()
+	}
+	return server
+}
+
+// readAddress reads an IP:port address; names are not accepted.
+func readAddress(o *object) string {
+	address := o.text("address")
+	if address == "" {
+		return ""
+	}
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || parsed.Port() == 0 {
+		o.add(o.path+"address", "must be an IP address by number with a port, such as 10.0.0.1:7000")
+	}
+	return address
+}
+
+// readRequestKind reads a request kind. Version 2 calls the class priorityClass.
+func readRequestKind(o *object, version int, id string) *model.RequestKind {
+	class := "class"
+	if version != SchemaVersion1 {
+		class = "priorityClass"
+	}
+	return &model.RequestKind{
+		Name:       id,
+		Class:      readClass(o, class),
+		Deadline:   o.duration("deadline"),
+		Idempotent: o.flag("idempotent"),
+	}
+}
+
+// readClass reads a priority class by name.
+func readClass(o *object, name string) model.Class {
+	text := o.text(name)
+	class, ok := model.ParseClass(text)
+	if text != "" && !ok {
+		o.add(o.path+name, "must be %s, %s or %s", model.ClassUrgent, model.ClassNormal, model.ClassBatch)
+	}
+	return class
+}
+
+// readLimits reads the limits. Version 2 groups them.
+func readLimits(o *object, version int) *model.Limits {
+	if version == SchemaVersion1 {
+		return readLimits1(o)
+	}
+	return readLimits2(o)
+}
+
+// readLimits1 reads the limits of schema version 1.
+func readLimits1(o *object) *model.Limits {
+	limits := &model.Limits{
+		QueueRequests:   int(o.integer("queueRequests", 1, math.MaxInt32)),
+		QueueBytes:      o.integer("queueBytes", 1, unlimited),
+		CrossRegionRate: o.integer("crossRegionRate", 0, unlimited),
+		RetryPercent:    int(o.integer("retryPercent", 0, 100)),
+	}
+	shares := o.object("minSharePercent")
+	for class := model.ClassUrgent; class < model.ClassCount; class++ {
+		limits.MinSharePercent[class] = int(shares.integer(class.String(), 0, 100))
+	}
+	shares.end()
+	checkShares(o, "minSharePercent", limits)
+	return limits
+}
+
+// readLimits2 reads the limits of schema version 2.
+func readLimits2(o *object) *model.Limits {
+	limits := &model.Limits{}
+	queue := o.object("queue")
+	limits.QueueRequests = int(queue.integer("requests", 1, math.MaxInt32))
+	limits.QueueBytes = queue.integer("bytes", 1, unlimited)
+	queue.end()
+	crossRegion := o.object("crossRegion")
+	limits.CrossRegionRate = crossRegion.integer("bytesPerSecond", 0, unlimited)
+	crossRegion.end()
+	retry := o.object("retry")
+	limits.RetryPercent = int(retry.integer("percent", 0, 100))
+	retry.end()
+	classes := o.object("classes")
+	for class := model.ClassUrgent; class < model.ClassCount; class++ {
+		settings := classes.object(class.String())
+		limits.MinSharePercent[class] = int(settings.integer("minSharePercent", 0, 100))
+		settings.end()
+	}
+	classes.end()
+	checkShares(o, "classes", limits)
+	return limits
+}
+
+// checkShares finds shares that add up to more than all slots.
+func checkShares(o *object, field string, limits *model.Limits) {
+	total := 0
+	for _, share := range limits.MinSharePercent {
+		total += share
+	}
+	if total > 100 {
+		o.add(field, "minimum shares add up to %d percent", total)
+	}
+}
+
+// encode returns a plain struct as JSON.
+func encode(value any) json.RawMessage {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(fmt.Sprintf("config: encode %T: %v", value, err)) // plain structs always encode
+	}
+	return data
+}
--- /dev/null
+++ b/internal/config/snapshot.go
@@ -0,0 +1,67 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+)
+
+// encoding is the serialized State. It holds records as published, so that a
+// release that cannot read some of them loses none and every release writes the
+// same bytes.
+type encoding struct {
+	Revision int64              `json:"revision"`
+	Records  []json.RawMessage  `json:"records"` // ordered by key
+	History  []journal.Decision `json:"history"`
+}
+
+// Encode returns the state in a deterministic form that Restore reads.
+func (s *State) Encode() ([]byte, error) {
+	e := encoding{
+		Revision: s.revision,
+		Records:  make([]json.RawMessage, 0, len(s.records)),
+		History:  append([]journal.Decision{}, s.history...),
+	}
+	for _, key := range sortKeys(s.records) {
+		e.Records = append(e.Records, s.records[key].raw)
+	}
+	data, err := json.Marshal(e)
+	if err != nil {
+		return nil, fmt.Errorf("encode configuration: %w", err)
+	}
+	return data, nil
+}
+
+// Restore replaces the state by an encoded one; it is unchanged on error. When
+// this release cannot read every record, the configuration in force stays.
+func (s *State) Restore(data []byte) error {
+	var e encoding
+	if err := json.Unmarshal(data, &e); err != nil {
+		return fmt.Errorf("decode configuration: %w", err)
+	}
+	restored := NewState()
+	for i, raw := range e.Records {
+		env, err := readEnvelope(raw)
+		if err != nil {
+			return fmt.Errorf("decode configuration record %d: %w", i+1, err)
+		}
+		restored.store(env, raw)
+	}
+	restored.revision = e.Revision
+	restored.history = append(restored.history, e.History...)
+	restored.current = s.current
+	restored.stale = true
+	*s = *restored
+	return nil
+}
+
+// compact returns raw without insignificant space.
+func compact(raw json.RawMessage) json.RawMessage {
+	var b bytes.Buffer
+	if err := json.Compact(&b, raw); err != nil {
+		return raw
+	}
+	return b.Bytes()
+}
