HTTP clients of the platform's ports, and the stand-ins

Cause: the ports had no clients, and tests and the demo have nothing to talk to.

A status proves no effect only with a typed problem body. The stand-ins play the platform and a backend server, fail on command and record what they did.

--- /dev/null
+++ b/internal/platform/backend_client.go
@@ -0,0 +1,207 @@
+package platform
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"sync"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+const (
+	defaultServerConnections = 16
+	minServerConnections     = 4
+	// controlConnections carry commands, status and pings, so that requests never
+	// hold up the renewal of a lease.
+	controlConnections = 2
+	lookupConnections  = 1
+	contentTypeJSON    = "application/json"
+)
+
+var (
+	_ Dialer  = (*HTTPDialer)(nil)
+	_ Backend = (*backendClient)(nil)
+)
+
+// DialerOptions are the settings of an HTTPDialer.
+type DialerOptions struct {
+	// ConnectionsPerServer bounds the connections to one backend server; 0 means
+	// 16, and the least is 4. The VMs of an availability zone share the 64
+	// connections of a backend server.
+	ConnectionsPerServer int
+}
+
+// HTTPDialer makes clients of backend servers and keeps one for each address.
+type HTTPDialer struct {
+	connections int
+	mu          sync.Mutex
+	backends    map[string]*backendClient
+}
+
+// NewHTTPDialer returns a dialer without connections.
+func NewHTTPDialer(opts DialerOptions) *HTTPDialer {
+	n := opts.ConnectionsPerServer
+	if n == 0 {
+		n = defaultServerConnections
+	}
+	return &HTTPDialer{
+		connections: max(n, minServerConnections),
+		backends:    make(map[string]*backendClient),
+	}
+}
+
+// Backend returns the client of the backend server at an address, IP:port.
+func (d *HTTPDialer) Backend(address string) Backend {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if b, ok := d.backends[address]; ok {
+		return b
+	}
+	b := newBackendClient(address, d.connections)
+	d.backends[address] = b
+	return b
+}
+
+// Close closes the idle connections of all clients.
+func (d *HTTPDialer) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, b := range d.backends {
+		b.close()
+	}
+}
+
+// backendClient is the port to one backend server over HTTP.
+type backendClient struct {
+	base    string
+	control *http.Client
+	execute *http.Client
+	lookup  *http.Client // opens a new connection for each call
+}
+
+func newBackendClient(address string, connections int) *backendClient {
+	return &backendClient{
+		base:    "http://" + address,
+		control: NewHTTPClient(controlConnections, false),
+		execute: NewHTTPClient(connections-controlConnections-lookupConnections, false),
+		lookup:  NewHTTPClient(lookupConnections, true),
+	}
+}
+
+func (b *backendClient) close() {
+	b.control.CloseIdleConnections()
+	b.execute.CloseIdleConnections()
+	b.lookup.CloseIdleConnections()
+}
+
+func (b *backendClient) Status(ctx context.Context) (BackendStatus, error) {
+	c := call{method: http.MethodGet, url: b.base + PathStatus, harmless: true}
+	var status BackendStatus
+	err := c.send(ctx, b.control, &status)
+	return status, err
+}
+
+func (b *backendClient) Ping(ctx context.Context) error {
+	c := call{method: http.MethodGet, url: b.base + PathPing, harmless: true}
+	return c.send(ctx, b.control, nil)
+}
+
+func (b *backendClient) Command(ctx context.Context, batch CommandBatch) ([]TaskResult, error) {
+	c, err := b.post(PathCommands, batch)
+	if err != nil {
+		return nil, err
+	}
+	var reply CommandReply
+	if err := c.send(ctx, b.control, &reply); err != nil {
+		return nil, err
+	}
+	if err := matchResults(batch, reply.Results); err != nil {
+		return nil, c.fail(ErrInDoubt, err)
+	}
+	return reply.Results, nil
+}
+
+func (b *backendClient) Execute(ctx context.Context, e Execution) (Answer, error) {
+	c, err := b.post(PathExecutions, e)
+	if err != nil {
+		return Answer{}, err
+	}
+	return c.answer(ctx, b.execute, e.Request)
+}
+
+func (b *backendClient) Lookup(ctx context.Context, id model.RequestID) (Answer, error) {
+	path := PathExecutions + "/" + url.PathEscape(string(id)) + PathLookup
+	c := call{method: http.MethodPost, url: b.base + path}
+	return c.answer(ctx, b.lookup, id)
+}
+
+func (b *backendClient) post(path string, body any) (call, error) {
+	c := call{method: http.MethodPost, url: b.base + path, contentType: contentTypeJSON}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return c, c.fail(ErrUnavailable, err)
+	}
+	c.body = data
+	return c, nil
+}
+
+// answer makes a call whose answer must be the whole answer to a request.
+func (c call) answer(ctx context.Context, client *http.Client, id model.RequestID) (Answer, error) {
+	var a Answer
+	if err := c.send(ctx, client, &a); err != nil {
+		return Answer{}, err
+	}
+	if err := a.verify(id); err != nil {
+		return Answer{}, c.fail(ErrInDoubt, err)
+	}
+	return a, nil
+}
+
+// verify finds an answer to another request, a cut one or a changed one.
+func (a Answer) verify(id model.RequestID) error {
+	if a.Request != id {
+		return fmt.Errorf("the answer is to request %q, not %q", a.Request, id)
+	}
+	switch a.State {
+	case ExecutionRunning, ExecutionRefused:
+		return nil
+	case ExecutionDone, ExecutionFailed:
+		return a.verifyBody()
+	default:
+		return fmt.Errorf("unknown execution state %q", a.State)
+	}
+}
+
+func (a Answer) verifyBody() error {
+	if a.Length != len(a.Body) {
+		return fmt.Errorf("the answer has %d bytes of %d", len(a.Body), a.Length)
+	}
+	if a.Digest != Digest(a.Body) {
+		return fmt.Errorf("the answer does not match its digest")
+	}
+	return nil
+}
+
+// Digest returns the SHA-256 of body in hexadecimal.
+func Digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+// matchResults finds results that do not answer the batch command by command.
+func matchResults(batch CommandBatch, results []TaskResult) error {
+	if len(results) != len(batch.Commands) {
+		return fmt.Errorf("%d results for %d commands", len(results), len(batch.Commands))
+	}
+	for i, r := range results {
+		if r.Task != batch.Commands[i].Task {
+			return fmt.Errorf("result %d is of task %q, not %q", i, r.Task, batch.Commands[i].Task)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/backend.go
@@ -0,0 +1,158 @@
+package standin
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+)
+
+// defaultUsageLag is the age of the usage in a status.
+const defaultUsageLag = 2 * time.Second
+
+// Backend plays a backend server.
+type Backend struct {
+	id           model.BackendServerID
+	slots        int
+	accelerators int
+	faults       *switches
+
+	mu         sync.Mutex
+	token      model.Token
+	running    int // executions
+	executions map[model.RequestID]*execution
+	tasks      map[model.TaskID]*task
+	offers     []Offer
+}
+
+// NewBackend returns an idle backend server.
+func NewBackend(id model.BackendServerID, slots, accelerators int) *Backend {
+	return &Backend{
+		id:           id,
+		slots:        slots,
+		accelerators: accelerators,
+		faults:       newSwitches(),
+		executions:   make(map[model.RequestID]*execution),
+		tasks:        make(map[model.TaskID]*task),
+	}
+}
+
+// SetFault puts a fault in force.
+func (b *Backend) SetFault(f Fault) {
+	b.settle()
+	b.faults.set(f)
+	b.settle()
+}
+
+// settle lets time pass under the fault in force.
+func (b *Backend) settle() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(time.Now())
+}
+
+// Leaving reports whether the backend server says that it leaves.
+func (b *Backend) Leaving() bool { return b.faults.current().Leaving }
+
+// Record returns the backend server's own account of its work.
+func (b *Backend) Record() BackendRecord {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(time.Now())
+	r := BackendRecord{ID: b.id, Token: b.token, Offers: slices.Clone(b.offers)}
+	for _, x := range b.executions {
+		r.Executions = append(r.Executions, x.record)
+	}
+	for _, t := range b.tasks {
+		r.Tasks = append(r.Tasks, t.record())
+	}
+	slices.SortFunc(r.Executions, func(x, y ExecutionRecord) int { return cmp.Compare(x.Request, y.Request) })
+	slices.SortFunc(r.Tasks, func(x, y TaskRecord) int { return cmp.Compare(x.Task, y.Task) })
+	return r
+}
+
+func (b *Backend) status(now time.Time) platform.BackendStatus {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	s := platform.BackendStatus{
+		ID:        b.id,
+		Leaving:   b.Leaving(),
+		FreeSlots: b.slots - b.running,
+		Token:     b.token,
+	}
+	for _, t := range b.tasks {
+		s.Tasks = append(s.Tasks, t.report(t.usage(now.Add(-defaultUsageLag))))
+	}
+	slices.SortFunc(s.Tasks, func(x, y platform.TaskReport) int { return cmp.Compare(x.Task, y.Task) })
+	return s
+}
+
+// Handler serves the protocol of backend servers and the controls of the stand-in.
+func (b *Backend) Handler() http.Handler {
+	record := func() any { return b.Record() }
+	return newRouter(b.faults, b.SetFault, record, func(r chi.Router) {
+		r.Get(platform.PathStatus, b.handleStatus)
+		r.Get(platform.PathPing, b.handlePing)
+		r.Post(platform.PathCommands, b.handleCommands)
+		r.Post(platform.PathExecutions, b.handleExecute)
+		r.Post(platform.PathExecutions+"/{request}"+platform.PathLookup, b.handleLookup)
+	})
+}
+
+func (b *Backend) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	reply(w, b.status(time.Now()))
+}
+
+func (b *Backend) handlePing(w http.ResponseWriter, _ *http.Request) {
+	reply(w, struct{}{})
+}
+
+func (b *Backend) handleCommands(w http.ResponseWriter, r *http.Request) {
+	var batch platform.CommandBatch
+	if !decode(w, r, &batch) {
+		return
+	}
+	reply(w, platform.CommandReply{Results: b.command(batch, time.Now())})
+}
+
+// handleExecute runs a request to its end also when the caller is gone.
+func (b *Backend) handleExecute(w http.ResponseWriter, r *http.Request) {
+	var e platform.Execution
+	if !decode(w, r, &e) {
+		return
+	}
+	x, run, refused := b.begin(e, time.Now())
+	if refused != "" {
+		reply(w, b.refusal(e.Request, refused))
+		return
+	}
+	if run {
+		p := parsePayload(e.Body)
+		time.Sleep(p.run())
+		b.finish(x, p, time.Now())
+	}
+	reply(w, b.describe(x))
+}
+
+func (b *Backend) describe(x *execution) platform.Answer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.answer(x)
+}
+
+func (b *Backend) handleLookup(w http.ResponseWriter, r *http.Request) {
+	a, ok := b.lookUp(model.RequestID(chi.URLParam(r, "request")))
+	if !ok {
+		message := "the request was never seen here and is refused from now on"
+		problem(w, http.StatusNotFound, platform.Problem{Code: platform.CodeNotFound, Message: message})
+		return
+	}
+	reply(w, a)
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,113 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+)
+
+const (
+	defaultReadLimit = 1000
+	maxReadWait      = time.Minute
+	// ParamAddress names the VM in a DELETE of platform.PathVMs.
+	ParamAddress = "address"
+)
+
+// Platform plays the platform: its log and its VM list.
+type Platform struct {
+	faults *switches
+	log    *recordLog
+	vms    *vmList
+}
+
+// PlatformRecord is the platform's own account.
+type PlatformRecord struct {
+	First int64 `json:"first"` // the oldest offset kept
+	Next  int64 `json:"next"`  // the offset of the next append
+}
+
+// NewPlatform returns a platform with an empty log that keeps the newest retain
+// records; 0 means all.
+func NewPlatform(retain int) *Platform {
+	return &Platform{faults: newSwitches(), log: newRecordLog(retain), vms: newVMList()}
+}
+
+// SetFault puts a fault in force.
+func (p *Platform) SetFault(f Fault) { p.faults.set(f) }
+
+// Record returns the platform's own account.
+func (p *Platform) Record() PlatformRecord {
+	b, _, _ := p.log.read(0, 0)
+	return PlatformRecord{First: b.First, Next: b.Next}
+}
+
+// Handler serves the platform's protocol and the controls of the stand-in.
+func (p *Platform) Handler() http.Handler {
+	record := func() any { return p.Record() }
+	return newRouter(p.faults, p.SetFault, record, func(r chi.Router) {
+		r.Post(platform.PathLog, p.appendRecord)
+		r.Get(platform.PathLog, p.readRecords)
+		r.Get(platform.PathVMs, p.listVMs)
+		r.Put(platform.PathVMs, p.putVM)
+		r.Delete(platform.PathVMs, p.removeVM)
+	})
+}
+
+func (p *Platform) appendRecord(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		refuse(w, err.Error())
+		return
+	}
+	reply(w, platform.AppendReply{Offset: p.log.append(data, time.Now())})
+}
+
+func (p *Platform) readRecords(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err := strconv.ParseInt(query.Get(platform.ParamFrom), 10, 64)
+	if err != nil {
+		refuse(w, err.Error())
+		return
+	}
+	limit := intOr(query.Get(platform.ParamLimit), defaultReadLimit)
+	wait := time.Duration(intOr(query.Get(platform.ParamWaitMS), 0)) * time.Millisecond
+	batch, ok := p.log.follow(r.Context(), from, limit, min(wait, maxReadWait))
+	if !ok {
+		problem(w, http.StatusGone, platform.Problem{Code: platform.CodeTrimmed, Message: "the offset is past retention"})
+		return
+	}
+	reply(w, batch)
+}
+
+// intOr returns the positive number in s, or fallback when there is none.
+func intOr(s string, fallback int) int {
+	n, err := strconv.Atoi(s)
+	if err != nil || n <= 0 {
+		return fallback
+	}
+	return n
+}
+
+func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) {
+	lag := time.Duration(p.faults.current().ListLagMS) * time.Millisecond
+	reply(w, platform.VMListReply{VMs: p.vms.list(time.Now(), lag)})
+}
+
+func (p *Platform) putVM(w http.ResponseWriter, r *http.Request) {
+	var e platform.VMEntry
+	if !decode(w, r, &e) {
+		return
+	}
+	p.vms.put(e, time.Now())
+	reply(w, e)
+}
+
+func (p *Platform) removeVM(w http.ResponseWriter, r *http.Request) {
+	p.vms.remove(r.URL.Query().Get(ParamAddress), time.Now())
+	reply(w, struct{}{})
+}
