--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -153,3 +153,19 @@
 	assert.Equal(t, d.Winner, int64(3))
 	assert.DeepEqual(t, s.History(1), []journal.Decision{d})
 }
+
+func TestDiffNamesFields(t *testing.T) {
+	s := NewState()
+	s.Apply(change(t, 1, 0, parseAll(t, versionOne)...))
+	changes, findings := DiffRecords(Render(s.Current()), []json.RawMessage{
+		raw(`{'schemaVersion':1,'type':'requestKind','id':'quote','class':'normal','deadline':'2s','idempotent':true}`),
+		raw(`{'schemaVersion':1,'type':'organisation','id':'harju','deleted':true}`),
+	})
+	assert.NilError(t, findings.Err())
+	assert.Equal(t, len(changes), 2)
+	assert.Equal(t, changes[0].Action, ActionRemove)
+	assert.DeepEqual(t, changes[1], Change{
+		Action: ActionChange, Type: TypeRequestKind, ID: "quote",
+		Field: "priorityClass", Old: `"urgent"`, New: `"normal"`,
+	})
+}
--- a/internal/config/render.go
+++ b/internal/config/render.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"bytes"
 	"encoding/json"
 	"slices"
 
@@ -169,55 +168,3 @@
 	slices.SortFunc(keys, Key.compare)
 	return keys
 }
-
-// Action says what a change does to a record.
-type Action string
-
-// The actions.
-const (
-	ActionAdd    Action = "add"
-	ActionChange Action = "change"
-	ActionRemove Action = "remove"
-)
-
-// Change is the effect of a change on one record. Before and After are in schema
-// version 2; one of them is nil for an added or removed record.
-type Change struct {
-	Action Action          `json:"action"`
-	Key    Key             `json:"key"`
-	Before json.RawMessage `json:"before,omitempty"`
-	After  json.RawMessage `json:"after,omitempty"`
-}
-
-// Diff returns what records would change in the configuration in force, ordered by
-// type and ID. Records that change nothing or cannot be read are left out.
-func Diff(current *Current, records []json.RawMessage) []Change {
-	next := current.clone()
-	for _, raw := range records {
-		if r, findings := readRecord(raw); len(findings) == 0 {
-			next.put(r)
-		}
-	}
-	before, after := renderByKey(current), renderByKey(next)
-	keys := make(map[Key]bool)
-	for key := range before {
-		keys[key] = true
-	}
-	for key := range after {
-		keys[key] = true
-	}
-	var changes []Change
-	for _, key := range sortKeys(keys) {
-		change := Change{Key: key, Before: before[key], After: after[key], Action: ActionChange}
-		switch {
-		case bytes.Equal(change.Before, change.After):
-			continue
-		case change.Before == nil:
-			change.Action = ActionAdd
-		case change.After == nil:
-			change.Action = ActionRemove
-		}
-		changes = append(changes, change)
-	}
-	return changes
-}
--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -20,7 +20,8 @@
 	kick  chan struct{}
 	ready chan struct{} // closed once caught up
 
-	reachable reachability
+	pace      *pace        // of reads of the platform
+	reachable reachability // used by Run alone
 
 	mu      sync.Mutex
 	next    int64 // the next offset to deliver; 0 before the first delivery
@@ -47,6 +48,7 @@
 		opts:   opts,
 		kick:   make(chan struct{}, 1),
 		ready:  make(chan struct{}),
+		pace:   newPace(opts.ReadLimit),
 		window: window{maxBytes: opts.WindowBytes, minKept: opts.WindowKept},
 	}
 }
@@ -156,7 +158,10 @@
 		return false
 	}
 	f.setReachable(reachYes)
-	if trimmed || f.Next() == 0 {
+	if trimmed {
+		return f.restart(ctx)
+	}
+	if f.Next() == 0 {
 		return f.start(ctx, a.batch)
 	}
 	f.deliver(a.batch.Records)
@@ -168,7 +173,9 @@
 func (f *Follower) read(ctx context.Context, from int64, wait time.Duration) (platform.Batch, error) {
 	readCtx, cancel := context.WithTimeout(ctx, wait+f.opts.SlowTimeout)
 	defer cancel()
-	return f.log.Read(readCtx, from, f.opts.ReadLimit, wait)
+	batch, err := f.log.Read(readCtx, from, f.pace.limit(), wait)
+	f.pace.answered(batch, err)
+	return batch, err
 }
 
 // pause waits for the interval between attempts or the end of ctx, and fetches
--- a/internal/journal/packet.go
+++ b/internal/journal/packet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/platform"
 )
@@ -27,15 +28,17 @@
 }
 
 // Locate returns the entries of a log record with their places. A record that is
-// no packet has no entries: every reader passes over it alike.
+// no packet has no entries: every reader passes over it alike. Times are in whole
+// milliseconds, as peers exchange them.
 func Locate(r platform.Record) []Located {
 	packet, err := DecodePacket(r.Data)
 	if err != nil {
 		return nil
 	}
+	stored := r.Time.UTC().Truncate(time.Millisecond)
 	located := make([]Located, 0, len(packet.Entries))
 	for i, e := range packet.Entries {
-		located = append(located, Located{Offset: r.Offset, Index: i, Time: r.Time, Entry: e})
+		located = append(located, Located{Offset: r.Offset, Index: i, Time: stored, Entry: e})
 	}
 	return located
 }
--- a/internal/journal/startup.go
+++ b/internal/journal/startup.go
@@ -3,20 +3,31 @@
 import (
 	"context"
 	"fmt"
+	"math"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/platform"
 )
 
+// beyondEnd is an offset that no log reaches: a read from it tells First and Next.
+const beyondEnd = math.MaxInt64 / 2
+
+// restart goes on after the log dropped the next offset. It returns false when a
+// peer should be asked.
+func (f *Follower) restart(ctx context.Context) bool {
+	head, err := f.read(ctx, beyondEnd, 0)
+	if err != nil {
+		f.block(fmt.Sprintf("look for the oldest offset: %v", err))
+		return false
+	}
+	return f.start(ctx, head)
+}
+
 // start finds where to begin, or to go on after falling behind the log's
 // retention: the newest snapshot, or the first record when the log still keeps it.
-// The head is the answer to a read from the next offset on.
-// It returns false when a peer should be asked.
+// The head is the answer to a read from the next offset on, or from beyond the
+// end. It returns false when a peer should be asked.
 func (f *Follower) start(ctx context.Context, head platform.Batch) bool {
 	from := max(f.Next(), 1)
-	if head.First < 1 {
-		f.block("the log does not tell its oldest offset")
-		return false
-	}
 	found, err := f.newestSnapshot(ctx, head.First, head.Next)
 	if err != nil {
 		f.block(fmt.Sprintf("search for a snapshot: %v", err))
--- a/internal/journal/window.go
+++ b/internal/journal/window.go
@@ -89,8 +89,24 @@
 		fetched.Snapshot = w.snapshot
 		return fetched
 	}
-	start := int(from - first)
-	end := min(start+limit, len(w.records))
-	fetched.Records = append([]platform.Record(nil), w.records[start:end]...)
+	fetched.Records = w.run(int(from-first), limit)
 	return fetched
 }
+
+// run returns up to limit records from index start on, at least one and beyond it
+// no more than maxServedBytes.
+func (w *window) run(start, limit int) []platform.Record {
+	var run []platform.Record
+	bytes := 0
+	for _, r := range w.records[start:min(start+max(limit, 1), len(w.records))] {
+		bytes += len(r.Data)
+		if len(run) > 0 && bytes > maxServedBytes {
+			break
+		}
+		run = append(run, r)
+	}
+	return run
+}
+
+// maxServedBytes bounds the records in one answer to a peer.
+const maxServedBytes = 4 << 20
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -42,8 +42,8 @@
 	// ErrUnavailable when nothing was stored, ErrInDoubt when that is not known.
 	Append(ctx context.Context, data []byte) (int64, error)
 	// Read returns up to limit records from offset from on, and waits up to wait
-	// for the first one. The error wraps ErrTrimmed or ErrUnavailable. With ErrTrimmed
-	// the batch has no records but still carries First and Next.
+	// for the first one. A read from beyond the end has no records, but First and
+	// Next. The error wraps ErrTrimmed or ErrUnavailable.
 	Read(ctx context.Context, from int64, limit int, wait time.Duration) (Batch, error)
 }
 
