--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -32,6 +32,16 @@
 	time.Sleep(time.Second)
 }
 
+// caughtUp checks that a VM says that it caught up.
+func caughtUp(t *testing.T, v *vm) {
+	t.Helper()
+	select {
+	case <-v.follower.CaughtUp():
+	default:
+		t.Errorf("not caught up: at offset %d of %d", v.follower.Next(), v.cluster.log.Next())
+	}
+}
+
 func TestBurstIsCoalescedWithinBudget(t *testing.T) {
 	run(t, func(t *testing.T, c *cluster) {
 		v := c.start(journaltest.Faults{Latency: 2 * time.Millisecond})
@@ -74,14 +84,14 @@
 		time.Sleep(time.Second)
 		snapshots, _ := b.replica.status()
 		assert.Equal(t, snapshots, 1)
-		<-b.follower.CaughtUp()
+		caughtUp(t, b)
 
 		// With the platform down a third VM takes the same from a peer.
 		d := c.start(journaltest.Faults{Read: journaltest.FaultDown})
 		time.Sleep(3 * time.Second)
 		_, reachable := d.replica.status()
 		assert.DeepEqual(t, reachable, []bool{false})
-		<-d.follower.CaughtUp()
+		caughtUp(t, d)
 		c.agree()
 	})
 }
--- a/internal/journal/matrix_test.go
+++ b/internal/journal/matrix_test.go
@@ -288,7 +288,7 @@
 	c.agree()
 	for _, v := range c.all() {
 		if !v.unreachable() {
-			<-v.follower.CaughtUp()
+			caughtUp(t, v)
 		}
 	}
 }
