Run requests: tickets, fair queues, backend choice, look-up, drain

First working piece of internal/dispatch and internal/ticket. A ticket names its arbiter; the Book of that incarnation decides on each use. Requests wait in deficit round robin queues by class, organisation and caller, and go to backend servers chosen by two choices over estimated free slots.

--- /dev/null
+++ b/internal/dispatch/admission.go
@@ -0,0 +1,164 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// The limits used where the configuration has zero.
+const (
+	defaultQueueRequests   = 10_000
+	defaultQueueBytes      = 64 << 20
+	defaultCrossRegionRate = 1 << 20 // bytes per second
+	defaultRetryPercent    = 20
+)
+
+var defaultMinShare = [model.ClassCount]int{30, 20, 10} // percent
+
+func withDefaults(l model.Limits) model.Limits {
+	if l.QueueRequests <= 0 {
+		l.QueueRequests = defaultQueueRequests
+	}
+	if l.QueueBytes <= 0 {
+		l.QueueBytes = defaultQueueBytes
+	}
+	if l.CrossRegionRate <= 0 {
+		l.CrossRegionRate = defaultCrossRegionRate
+	}
+	if l.RetryPercent <= 0 {
+		l.RetryPercent = defaultRetryPercent
+	}
+	if l.MinSharePercent == [model.ClassCount]int{} {
+		l.MinSharePercent = defaultMinShare
+	}
+	return l
+}
+
+// order returns the classes that have requests, in the order in which the next
+// free slot is offered: first classes below their minimum share of the running
+// requests, then by urgency.
+func (q *queue) order(running [model.ClassCount]int, share [model.ClassCount]int) []model.Class {
+	total := 1 // the request to be started
+	for _, n := range running {
+		total += n
+	}
+	var below, rest []model.Class
+	for c := model.ClassUrgent; c < model.ClassCount; c++ {
+		switch {
+		case q.classes[c].requests == 0:
+		case running[c]*100 < share[c]*total:
+			below = append(below, c)
+		default:
+			rest = append(rest, c)
+		}
+	}
+	return append(below, rest...)
+}
+
+// full reports whether a request of the given size exceeds the bounds.
+func (q *queue) full(l model.Limits, size int64) bool {
+	return q.requests+1 > l.QueueRequests || q.bytes+size > l.QueueBytes
+}
+
+// victim returns the queued request to shed for one of the given class and flow;
+// nil when the new one is to be refused. Less urgent classes lose first, but a
+// class keeps its minimum share of the queue; in a class, the caller with the
+// most expected slot time loses its newest request.
+func (q *queue) victim(class model.Class, f flow, l model.Limits) *queued {
+	for c := model.ClassCount - 1; c >= model.ClassUrgent; c-- {
+		if q.classes[c].requests == 0 {
+			continue
+		}
+		entitled := c > class || q.belowShare(class, l)
+		if c != class && (!entitled || q.belowShare(c, l)) {
+			continue
+		}
+		largest := q.classes[c].largest()
+		if c == class && largest.cost <= q.flowCost(class, f) {
+			continue
+		}
+		return largest.items[len(largest.items)-1]
+	}
+	return nil
+}
+
+func (q *queue) belowShare(c model.Class, l model.Limits) bool {
+	return q.classes[c].requests*100 < l.MinSharePercent[c]*l.QueueRequests
+}
+
+func (q *queue) flowCost(class model.Class, f flow) time.Duration {
+	org := q.classes[class].ring.values[f.organisation]
+	if org == nil || org.ring.values[f.caller] == nil {
+		return 0
+	}
+	return org.ring.values[f.caller].cost
+}
+
+func (c *classQueue) largest() *callerQueue {
+	var largest *callerQueue
+	for _, o := range c.ring.keys {
+		org := c.ring.values[o]
+		for _, k := range org.ring.keys {
+			caller := org.ring.values[k]
+			if largest == nil || caller.cost > largest.cost {
+				largest = caller
+			}
+		}
+	}
+	return largest
+}
+
+// load is what the wait of a request depends on besides the queue.
+type load struct {
+	running  [model.ClassCount]int
+	capacity int // requests that this VM can run at a time
+	share    [model.ClassCount]int
+}
+
+// wait estimates how long a new request of the given cost waits for a slot. It is
+// the slot time that fair queueing serves before it, over the slots that its
+// class gets.
+func (q *queue) wait(class model.Class, f flow, weight int, cost time.Duration, l load) time.Duration {
+	ahead := q.ahead(class, f, weight, cost)
+	return ahead / time.Duration(q.slots(class, l))
+}
+
+// backlog estimates the time that the queued requests of a class need.
+func (q *queue) backlog(class model.Class, l load) time.Duration {
+	return q.classes[class].cost / time.Duration(q.slots(class, l))
+}
+
+// slots returns how many of the VM's slots a class gets, at least 1.
+func (q *queue) slots(class model.Class, l load) int {
+	n := l.capacity
+	for c := model.ClassUrgent; c < model.ClassCount; c++ {
+		switch {
+		case c < class:
+			n -= l.running[c]
+		case c > class && q.classes[c].requests > 0:
+			n -= l.capacity * l.share[c] / 100
+		}
+	}
+	return max(n, l.capacity*l.share[class]/100, 1)
+}
+
+func (q *queue) ahead(class model.Class, f flow, weight int, cost time.Duration) time.Duration {
+	c := &q.classes[class]
+	own := q.flowCost(class, f)
+	org := c.ring.values[f.organisation]
+	callers, weights := 1, max(weight, 1)
+	if org != nil {
+		callers = len(org.ring.keys)
+		if org.ring.values[f.caller] == nil {
+			callers++
+		}
+	}
+	for _, o := range c.ring.keys {
+		if o != f.organisation {
+			weights += c.ring.values[o].weight
+		}
+	}
+	fair := (own + cost) * time.Duration(callers) * time.Duration(weights) / time.Duration(max(weight, 1))
+	return min(fair-cost, c.cost)
+}
--- /dev/null
+++ b/internal/dispatch/estimate.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	sampleCount    = 64 // newest service times kept per kind
+	minSamples     = 8  // fewer give no estimate
+	refreshSamples = 8  // samples between two computations of the quantiles
+	defaultCost    = 100 * time.Millisecond
+)
+
+// serviceTimes estimates how long the backend servers take for one kind of
+// request, from measured times only.
+type serviceTimes struct {
+	samples [sampleCount]time.Duration
+	count   int // samples taken in total
+	p50     time.Duration
+	p95     time.Duration
+	mean    time.Duration
+}
+
+func (s *serviceTimes) add(d time.Duration) {
+	s.samples[s.count%sampleCount] = d
+	s.count++
+	if s.count%refreshSamples == 0 {
+		s.refresh()
+	}
+}
+
+func (s *serviceTimes) refresh() {
+	sorted := slices.Clone(s.samples[:min(s.count, sampleCount)])
+	slices.Sort(sorted)
+	s.p50 = sorted[len(sorted)/2]
+	s.p95 = sorted[len(sorted)*95/100]
+	var sum time.Duration
+	for _, d := range sorted {
+		sum += d
+	}
+	s.mean = sum / time.Duration(len(sorted))
+}
+
+// known reports whether there are enough samples for p50, p95 and mean.
+func (s *serviceTimes) known() bool { return s.count >= minSamples }
+
+// cost returns the expected slot time of one request.
+func (s *serviceTimes) cost() time.Duration {
+	if !s.known() {
+		return defaultCost
+	}
+	return max(s.mean, time.Millisecond)
+}
--- /dev/null
+++ b/internal/dispatch/fake_test.go
@@ -0,0 +1,434 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/config"
+	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+)
+
+// wireFault is what happens to one call on its way.
+type wireFault int
+
+const (
+	wireOK        wireFault = iota
+	wireRefused             // never sent
+	wireCutBefore           // cut before effect
+	wireCutAfter            // cut after effect
+	wireSilent              // never arrives, never answers
+	wireLost                // takes effect, never answers
+	wireLate                // silent, and takes effect late
+	wireCrossed             // answered with another request's answer
+	wireCut                 // answered with a part of the body
+	wireFaultCount
+)
+
+const (
+	wireLatency = time.Millisecond
+	wireLateBy  = 3 * time.Second
+)
+
+// wire carries a call under a fault. effect runs the call at the other side.
+func wire[T any](ctx context.Context, f wireFault, effect func() (T, error)) (T, error) {
+	var zero T
+	time.Sleep(wireLatency)
+	switch f {
+	case wireRefused:
+		return zero, platform.ErrUnavailable
+	case wireCutBefore:
+		return zero, platform.ErrInDoubt
+	case wireSilent:
+		<-ctx.Done()
+		return zero, fmt.Errorf("%w: %w", platform.ErrInDoubt, ctx.Err())
+	case wireLate:
+		go func() {
+			time.Sleep(wireLateBy)
+			_, _ = effect()
+		}()
+		<-ctx.Done()
+		return zero, platform.ErrInDoubt
+	}
+	type reply struct {
+		value T
+		err   error
+	}
+	done := make(chan reply, 1)
+	go func() {
+		v, err := effect()
+		done <- reply{v, err}
+	}()
+	if f == wireCutAfter {
+		time.Sleep(wireLatency)
+		return zero, platform.ErrInDoubt
+	}
+	if f == wireLost {
+		<-ctx.Done()
+		return zero, platform.ErrInDoubt
+	}
+	select {
+	case r := <-done:
+		time.Sleep(wireLatency)
+		return r.value, r.err
+	case <-ctx.Done():
+		return zero, fmt.Errorf("%w: %w", platform.ErrInDoubt, ctx.Err())
+	}
+}
+
+// execution is the backend servers' record of one request.
+type execution struct {
+	answer platform.Answer
+	ran    bool
+}
+
+// fakeServer is a backend server with slots that executes a request ID at most once.
+type fakeServer struct {
+	mu       sync.Mutex
+	id       model.BackendServerID
+	slots    int
+	used     int
+	service  time.Duration
+	leaving  bool
+	failAll  bool
+	faults   func(call string) wireFault
+	records  map[model.RequestID]*execution
+	order    []platform.Execution // executed
+	refusals int
+}
+
+func (s *fakeServer) fault(call string) wireFault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults == nil {
+		return wireOK
+	}
+	return s.faults(call)
+}
+
+func (s *fakeServer) Status(context.Context) (platform.BackendStatus, error) {
+	return platform.BackendStatus{}, platform.ErrUnavailable
+}
+
+func (s *fakeServer) Command(context.Context, platform.CommandBatch) ([]platform.TaskResult, error) {
+	return nil, platform.ErrUnavailable
+}
+
+func (s *fakeServer) Ping(ctx context.Context) error {
+	_, err := wire(ctx, s.fault("ping"), func() (bool, error) { return true, nil })
+	return err
+}
+
+func (s *fakeServer) Execute(ctx context.Context, e platform.Execution) (platform.Answer, error) {
+	f := s.fault("execute")
+	a, err := wire(ctx, f, func() (platform.Answer, error) { return s.run(e), nil })
+	switch {
+	case err == nil && f == wireCrossed:
+		a.Request = "other"
+		a.Body = []byte("answer of another request")
+		a.Length, a.Digest = len(a.Body), digestOf(a.Body)
+	case err == nil && f == wireCut && len(a.Body) > 0:
+		a.Body = a.Body[:len(a.Body)/2]
+	}
+	return a, err
+}
+
+func (s *fakeServer) Lookup(ctx context.Context, id model.RequestID) (platform.Answer, error) {
+	return wire(ctx, s.fault("lookup"), func() (platform.Answer, error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if x := s.records[id]; x != nil {
+			a := x.answer
+			a.FreeSlots = s.slots - s.used
+			return a, nil
+		}
+		s.records[id] = &execution{answer: platform.Answer{Request: id, State: platform.ExecutionRefused}}
+		return platform.Answer{}, platform.ErrNotFound
+	})
+}
+
+func (s *fakeServer) run(e platform.Execution) platform.Answer {
+	s.mu.Lock()
+	if x := s.records[e.Request]; x != nil {
+		defer s.mu.Unlock()
+		return x.answer
+	}
+	x := &execution{answer: platform.Answer{Request: e.Request, State: platform.ExecutionRunning}}
+	s.records[e.Request] = x
+	if refused := s.refuses(); refused != "" {
+		defer s.mu.Unlock()
+		s.refusals++
+		x.answer.State, x.answer.Refused = platform.ExecutionRefused, refused
+		return x.answer
+	}
+	s.used++
+	x.ran = true
+	s.order = append(s.order, e)
+	service := s.service
+	s.mu.Unlock()
+	time.Sleep(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.used--
+	x.answer.FreeSlots = s.slots - s.used
+	if s.failAll {
+		x.answer.State, x.answer.Error = platform.ExecutionFailed, "broken"
+		return x.answer
+	}
+	x.answer.State = platform.ExecutionDone
+	x.answer.Body = answerTo(e)
+	x.answer.Length, x.answer.Digest = len(x.answer.Body), digestOf(x.answer.Body)
+	return x.answer
+}
+
+func (s *fakeServer) refuses() platform.Refusal {
+	switch {
+	case s.leaving:
+		return platform.RefusedLeaving
+	case s.used >= s.slots:
+		return platform.RefusedFull
+	default:
+		return ""
+	}
+}
+
+// answerTo is the one right answer to a request.
+func answerTo(e platform.Execution) []byte {
+	return fmt.Appendf(nil, "%s|%s|%s|%s", RequestOf(e.Request), e.Organisation, e.Caller, e.Body)
+}
+
+// world is a set of VMs and backend servers in one process and virtual time.
+type world struct {
+	t       *testing.T
+	mu      sync.Mutex
+	servers map[string]*fakeServer
+	vms     map[string]*vm
+	view    View
+	// peerFault decides on the calls between VMs.
+	peerFault func(call, from, to string) wireFault
+}
+
+type vm struct {
+	*Dispatcher
+	world   *world
+	address string
+	cancel  context.CancelFunc
+	down    bool
+	// frozenUntil holds back all that the VM sends and gets.
+	frozenUntil time.Time
+}
+
+// testReporter fails the test on any violation.
+type testReporter struct{ t *testing.T }
+
+func (r testReporter) Violated(v invariant.Violation) {
+	r.t.Errorf("violated: %s: request %s: %s", v.Promise, v.Request, v.Detail)
+}
+
+const (
+	kindQuote = "quote" // urgent, idempotent
+	kindOrder = "order" // normal, not idempotent
+	kindMatch = "match" // batch, idempotent
+)
+
+func testConfig() *config.Current {
+	return &config.Current{
+		Organisations: map[model.OrganisationID]model.Organisation{"org": {ID: "org", Weight: 1}},
+		RequestKinds: map[string]model.RequestKind{
+			kindQuote: {Name: kindQuote, Class: model.ClassUrgent, Deadline: 10 * time.Second, Idempotent: true},
+			kindOrder: {Name: kindOrder, Class: model.ClassNormal, Deadline: 10 * time.Second},
+			kindMatch: {Name: kindMatch, Class: model.ClassBatch, Deadline: 60 * time.Second, Idempotent: true},
+		},
+	}
+}
+
+func newWorld(t *testing.T, vms, servers int) *world {
+	w := &world{t: t, servers: map[string]*fakeServer{}, vms: map[string]*vm{}}
+	w.view = View{AZ: "az", Region: "region", Config: testConfig()}
+	for i := range servers {
+		address := fmt.Sprintf("backend-%d", i)
+		id := model.BackendServerID(address)
+		w.servers[address] = &fakeServer{
+			id:      id,
+			slots:   8,
+			service: 20 * time.Millisecond,
+			records: map[model.RequestID]*execution{},
+		}
+		server := model.BackendServer{ID: id, Address: address, AZ: "az", Region: "region", Slots: 8, Connections: 64}
+		w.view.Backends = append(w.view.Backends, BackendView{Server: server, Live: true, FreeSlots: 8})
+	}
+	for i := range vms {
+		w.addVM(fmt.Sprintf("vm-%d", i))
+	}
+	return w
+}
+
+func (w *world) addVM(address string) *vm {
+	incarnation := model.Incarnation("inc-" + address)
+	m := &vm{world: w, address: address}
+	m.Dispatcher = New(Options{
+		Address:     address,
+		Incarnation: incarnation,
+		Ports:       Ports{View: func() *View { return w.viewOf(address) }, Dialer: dialer{m}, Peers: peers{m}},
+		Reporter:    testReporter{w.t},
+		Seed:        1,
+	})
+	w.view.Peers = append(w.view.Peers, PeerView{Address: address, Incarnation: incarnation, AZ: "az", Alive: true})
+	w.vms[address] = m
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	go m.Run(ctx)
+	return m
+}
+
+// viewOf returns the shared view without the VM itself.
+func (w *world) viewOf(address string) *View {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v := w.view
+	v.Peers = nil
+	for _, p := range w.view.Peers {
+		if p.Address != address {
+			v.Peers = append(v.Peers, p)
+		}
+	}
+	return &v
+}
+
+// change edits the view under the lock.
+func (w *world) change(edit func(v *View)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	edit(&w.view)
+}
+
+func (w *world) close() {
+	for _, m := range w.vms {
+		m.cancel()
+		m.Close()
+	}
+}
+
+// executions counts how often the servers ran the request of a caller's ID.
+func (w *world) executions(id model.RequestID) int {
+	n := 0
+	for _, s := range w.servers {
+		s.mu.Lock()
+		for _, e := range s.order {
+			if RequestOf(e.Request) == id {
+				n++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return n
+}
+
+// kill ends a VM without any goodbye.
+func (w *world) kill(m *vm) {
+	w.mu.Lock()
+	m.down = true
+	for i := range w.view.Peers {
+		if w.view.Peers[i].Address == m.address {
+			w.view.Peers[i].Alive = false
+		}
+	}
+	w.mu.Unlock()
+}
+
+// freeze holds back all calls of a VM for a while.
+func (w *world) freeze(m *vm, d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m.frozenUntil = time.Now().Add(d)
+}
+
+// pass holds a call back while the VM is frozen, for good when it is down.
+func (m *vm) pass(ctx context.Context) error {
+	m.world.mu.Lock()
+	down, until := m.down, m.frozenUntil
+	m.world.mu.Unlock()
+	if down {
+		return platform.ErrUnavailable
+	}
+	time.Sleep(time.Until(until))
+	return ctx.Err()
+}
+
+type dialer struct{ m *vm }
+
+func (d dialer) Backend(address string) platform.Backend {
+	s := d.m.world.servers[address]
+	if s == nil {
+		s = &fakeServer{faults: func(string) wireFault { return wireRefused }}
+	}
+	return backendOf{s, d.m}
+}
+
+// backendOf is a backend server as one VM reaches it.
+type backendOf struct {
+	*fakeServer
+	m *vm
+}
+
+func (b backendOf) Execute(ctx context.Context, e platform.Execution) (platform.Answer, error) {
+	if err := b.m.pass(ctx); err != nil {
+		return platform.Answer{}, platform.ErrUnavailable
+	}
+	return b.fakeServer.Execute(ctx, e)
+}
+
+type peers struct{ m *vm }
+
+func (p peers) call(name, to string) (*vm, wireFault) {
+	w := p.m.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	target := w.vms[to]
+	if target == nil || target.down || p.m.down {
+		return nil, wireRefused
+	}
+	if w.peerFault == nil {
+		return target, wireOK
+	}
+	return target, w.peerFault(name, p.m.address, to)
+}
+
+func (p peers) Forward(ctx context.Context, address string, r Request) (Result, error) {
+	target, f := p.call("forward", address)
+	return wire(ctx, f, func() (Result, error) {
+		if err := target.pass(ctx); err != nil {
+			return Result{}, platform.ErrInDoubt
+		}
+		return target.Do(ctx, r), nil
+	})
+}
+
+func (p peers) Lookup(ctx context.Context, address string, id model.RequestID, ticket string) (Result, error) {
+	target, f := p.call("lookup", address)
+	return wire(ctx, f, func() (Result, error) {
+		if err := target.pass(ctx); err != nil {
+			return Result{}, platform.ErrInDoubt
+		}
+		res, ok := target.Known(ctx, id, ticket)
+		if !ok {
+			return res, platform.ErrNotFound
+		}
+		return res, nil
+	})
+}
+
+func (p peers) HandOver(ctx context.Context, address string, from model.Incarnation, tickets []TicketState) error {
+	target, f := p.call("hand-over", address)
+	_, err := wire(ctx, f, func() (bool, error) {
+		if target.Accept(from, tickets) != nil {
+			return false, platform.ErrUnavailable
+		}
+		return true, nil
+	})
+	return err
+}
--- /dev/null
+++ b/internal/dispatch/lookup.go
@@ -0,0 +1,129 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/ticket"
+)
+
+// Lookup returns the outcome that is known for a request, by ticket when there is
+// one, else by ID. A ticket is asked for at its arbiter.
+func (d *Dispatcher) Lookup(ctx context.Context, id model.RequestID, ticketText string) (Result, bool) {
+	if res, ok := d.Known(ctx, id, ticketText); ok {
+		return res, true
+	}
+	t, err := ticket.Parse(ticketText)
+	if err != nil {
+		return Result{}, false
+	}
+	r := Request{ID: id, Ticket: ticketText}
+	for _, address := range d.candidates(d.ports.View(), r, t) {
+		res, err := d.lookupAt(ctx, address, r)
+		if err == nil && !isNotArbiter(res) && res.Outcome != "" {
+			return d.trusted(r, res), true
+		}
+	}
+	return Result{}, false
+}
+
+// Known returns the outcome that this VM knows, without asking another one.
+func (d *Dispatcher) Known(ctx context.Context, id model.RequestID, ticketText string) (Result, bool) {
+	if ticketText == "" {
+		return d.recent.get(id, time.Now())
+	}
+	t, err := ticket.Parse(ticketText)
+	if err != nil {
+		return Result{}, false
+	}
+	verdict, entry := d.book.Look(t, time.Now())
+	switch verdict {
+	case ticket.Answered:
+		return resultOfAnswer(id, *entry.Answer), true
+	case ticket.BodyDropped:
+		return d.fetchBody(ctx, id, entry), true
+	case ticket.Wait:
+		return unknown(id, ReasonInFlight), true
+	case ticket.Ask:
+		return d.askOnce(ctx, id, t, entry), true
+	case ticket.ExpiredUnused:
+		return refusedUse(id, verdict), true
+	default:
+		return Result{}, false
+	}
+}
+
+func (d *Dispatcher) askOnce(ctx context.Context, id model.RequestID, t ticket.Ticket, e ticket.Entry) Result {
+	res, ok := d.lookupExecution(ctx, id, t, e)
+	if !ok {
+		return unknown(id, ReasonInDoubt)
+	}
+	a, _ := d.book.Settle(t, answerOf(res))
+	return resultOfAnswer(id, a)
+}
+
+const (
+	recentCount = 4096
+	recentBytes = 16 << 20
+	recentFor   = 10 * time.Minute
+)
+
+// recentOutcomes remembers the newest outcomes by request ID, bounded in number,
+// bytes and time. An ID that different requests used is not answered.
+type recentOutcomes struct {
+	mu      sync.Mutex
+	entries map[model.RequestID]*recentOutcome
+	order   []model.RequestID // oldest first
+	bytes   int
+}
+
+type recentOutcome struct {
+	binding   ticket.Binding
+	result    Result
+	at        time.Time
+	ambiguous bool
+}
+
+func newRecentOutcomes() *recentOutcomes {
+	return &recentOutcomes{entries: map[model.RequestID]*recentOutcome{}}
+}
+
+func (o *recentOutcomes) add(r Request, res Result, now time.Time) {
+	if len(res.Body) > recentBytes {
+		return
+	}
+	binding := ticket.Bind(r.Kind, r.Organisation, r.Caller, r.Body)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e := o.entries[r.ID]
+	if e == nil {
+		e = &recentOutcome{binding: binding}
+		o.entries[r.ID] = e
+		o.order = append(o.order, r.ID)
+	}
+	o.bytes += len(res.Body) - len(e.result.Body)
+	e.ambiguous = e.ambiguous || e.binding != binding
+	e.result = res
+	e.at = now
+	for len(o.order) > recentCount || o.bytes > recentBytes {
+		o.drop(o.order[0])
+		o.order = o.order[1:]
+	}
+}
+
+func (o *recentOutcomes) drop(id model.RequestID) {
+	o.bytes -= len(o.entries[id].result.Body)
+	delete(o.entries, id)
+}
+
+func (o *recentOutcomes) get(id model.RequestID, now time.Time) (Result, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e := o.entries[id]
+	if e == nil || e.ambiguous || now.Sub(e.at) > recentFor {
+		return Result{}, false
+	}
+	return e.result, true
+}
--- /dev/null
+++ b/internal/dispatch/pool.go
@@ -0,0 +1,254 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// tier is the distance of a backend server.
+type tier int
+
+const (
+	tierZone   tier = iota // own availability zone
+	tierRegion             // own region
+	tierFar                // other regions; traffic there is paid by volume
+	tierCount
+)
+
+const (
+	defaultSlots       = 8
+	defaultConnections = 64
+	// reservedConnections per VM are kept for pings and look-ups.
+	reservedConnections = 2
+	// reportStale is the age at which a report of no free slot is tried again.
+	reportStale = 250 * time.Millisecond
+	// fullBackoffMin and fullBackoffMax bound the pause after a refusal for want of slots.
+	fullBackoffMin = 10 * time.Millisecond
+	fullBackoffMax = 160 * time.Millisecond
+	// leavingSticky is how long a server's own word that it leaves outlasts a view
+	// that does not know it yet.
+	leavingSticky = 30 * time.Second
+)
+
+// backend is what the pool knows of one backend server.
+type backend struct {
+	server      model.BackendServer
+	tier        tier
+	usable      bool // live, not leaving and not quarantined by the view
+	inflight    int
+	free        int // estimate of the free slots
+	reported    time.Time
+	fullStreak  int
+	fullUntil   time.Time
+	leavingTill time.Time
+	health      health
+}
+
+func (b *backend) slots() int {
+	if b.server.Slots <= 0 {
+		return defaultSlots
+	}
+	return b.server.Slots
+}
+
+func (b *backend) connections() int {
+	if b.server.Connections <= 0 {
+		return defaultConnections
+	}
+	return b.server.Connections
+}
+
+// pool chooses backend servers. It is pure but for its source of randomness.
+type pool struct {
+	backends map[string]*backend // by address
+	tiers    [tierCount][]*backend
+	vms      int // live VMs of the availability zone, this one included
+	inflight int // in the own availability zone
+	rand     *rand.Rand
+}
+
+func newPool(r *rand.Rand) *pool {
+	return &pool{backends: map[string]*backend{}, vms: 1, rand: r}
+}
+
+// update applies a new view. Servers that are gone from it are kept while they
+// have requests in flight.
+func (p *pool) update(v *View, now time.Time) {
+	seen := map[string]bool{}
+	for _, bv := range v.Backends {
+		seen[bv.Server.Address] = true
+		p.updateBackend(v, bv, now)
+	}
+	for address, b := range p.backends {
+		if seen[address] {
+			continue
+		}
+		b.usable = false
+		if b.inflight == 0 {
+			delete(p.backends, address)
+		}
+	}
+	p.vms = 1
+	for _, peer := range v.Peers {
+		if peer.Alive && !peer.Leaving && peer.AZ == v.AZ {
+			p.vms++
+		}
+	}
+	p.sort(v)
+}
+
+func (p *pool) updateBackend(v *View, bv BackendView, now time.Time) {
+	b := p.backends[bv.Server.Address]
+	if b == nil {
+		b = &backend{free: max(bv.FreeSlots, 1)}
+		p.backends[bv.Server.Address] = b
+	}
+	b.server = bv.Server
+	b.usable = bv.Live && !bv.Leaving && !bv.Quarantined
+	b.tier = tierOf(v, bv.Server)
+	if now.Sub(b.reported) > reportStale && bv.FreeSlots > 0 && !now.Before(b.fullUntil) {
+		b.free = bv.FreeSlots
+	}
+}
+
+func tierOf(v *View, s model.BackendServer) tier {
+	switch {
+	case s.AZ == v.AZ:
+		return tierZone
+	case s.Region == v.Region:
+		return tierRegion
+	default:
+		return tierFar
+	}
+}
+
+// sort fills the tiers in the order of the view, so that choices depend on the
+// view and the source of randomness alone.
+func (p *pool) sort(v *View) {
+	p.tiers = [tierCount][]*backend{}
+	for _, bv := range v.Backends {
+		b := p.backends[bv.Server.Address]
+		p.tiers[b.tier] = append(p.tiers[b.tier], b)
+	}
+}
+
+// serving reports whether the tier has a server that takes work, full or not.
+func (p *pool) serving(t tier, now time.Time) bool {
+	for _, b := range p.tiers[t] {
+		if b.accepts(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// accepts reports whether the server takes new work when it has a free slot.
+func (b *backend) accepts(now time.Time) bool {
+	return b.usable && !now.Before(b.leavingTill) && b.health.admits(now, b.inflight)
+}
+
+// room reports how many requests may be sent to b now.
+func (p *pool) room(b *backend, now time.Time) int {
+	if !b.accepts(now) || now.Before(b.fullUntil) {
+		return 0
+	}
+	limit := min(b.slots(), max(b.connections()/p.vms-reservedConnections, 1)) - b.inflight
+	free := b.free
+	if free <= 0 && now.Sub(b.reported) > reportStale {
+		free = 1
+	}
+	if b.fullStreak > 0 {
+		free = min(free, 1)
+	}
+	return min(limit, free)
+}
+
+// pick chooses a server of a tier by the power of two choices and counts the
+// request in flight there; nil when none has room. except is not chosen.
+func (p *pool) pick(t tier, except map[string]bool, now time.Time) *backend {
+	var open []*backend
+	for _, b := range p.tiers[t] {
+		if !except[b.server.Address] && p.room(b, now) > p.headroom(t) {
+			open = append(open, b)
+		}
+	}
+	if len(open) == 0 {
+		return nil
+	}
+	b := open[p.rand.IntN(len(open))]
+	if other := open[p.rand.IntN(len(open))]; p.room(other, now) > p.room(b, now) {
+		b = other
+	}
+	p.start(b)
+	return b
+}
+
+// headroom is the number of free slots that are left to the other VMs of the
+// availability zone. A VM that runs more than its share of the zone leaves the last
+// one of each server, so that the others find a slot without asking for it.
+func (p *pool) headroom(t tier) int {
+	if t != tierZone || p.vms < 2 {
+		return 0
+	}
+	if p.inflight < p.fairShare() {
+		return 0
+	}
+	return 1
+}
+
+func (p *pool) fairShare() int {
+	slots := 0
+	for _, b := range p.tiers[tierZone] {
+		if b.usable {
+			slots += b.slots()
+		}
+	}
+	return max(slots/p.vms, 1)
+}
+
+// capacity estimates how many requests this VM can run at a time.
+func (p *pool) capacity() int { return max(p.fairShare(), p.inflight) }
+
+func (p *pool) start(b *backend) {
+	b.inflight++
+	b.free--
+	if b.tier == tierZone {
+		p.inflight++
+	}
+}
+
+// noReport stands for an exchange that ended without a report of free slots.
+const noReport = -1
+
+// end counts a request out. free is the server's report of its free slots or
+// noReport, which leaves the estimate as it is: the slot may be in use still.
+func (p *pool) end(b *backend, free int, now time.Time) {
+	b.inflight--
+	if b.tier == tierZone {
+		p.inflight--
+	}
+	if free == noReport {
+		return
+	}
+	b.free = free
+	b.reported = now
+	if free > 0 {
+		b.fullStreak = 0
+	}
+}
+
+// full notes a refusal for want of slots.
+func (p *pool) full(b *backend, now time.Time) {
+	b.free = 0
+	b.reported = now
+	backoff := min(fullBackoffMin<<min(b.fullStreak, 8), fullBackoffMax)
+	b.fullStreak++
+	b.fullUntil = now.Add(backoff/2 + time.Duration(p.rand.Int64N(int64(backoff))))
+}
+
+// leaving notes a server's own word that it takes no new work.
+func (p *pool) leaving(b *backend, now time.Time) {
+	b.leavingTill = now.Add(leavingSticky)
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -72,9 +72,12 @@
 type TicketState struct {
 	Ticket   string
 	Request  model.RequestID
+	Binding  string  // digest of the request that first used the ticket
 	Result   *Result // nil while unused or in flight
 	InFlight bool
-	Backend  string // address of the backend server that has it in flight
+	Backend  string // address of the backend server that it was sent to; empty: not sent
+	// BodyDropped is set when Result was done but its body is no longer kept.
+	BodyDropped bool
 }
 
 // Ports are the dispatcher's connections to the outside.
@@ -95,8 +98,11 @@
 type Service interface {
 	// Do runs a request to its outcome. It returns no error: every request has an outcome.
 	Do(ctx context.Context, r Request) Result
-	// Lookup returns the outcome that is known for a request, by ID or ticket.
+	// Lookup returns the outcome that is known for a request, by ID or ticket. A
+	// ticket that another VM arbitrates is asked for there.
 	Lookup(ctx context.Context, id model.RequestID, ticket string) (Result, bool)
+	// Known is Lookup without asking another VM. Peers.Lookup ends here.
+	Known(ctx context.Context, id model.RequestID, ticket string) (Result, bool)
 	// MintTicket returns a ticket that this VM arbitrates.
 	MintTicket(ttl time.Duration) string
 	// Accept takes over the arbitration of tickets from a leaving VM.
