Split the pure scheduler from the dispatcher

Cause: queues, admission, choice of a backend server and budgets stood on the dispatcher's fields, so that they could be measured only with real goroutines. Change: package schedule holds them without clock, goroutine or lock; the dispatcher keeps the lock, the exchanges and the outcomes. Run: go test -race ./internal/dispatch/...: ok.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/dispatch/schedule"
 	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/ticket"
@@ -45,15 +46,8 @@
 
 	mu        sync.Mutex // guards the fields below; held for short steps only
 	view      *View
-	limits    model.Limits
-	queue     queue
-	pool      *pool
-	running   [model.ClassCount]int
-	times     map[string]*serviceTimes // by kind
-	retries   retryBudget
-	crossing  tokenBucket
-	parked    []*item // wait for the retry budget
-	open      map[*item]struct{}
+	scheduler *schedule.Scheduler
+	open      map[*schedule.Request]*item
 	draining  bool
 	idle      chan struct{} // one element: no item was open a moment ago
 	waking    bool          // a wake-up is scheduled
@@ -83,10 +77,8 @@
 		tracer:    otel.Tracer("eelgrassreach/dispatch"),
 		base:      base,
 		stop:      stop,
-		limits:    withDefaults(model.Limits{}),
-		pool:      newPool(rand.New(rand.NewPCG(o.Seed, o.Seed))),
-		times:     map[string]*serviceTimes{},
-		open:      map[*item]struct{}{},
+		scheduler: schedule.New(rand.New(rand.NewPCG(o.Seed, o.Seed))),
+		open:      map[*schedule.Request]*item{},
 		idle:      make(chan struct{}, 1),
 		handed:    make(chan struct{}),
 		suspected: map[string]chan struct{}{},
@@ -115,7 +107,7 @@
 	defer d.mu.Unlock()
 	out := make([]QueueState, 0, model.ClassCount)
 	for c := model.ClassUrgent; c < model.ClassCount; c++ {
-		out = append(out, QueueState{Class: c, Queued: d.queue.classes[c].requests, Running: d.running[c]})
+		out = append(out, QueueState{Class: c, Queued: d.scheduler.Queued(c), Running: d.scheduler.Running(c)})
 	}
 	return out
 }
--- a/internal/dispatch/drain.go
+++ b/internal/dispatch/drain.go
@@ -93,8 +93,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []*item
-	for it := range d.open {
-		if d.queue.remove(&it.queued) || d.unpark(it) {
+	for x, it := range d.open {
+		if d.scheduler.Withdraw(x) {
 			out = append(out, it)
 		}
 	}
@@ -247,7 +247,7 @@
 	}
 	d.mu.Lock()
 	left := make([]*item, 0, len(d.open))
-	for it := range d.open {
+	for _, it := range d.open {
 		left = append(left, it)
 	}
 	clear(d.open)
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -23,6 +23,7 @@
 	end    exchangeEnd
 	answer platform.Answer // endAnswered and endRefused
 	direct bool            // answered on the connection that carried it
+	silent bool            // ended in doubt after a look-up brought no answer either
 }
 
 const (
@@ -51,6 +52,7 @@
 	sent     chan reply // nil after the first reply
 	asked    chan reply // nil while no look-up is under way
 	lostSend bool
+	misses   int // look-ups without an answer
 }
 
 type reply struct {
@@ -99,7 +101,7 @@
 		}
 	default:
 	}
-	return exchangeResult{end: endInDoubt}
+	return exchangeResult{end: endInDoubt, silent: x.lostSend || x.misses > 0}
 }
 
 func (x *exchange) send(ctx context.Context) {
@@ -152,6 +154,7 @@
 	case errors.Is(r.err, platform.ErrNotFound):
 		return exchangeResult{end: endNeverSeen}, true
 	case r.err != nil:
+		x.misses++
 		return exchangeResult{}, false
 	default:
 		return x.onAnswer(r.answer)
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/dispatch/schedule"
 	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/platform"
@@ -19,8 +20,6 @@
 	executionSeparator = "~"
 	// hedgeMin bounds the wait before an idempotent request is sent a second time.
 	hedgeMin = 100 * time.Millisecond
-	// hedgeFactor times the 95th percentile of the service time is that wait.
-	hedgeFactor = 2
 	// maxExchanges is the number of concurrent exchanges of one idempotent request.
 	maxExchanges = 2
 )
@@ -41,7 +40,7 @@
 	return execution[:i]
 }
 
-func (d *Dispatcher) execute(it *item, b *backend) {
+func (d *Dispatcher) execute(it *item, b *schedule.Server) {
 	if it.ticket != nil {
 		d.executeTicketed(it, b)
 		return
@@ -51,11 +50,11 @@
 
 // executeIdempotent sends the request, and once more elsewhere when the first
 // answer is slow and the retry budget allows. The first whole answer counts.
-func (d *Dispatcher) executeIdempotent(it *item, b *backend) {
+func (d *Dispatcher) executeIdempotent(it *item, b *schedule.Server) {
 	ctx, cancel := context.WithCancel(it.ctx)
 	defer cancel()
 	results := make(chan exchangeResult, maxExchanges)
-	launch := func(b *backend) {
+	launch := func(b *schedule.Server) {
 		go func() { results <- d.exchangeWith(ctx, it, b, d.uniqueID(it)) }()
 	}
 	launch(b)
@@ -130,22 +129,17 @@
 func (d *Dispatcher) hedgeDelay(it *item) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	times := d.serviceTimes(it.kind.Name)
-	if !times.known() {
-		return silenceDefault
-	}
-	return max(hedgeFactor*times.p95, hedgeMin)
+	return max(d.scheduler.Slow(it.kind.Name, silenceDefault), hedgeMin)
 }
 
-func (d *Dispatcher) hedge(it *item, first *backend) *backend {
+func (d *Dispatcher) hedge(it *item, first *schedule.Server) *schedule.Server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
-	if d.draining || it.ctx.Err() != nil || !d.retries.take(now) {
+	if d.draining || it.ctx.Err() != nil {
 		return nil
 	}
-	it.avoid[first.server.Address] = true
-	other := d.choose(it, now)
+	it.Avoid(first.Address())
+	other := d.scheduler.Hedge(&it.Request, time.Now())
 	if other != nil {
 		d.metrics.hedges.Inc(1)
 	}
@@ -153,85 +147,40 @@
 }
 
 // exchangeWith runs one exchange and gives back the backend server's slot.
-func (d *Dispatcher) exchangeWith(ctx context.Context, it *item, b *backend, id model.RequestID) exchangeResult {
+func (d *Dispatcher) exchangeWith(ctx context.Context, it *item, b *schedule.Server, id model.RequestID) exchangeResult {
 	ctx, span := d.tracer.Start(ctx, "dispatch.exchange", trace.WithAttributes(
 		attribute.String("request.id", string(it.request.ID)),
-		attribute.String("backend.address", b.server.Address),
+		attribute.String("backend.address", b.Address()),
 	))
 	defer span.End()
 	started := time.Now()
 	x := d.newExchange(it, b, id)
 	res := x.run(ctx)
 	span.SetAttributes(attribute.String("exchange.end", strconv.Itoa(int(res.end))))
-	d.release(b, it, res, time.Since(started))
+	d.release(b, it, reportOf(res, ctx.Err(), time.Since(started)))
 	return res
 }
 
-func (d *Dispatcher) newExchange(it *item, b *backend, id model.RequestID) *exchange {
+func (d *Dispatcher) newExchange(it *item, b *schedule.Server, id model.RequestID) *exchange {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	silence := silenceDefault
-	if times := d.serviceTimes(it.kind.Name); times.known() {
-		silence = max(hedgeFactor*times.p95, silenceMin)
-	}
 	return &exchange{
-		backend: d.ports.Dialer.Backend(b.server.Address),
+		backend: d.ports.Dialer.Backend(b.Address()),
 		execution: platform.Execution{
 			Request:      id,
 			Kind:         it.kind.Name,
 			Organisation: it.request.Organisation,
 			Caller:       it.request.Caller,
 			Body:         it.request.Body,
-			Timeout:      time.Until(it.deadline),
+			Timeout:      time.Until(it.Deadline),
 		},
-		silence:  silence,
-		suspect:  d.suspicion(b.server.Address),
+		silence:  max(d.scheduler.Slow(it.kind.Name, silenceDefault), silenceMin),
+		suspect:  d.suspicion(b.Address()),
 		onBad:    func() { d.metrics.badAnswers.Inc(1) },
 		onLookup: func() { d.metrics.lookups.Inc(1) },
 	}
 }
 
-// noteAnswer learns from an answer. The lock is held.
-func (d *Dispatcher) noteAnswer(b *backend, it *item, res exchangeResult, took time.Duration, now time.Time) {
-	b.health.reachable()
-	if b.tier == tierFar {
-		d.charge(int64(len(res.answer.Body)), now)
-	}
-	if res.answer.State == platform.ExecutionDone {
-		b.health.success()
-		if res.direct {
-			d.serviceTimes(it.kind.Name).add(took)
-		}
-		return
-	}
-	if b.health.executionFailed(it.request.Organisation) {
-		d.eject(b, now)
-	}
-}
-
-func (d *Dispatcher) noteRefusal(b *backend, res exchangeResult, now time.Time) {
-	b.health.reachable()
-	switch res.answer.Refused {
-	case platform.RefusedLeaving:
-		d.pool.leaving(b, now)
-	default:
-		d.pool.full(b, now)
-		d.metrics.full.Inc(1)
-	}
-}
-
-func (d *Dispatcher) noteUnreachable(b *backend, now time.Time) {
-	if b.health.pathFailed() {
-		d.eject(b, now)
-	}
-}
-
-func (d *Dispatcher) eject(b *backend, now time.Time) {
-	if d.pool.eject(b, now) {
-		d.metrics.ejections.Inc(1)
-	}
-}
-
 // checkResult asserts what a caller is about to be told.
 func (d *Dispatcher) checkResult(r Request, res Result) {
 	if res.Outcome == model.OutcomeDone && digestOf(res.Body) != res.Digest {
--- a/internal/dispatch/item.go
+++ b/internal/dispatch/item.go
@@ -5,24 +5,22 @@
 	"sync"
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/dispatch/schedule"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/ticket"
 )
 
 // item is one request on its way through the dispatcher.
 type item struct {
-	queued
+	schedule.Request
 	request Request
 	kind    model.RequestKind
 	ticket  *ticket.Ticket // nil for an idempotent request without one
-	weight  int            // of the organisation
 	ctx     context.Context
 	cancel  context.CancelFunc
 
 	// The fields below belong to the goroutine that executes the item, and to the
 	// dispatcher's lock while it is queued.
-	avoid      map[string]bool // backend servers that refused it, by address
-	sends      int
 	mayHaveRun bool
 	refusal    model.Reason // why the latest send had no effect
 
@@ -56,17 +54,16 @@
 		request: r,
 		kind:    kind,
 		ticket:  t,
-		weight:  v.weight(r.Organisation),
 		done:    make(chan Result, 1),
-		avoid:   map[string]bool{},
 	}
-	it.queued = queued{
-		class:    kind.Class,
-		flow:     flow{organisation: r.Organisation, caller: r.Caller},
-		size:     int64(len(r.Body)) + requestOverhead,
-		deadline: deadline,
-		since:    now,
-		item:     it,
+	it.Request = schedule.Request{
+		Class:    kind.Class,
+		Kind:     kind.Name,
+		Flow:     schedule.Flow{Organisation: r.Organisation, Caller: r.Caller},
+		Weight:   v.weight(r.Organisation),
+		Size:     int64(len(r.Body)) + requestOverhead,
+		Since:    now,
+		Deadline: deadline,
 	}
 	it.ctx, it.cancel = context.WithDeadline(ctx, deadline)
 	return it
@@ -94,13 +91,6 @@
 	return k, ok
 }
 
-func (v *View) limits() model.Limits {
-	if v == nil || v.Config == nil {
-		return withDefaults(model.Limits{})
-	}
-	return withDefaults(v.Config.Limits)
-}
-
 func (v *View) weight(o model.OrganisationID) int {
 	if v == nil || v.Config == nil {
 		return 1
--- a/internal/dispatch/ping.go
+++ b/internal/dispatch/ping.go
@@ -38,17 +38,12 @@
 	p.d.mu.Lock()
 	defer p.d.mu.Unlock()
 	var out []string
-	for address, b := range p.d.pool.backends {
-		if b.inflight > 0 && !p.busy[address] {
+	for _, address := range p.d.scheduler.Busy() {
+		if !p.busy[address] {
 			p.busy[address] = true
 			out = append(out, address)
 		}
 	}
-	for address := range p.misses {
-		if p.d.pool.backends[address] == nil {
-			delete(p.misses, address)
-		}
-	}
 	return out
 }
 
@@ -60,7 +55,7 @@
 	defer p.d.mu.Unlock()
 	delete(p.busy, address)
 	if err == nil {
-		p.misses[address] = 0
+		delete(p.misses, address)
 		return
 	}
 	p.misses[address]++
@@ -68,8 +63,8 @@
 		return
 	}
 	p.d.suspect(address)
-	if b := p.d.pool.backends[address]; b != nil {
-		p.d.noteUnreachable(b, time.Now())
+	if p.d.scheduler.Unreachable(address, time.Now()) {
+		p.d.metrics.ejections.Inc(1)
 	}
 }
 
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/schedule/admission.go
@@ -1,4 +1,4 @@
-package dispatch
+package schedule
 
 import (
 	"time"
@@ -6,35 +6,6 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
-// The limits used where the configuration has zero.
-const (
-	defaultQueueRequests   = 10_000
-	defaultQueueBytes      = 64 << 20
-	defaultCrossRegionRate = 1 << 20 // bytes per second
-	defaultRetryPercent    = 20
-)
-
-var defaultMinShare = [model.ClassCount]int{30, 20, 10} // percent
-
-func withDefaults(l model.Limits) model.Limits {
-	if l.QueueRequests <= 0 {
-		l.QueueRequests = defaultQueueRequests
-	}
-	if l.QueueBytes <= 0 {
-		l.QueueBytes = defaultQueueBytes
-	}
-	if l.CrossRegionRate <= 0 {
-		l.CrossRegionRate = defaultCrossRegionRate
-	}
-	if l.RetryPercent <= 0 {
-		l.RetryPercent = defaultRetryPercent
-	}
-	if l.MinSharePercent == [model.ClassCount]int{} {
-		l.MinSharePercent = defaultMinShare
-	}
-	return l
-}
-
 // order returns the classes that have requests, in the order in which the next
 // free slot is offered: first classes below their minimum share of the running
 // requests, then by urgency.
@@ -61,21 +32,20 @@
 	return q.requests+1 > l.QueueRequests || q.bytes+size > l.QueueBytes
 }
 
-// victim returns the queued request to shed for one of the given class and flow;
-// nil when the new one is to be refused. Less urgent classes lose first, but a
+// victim returns the queued request to shed for x; nil when x itself is to be refused. Less urgent classes lose first, but a
 // class keeps its minimum share of the queue; in a class, the caller with the
 // most expected slot time loses its newest request.
-func (q *queue) victim(class model.Class, f flow, l model.Limits) *queued {
+func (q *queue) victim(x *Request, l model.Limits) *Request {
 	for c := model.ClassCount - 1; c >= model.ClassUrgent; c-- {
 		if q.classes[c].requests == 0 {
 			continue
 		}
-		entitled := c > class || q.belowShare(class, l)
-		if c != class && (!entitled || q.belowShare(c, l)) {
+		entitled := c > x.Class || q.belowShare(x.Class, l)
+		if c != x.Class && (!entitled || q.belowShare(c, l)) {
 			continue
 		}
 		largest := q.classes[c].largest()
-		if c == class && largest.cost <= q.flowCost(class, f) {
+		if c == x.Class && largest.cost <= q.flowCost(x.Class, x.Flow) {
 			continue
 		}
 		return largest.items[len(largest.items)-1]
@@ -87,12 +57,12 @@
 	return q.classes[c].requests*100 < l.MinSharePercent[c]*l.QueueRequests
 }
 
-func (q *queue) flowCost(class model.Class, f flow) time.Duration {
-	org := q.classes[class].ring.values[f.organisation]
-	if org == nil || org.ring.values[f.caller] == nil {
+func (q *queue) flowCost(class model.Class, f Flow) time.Duration {
+	org := q.classes[class].ring.values[f.Organisation]
+	if org == nil || org.ring.values[f.Caller] == nil {
 		return 0
 	}
-	return org.ring.values[f.caller].cost
+	return org.ring.values[f.Caller].cost
 }
 
 func (c *classQueue) largest() *callerQueue {
@@ -116,12 +86,11 @@
 	share    [model.ClassCount]int
 }
 
-// wait estimates how long a new request of the given cost waits for a slot. It is
+// wait estimates how long a new request waits for a slot. It is
 // the slot time that fair queueing serves before it, over the slots that its
 // class gets.
-func (q *queue) wait(class model.Class, f flow, weight int, cost time.Duration, l load) time.Duration {
-	ahead := q.ahead(class, f, weight, cost)
-	return ahead / time.Duration(q.slots(class, l))
+func (q *queue) wait(x *Request, l load) time.Duration {
+	return q.ahead(x) / time.Duration(q.slots(x.Class, l))
 }
 
 // backlog estimates the time that the queued requests of a class need.
@@ -143,22 +112,23 @@
 	return max(n, l.capacity*l.share[class]/100, 1)
 }
 
-func (q *queue) ahead(class model.Class, f flow, weight int, cost time.Duration) time.Duration {
-	c := &q.classes[class]
-	own := q.flowCost(class, f)
-	org := c.ring.values[f.organisation]
-	callers, weights := 1, max(weight, 1)
-	if org != nil {
+// ahead returns the slot time that is served before a new request.
+func (q *queue) ahead(x *Request) time.Duration {
+	c := &q.classes[x.Class]
+	weight := max(x.Weight, 1)
+	callers, weights := 1, weight
+	if org := c.ring.values[x.Flow.Organisation]; org != nil {
 		callers = len(org.ring.keys)
-		if org.ring.values[f.caller] == nil {
+		if org.ring.values[x.Flow.Caller] == nil {
 			callers++
 		}
 	}
 	for _, o := range c.ring.keys {
-		if o != f.organisation {
+		if o != x.Flow.Organisation {
 			weights += c.ring.values[o].weight
 		}
 	}
-	fair := (own + cost) * time.Duration(callers) * time.Duration(weights) / time.Duration(max(weight, 1))
-	return min(fair-cost, c.cost)
+	own := q.flowCost(x.Class, x.Flow) + x.cost
+	fair := own * time.Duration(callers*weights) / time.Duration(weight)
+	return min(fair-x.cost, c.cost)
 }
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/schedule/estimate.go
@@ -1,4 +1,4 @@
-package dispatch
+package schedule
 
 import (
 	"slices"
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/schedule/health.go
@@ -1,4 +1,4 @@
-package dispatch
+package schedule
 
 import (
 	"time"
@@ -75,7 +75,7 @@
 }
 
 // eject ejects b unless too large a share of its tier is ejected already.
-func (p *pool) eject(b *backend, now time.Time) bool {
+func (p *pool) eject(b *Server, now time.Time) bool {
 	ejected := 0
 	for _, other := range p.tiers[b.tier] {
 		if other != b && other.health.ejected(now) {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/schedule/pool.go
@@ -1,4 +1,4 @@
-package dispatch
+package schedule
 
 import (
 	"math/rand/v2"
@@ -7,16 +7,32 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
-// tier is the distance of a backend server.
-type tier int
+// Tier is the distance of a backend server.
+type Tier int
 
+// The tiers.
 const (
-	tierZone   tier = iota // own availability zone
-	tierRegion             // own region
-	tierFar                // other regions; traffic there is paid by volume
+	TierZone   Tier = iota // own availability zone
+	TierRegion             // own region
+	TierFar                // other regions; traffic there is paid by volume
 	tierCount
 )
 
+// FleetServer is a backend server as the view shows it.
+type FleetServer struct {
+	model.BackendServer
+	Tier      Tier
+	Usable    bool // live, not leaving and not quarantined
+	FreeSlots int  // as last reported; 0 when that is not known
+}
+
+// Fleet is what the scheduler follows: the backend servers in a fixed order.
+type Fleet struct {
+	Servers []FleetServer
+	VMs     int // live VMs of the availability zone, this one included; at least 1
+	Limits  model.Limits
+}
+
 const (
 	defaultSlots       = 8
 	defaultConnections = 64
@@ -32,10 +48,10 @@
 	leavingSticky = 30 * time.Second
 )
 
-// backend is what the pool knows of one backend server.
-type backend struct {
+// Server is what the scheduler knows of one backend server.
+type Server struct {
 	server      model.BackendServer
-	tier        tier
+	tier        Tier
 	usable      bool // live, not leaving and not quarantined by the view
 	inflight    int
 	free        int // estimate of the free slots
@@ -46,14 +62,14 @@
 	health      health
 }
 
-func (b *backend) slots() int {
+func (b *Server) slots() int {
 	if b.server.Slots <= 0 {
 		return defaultSlots
 	}
 	return b.server.Slots
 }
 
-func (b *backend) connections() int {
+func (b *Server) connections() int {
 	if b.server.Connections <= 0 {
 		return defaultConnections
 	}
@@ -62,80 +78,60 @@
 
 // pool chooses backend servers. It is pure but for its source of randomness.
 type pool struct {
-	backends map[string]*backend // by address
-	tiers    [tierCount][]*backend
+	servers  map[string]*Server // by address
+	tiers    [tierCount][]*Server
 	vms      int // live VMs of the availability zone, this one included
 	inflight int // in the own availability zone
 	rand     *rand.Rand
 }
 
 func newPool(r *rand.Rand) *pool {
-	return &pool{backends: map[string]*backend{}, vms: 1, rand: r}
+	return &pool{servers: map[string]*Server{}, vms: 1, rand: r}
 }
 
 // update applies a new view. Servers that are gone from it are kept while they
 // have requests in flight.
-func (p *pool) update(v *View, now time.Time) {
+func (p *pool) update(f Fleet, now time.Time) {
+	p.vms = max(f.VMs, 1)
+	p.tiers = [tierCount][]*Server{}
+	p.inflight = 0
 	seen := map[string]bool{}
-	for _, bv := range v.Backends {
-		seen[bv.Server.Address] = true
-		p.updateBackend(v, bv, now)
+	for _, fs := range f.Servers {
+		seen[fs.Address] = true
+		b := p.updateServer(fs, now)
+		p.tiers[b.tier] = append(p.tiers[b.tier], b)
+		if b.tier == TierZone {
+			p.inflight += b.inflight
+		}
 	}
-	for address, b := range p.backends {
+	for address, b := range p.servers {
 		if seen[address] {
 			continue
 		}
 		b.usable = false
 		if b.inflight == 0 {
-			delete(p.backends, address)
-		}
-	}
-	p.vms = 1
-	for _, peer := range v.Peers {
-		if peer.Alive && !peer.Leaving && peer.AZ == v.AZ {
-			p.vms++
+			delete(p.servers, address)
 		}
 	}
-	p.sort(v)
 }
 
-func (p *pool) updateBackend(v *View, bv BackendView, now time.Time) {
-	b := p.backends[bv.Server.Address]
+func (p *pool) updateServer(fs FleetServer, now time.Time) *Server {
+	b := p.servers[fs.Address]
 	if b == nil {
-		b = &backend{free: max(bv.FreeSlots, 1)}
-		p.backends[bv.Server.Address] = b
+		b = &Server{free: max(fs.FreeSlots, 1)}
+		p.servers[fs.Address] = b
 	}
-	b.server = bv.Server
-	b.usable = bv.Live && !bv.Leaving && !bv.Quarantined
-	b.tier = tierOf(v, bv.Server)
-	if now.Sub(b.reported) > reportStale && bv.FreeSlots > 0 && !now.Before(b.fullUntil) {
-		b.free = bv.FreeSlots
-	}
-}
-
-func tierOf(v *View, s model.BackendServer) tier {
-	switch {
-	case s.AZ == v.AZ:
-		return tierZone
-	case s.Region == v.Region:
-		return tierRegion
-	default:
-		return tierFar
-	}
-}
-
-// sort fills the tiers in the order of the view, so that choices depend on the
-// view and the source of randomness alone.
-func (p *pool) sort(v *View) {
-	p.tiers = [tierCount][]*backend{}
-	for _, bv := range v.Backends {
-		b := p.backends[bv.Server.Address]
-		p.tiers[b.tier] = append(p.tiers[b.tier], b)
+	b.server = fs.BackendServer
+	b.usable = fs.Usable
+	b.tier = fs.Tier
+	if now.Sub(b.reported) > reportStale && fs.FreeSlots > 0 && !now.Before(b.fullUntil) {
+		b.free = fs.FreeSlots
 	}
+	return b
 }
 
 // serving reports whether the tier has a server that takes work, full or not.
-func (p *pool) serving(t tier, now time.Time) bool {
+func (p *pool) serving(t Tier, now time.Time) bool {
 	for _, b := range p.tiers[t] {
 		if b.accepts(now) {
 			return true
@@ -145,12 +141,12 @@
 }
 
 // accepts reports whether the server takes new work when it has a free slot.
-func (b *backend) accepts(now time.Time) bool {
+func (b *Server) accepts(now time.Time) bool {
 	return b.usable && !now.Before(b.leavingTill) && b.health.admits(now, b.inflight)
 }
 
 // room reports how many requests may be sent to b now.
-func (p *pool) room(b *backend, now time.Time) int {
+func (p *pool) room(b *Server, now time.Time) int {
 	if !b.accepts(now) || now.Before(b.fullUntil) {
 		return 0
 	}
@@ -167,8 +163,8 @@
 
 // pick chooses a server of a tier by the power of two choices and counts the
 // request in flight there; nil when none has room. except is not chosen.
-func (p *pool) pick(t tier, except map[string]bool, now time.Time) *backend {
-	var open []*backend
+func (p *pool) pick(t Tier, except map[string]bool, now time.Time) *Server {
+	var open []*Server
 	for _, b := range p.tiers[t] {
 		if !except[b.server.Address] && p.room(b, now) > p.headroom(t) {
 			open = append(open, b)
@@ -188,8 +184,8 @@
 // headroom is the number of free slots that are left to the other VMs of the
 // availability zone. A VM that runs more than its share of the zone leaves the last
 // one of each server, so that the others find a slot without asking for it.
-func (p *pool) headroom(t tier) int {
-	if t != tierZone || p.vms < 2 {
+func (p *pool) headroom(t Tier) int {
+	if t != TierZone || p.vms < 2 {
 		return 0
 	}
 	if p.inflight < p.fairShare() {
@@ -200,7 +196,7 @@
 
 func (p *pool) fairShare() int {
 	slots := 0
-	for _, b := range p.tiers[tierZone] {
+	for _, b := range p.tiers[TierZone] {
 		if b.usable {
 			slots += b.slots()
 		}
@@ -211,10 +207,10 @@
 // capacity estimates how many requests this VM can run at a time.
 func (p *pool) capacity() int { return max(p.fairShare(), p.inflight) }
 
-func (p *pool) start(b *backend) {
+func (p *pool) start(b *Server) {
 	b.inflight++
 	b.free--
-	if b.tier == tierZone {
+	if b.tier == TierZone {
 		p.inflight++
 	}
 }
@@ -224,9 +220,9 @@
 
 // end counts a request out. free is the server's report of its free slots or
 // noReport, which leaves the estimate as it is: the slot may be in use still.
-func (p *pool) end(b *backend, free int, now time.Time) {
+func (p *pool) end(b *Server, free int, now time.Time) {
 	b.inflight--
-	if b.tier == tierZone {
+	if b.tier == TierZone {
 		p.inflight--
 	}
 	if free == noReport {
@@ -240,7 +236,7 @@
 }
 
 // full notes a refusal for want of slots.
-func (p *pool) full(b *backend, now time.Time) {
+func (p *pool) full(b *Server, now time.Time) {
 	b.free = 0
 	b.reported = now
 	backoff := min(fullBackoffMin<<min(b.fullStreak, 8), fullBackoffMax)
@@ -249,6 +245,6 @@
 }
 
 // leaving notes a server's own word that it takes no new work.
-func (p *pool) leaving(b *backend, now time.Time) {
+func (p *pool) leaving(b *Server, now time.Time) {
 	b.leavingTill = now.Add(leavingSticky)
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/schedule/queue.go
@@ -1,4 +1,4 @@
-package dispatch
+package schedule
 
 import (
 	"time"
@@ -6,23 +6,6 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
-// flow names the requests of one caller.
-type flow struct {
-	organisation model.OrganisationID
-	caller       model.CallerID
-}
-
-// queued is one request in the queue.
-type queued struct {
-	class    model.Class
-	flow     flow
-	cost     time.Duration // expected slot time
-	size     int64         // bytes
-	deadline time.Time
-	since    time.Time
-	item     *item // the request itself; nil in tests of the queue
-}
-
 // queue holds waiting requests by class, organisation and caller. It is pure: it
 // knows no clock and locks nothing. Within a class, organisations share by
 // weighted deficit round robin, and callers of an organisation by plain deficit
@@ -48,7 +31,7 @@
 
 type callerQueue struct {
 	deficit time.Duration
-	items   []*queued
+	items   []*Request
 	cost    time.Duration
 }
 
@@ -103,41 +86,41 @@
 	}
 }
 
-// push appends a request. weight is the organisation's share, at least 1.
-func (q *queue) push(x *queued, weight int) {
-	c := &q.classes[x.class]
-	org := c.ring.get(x.flow.organisation, func() *organisationQueue { return &organisationQueue{} })
-	org.weight = max(weight, 1)
-	caller := org.ring.get(x.flow.caller, func() *callerQueue { return &callerQueue{} })
+// push appends a request.
+func (q *queue) push(x *Request) {
+	c := &q.classes[x.Class]
+	org := c.ring.get(x.Flow.Organisation, func() *organisationQueue { return &organisationQueue{} })
+	org.weight = max(x.Weight, 1)
+	caller := org.ring.get(x.Flow.Caller, func() *callerQueue { return &callerQueue{} })
 	caller.items = append(caller.items, x)
 	q.count(x, org, caller, 1)
 }
 
 // pushFront puts a popped request back at the head of its caller's queue.
-func (q *queue) pushFront(x *queued, weight int) {
-	c := &q.classes[x.class]
-	org := c.ring.get(x.flow.organisation, func() *organisationQueue { return &organisationQueue{} })
-	org.weight = max(weight, 1)
-	caller := org.ring.get(x.flow.caller, func() *callerQueue { return &callerQueue{} })
-	caller.items = append([]*queued{x}, caller.items...)
+func (q *queue) pushFront(x *Request) {
+	c := &q.classes[x.Class]
+	org := c.ring.get(x.Flow.Organisation, func() *organisationQueue { return &organisationQueue{} })
+	org.weight = max(x.Weight, 1)
+	caller := org.ring.get(x.Flow.Caller, func() *callerQueue { return &callerQueue{} })
+	caller.items = append([]*Request{x}, caller.items...)
 	caller.deficit += x.cost
 	org.deficit += x.cost
 	q.count(x, org, caller, 1)
 }
 
-func (q *queue) count(x *queued, org *organisationQueue, caller *callerQueue, sign int) {
-	c := &q.classes[x.class]
+func (q *queue) count(x *Request, org *organisationQueue, caller *callerQueue, sign int) {
+	c := &q.classes[x.Class]
 	c.requests += sign
 	c.cost += time.Duration(sign) * x.cost
 	org.requests += sign
 	caller.cost += time.Duration(sign) * x.cost
 	q.requests += sign
-	q.bytes += int64(sign) * x.size
+	q.bytes += int64(sign) * x.Size
 }
 
 // peek returns the next request of a class; nil when it has none. Until the queue
 // of the class changes, it returns the same one.
-func (q *queue) peek(class model.Class) *queued {
+func (q *queue) peek(class model.Class) *Request {
 	c := &q.classes[class]
 	if c.requests == 0 {
 		return nil
@@ -147,14 +130,14 @@
 }
 
 // pop removes the next request of a class; nil when it has none.
-func (q *queue) pop(class model.Class) *queued {
+func (q *queue) pop(class model.Class) *Request {
 	x := q.peek(class)
 	if x == nil {
 		return nil
 	}
-	org := q.classes[class].ring.values[x.flow.organisation]
+	org := q.classes[class].ring.values[x.Flow.Organisation]
 	org.deficit -= x.cost
-	org.ring.values[x.flow.caller].deficit -= x.cost
+	org.ring.values[x.Flow.Caller].deficit -= x.cost
 	q.remove(x)
 	return x
 }
@@ -190,13 +173,13 @@
 }
 
 // remove takes out a queued request; false when it is not queued.
-func (q *queue) remove(x *queued) bool {
-	c := &q.classes[x.class]
-	org := c.ring.values[x.flow.organisation]
+func (q *queue) remove(x *Request) bool {
+	c := &q.classes[x.Class]
+	org := c.ring.values[x.Flow.Organisation]
 	if org == nil {
 		return false
 	}
-	caller := org.ring.values[x.flow.caller]
+	caller := org.ring.values[x.Flow.Caller]
 	if caller == nil {
 		return false
 	}
@@ -211,15 +194,15 @@
 	}
 	q.count(x, org, caller, -1)
 	if len(caller.items) == 0 {
-		org.ring.remove(x.flow.caller)
+		org.ring.remove(x.Flow.Caller)
 	}
 	if org.requests == 0 {
-		c.ring.remove(x.flow.organisation)
+		c.ring.remove(x.Flow.Organisation)
 	}
 	return true
 }
 
-func indexOf(items []*queued, x *queued) int {
+func indexOf(items []*Request, x *Request) int {
 	for i, other := range items {
 		if other == x {
 			return i
--- /dev/null
+++ b/internal/dispatch/schedule/scheduler.go
@@ -0,0 +1,296 @@
+// Package schedule decides which request a VM sends next and to which backend
+// server: queues with deficit round robin, admission, limits, choice of a server
+// and outlier detection. It is pure but for a seeded source of randomness: it has
+// no clock, no goroutine and no lock.
+package schedule
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// Flow names the requests of one caller.
+type Flow struct {
+	Organisation model.OrganisationID
+	Caller       model.CallerID
+}
+
+// Request is a request as the scheduler sees it. The exported fields are set by
+// its owner before Offer and not changed afterwards.
+type Request struct {
+	Class    model.Class
+	Kind     string
+	Flow     Flow
+	Weight   int   // of the organisation, at least 1
+	Size     int64 // bytes
+	Since    time.Time
+	Deadline time.Time
+
+	cost  time.Duration   // expected slot time
+	sends int             // to backend servers
+	avoid map[string]bool // addresses of servers that it is not sent to again
+}
+
+// Avoid excludes a backend server from further sends of the request.
+func (x *Request) Avoid(address string) {
+	if x.avoid == nil {
+		x.avoid = map[string]bool{}
+	}
+	x.avoid[address] = true
+}
+
+// Rejection says why a request was not queued or left the queue unsent.
+type Rejection int
+
+// The rejections.
+const (
+	// RejectedDeadline: by measured times it cannot be answered before its deadline.
+	RejectedDeadline Rejection = iota + 1
+	// RejectedFull: the queue is full and others have a better claim to it.
+	RejectedFull
+	// RejectedShed: it made room for a request with a better claim.
+	RejectedShed
+	// RejectedLate: its deadline came too close in the queue.
+	RejectedLate
+)
+
+// Rejected is a request that was not sent and will not be.
+type Rejected struct {
+	Request    *Request
+	Why        Rejection
+	RetryAfter time.Duration
+}
+
+const (
+	// retryAfterMin and retryAfterMax bound the advice to a refused caller.
+	retryAfterMin = 100 * time.Millisecond
+	retryAfterMax = 30 * time.Second
+	// farWaitShare is the part of a request's time, as a divisor, that it waits for a
+	// near backend server before another region is tried.
+	farWaitShare = 4
+)
+
+// Scheduler holds the queued requests of a VM and what it knows of the backend
+// servers. It is not safe for concurrent use.
+type Scheduler struct {
+	limits   model.Limits
+	queue    queue
+	pool     *pool
+	running  [model.ClassCount]int
+	times    map[string]*serviceTimes // by kind
+	retries  retryBudget
+	crossing tokenBucket
+	parked   []*Request // wait for the retry budget
+}
+
+// New returns a Scheduler without backend servers.
+func New(r *rand.Rand) *Scheduler {
+	return &Scheduler{
+		limits: withDefaults(model.Limits{}),
+		pool:   newPool(r),
+		times:  map[string]*serviceTimes{},
+	}
+}
+
+// Update applies a new view of the backend servers and limits.
+func (s *Scheduler) Update(f Fleet, now time.Time) {
+	s.limits = withDefaults(f.Limits)
+	s.pool.update(f, now)
+}
+
+// Offer queues a request, unless it is rejected itself. Others may be shed for it.
+func (s *Scheduler) Offer(x *Request, now time.Time) []Rejected {
+	x.cost = s.serviceTimes(x.Kind).cost()
+	if s.tooLate(x, now) {
+		return []Rejected{{x, RejectedDeadline, s.retryAfter(x.Class)}}
+	}
+	shed, ok := s.makeRoom(x)
+	if !ok {
+		return append(shed, Rejected{x, RejectedFull, s.retryAfter(x.Class)})
+	}
+	s.queue.push(x)
+	return shed
+}
+
+func (s *Scheduler) tooLate(x *Request, now time.Time) bool {
+	times := s.serviceTimes(x.Kind)
+	if !times.known() {
+		return false
+	}
+	wait := time.Duration(0)
+	if s.queue.classes[x.Class].requests > 0 {
+		wait = s.queue.wait(x, s.load())
+	}
+	return !now.Add(wait + times.p50).Before(x.Deadline)
+}
+
+func (s *Scheduler) load() load {
+	return load{running: s.running, capacity: s.pool.capacity(), share: s.limits.MinSharePercent}
+}
+
+func (s *Scheduler) retryAfter(c model.Class) time.Duration {
+	backlog := s.queue.backlog(c, s.load())
+	return min(max(backlog, retryAfterMin), retryAfterMax)
+}
+
+// makeRoom sheds queued requests until x fits; false when x has to be refused.
+func (s *Scheduler) makeRoom(x *Request) ([]Rejected, bool) {
+	var shed []Rejected
+	for s.queue.full(s.limits, x.Size) {
+		victim := s.queue.victim(x, s.limits)
+		if victim == nil {
+			return shed, false
+		}
+		s.queue.remove(victim)
+		shed = append(shed, Rejected{victim, RejectedShed, s.retryAfter(victim.Class)})
+	}
+	return shed, true
+}
+
+// Withdraw takes a request out of the queue; false when it is not in it.
+func (s *Scheduler) Withdraw(x *Request) bool {
+	return s.queue.remove(x) || s.unpark(x)
+}
+
+func (s *Scheduler) unpark(x *Request) bool {
+	i := indexOf(s.parked, x)
+	if i < 0 {
+		return false
+	}
+	s.parked = append(s.parked[:i], s.parked[i+1:]...)
+	return true
+}
+
+// Next chooses a request and a backend server for it and counts it as running
+// there; nil when there is none. Requests that ran out of time are taken out.
+func (s *Scheduler) Next(now time.Time) (*Request, *Server, []Rejected) {
+	s.resumeParked(now)
+	var late []Rejected
+	for _, c := range s.queue.order(s.running, s.limits.MinSharePercent) {
+		late = append(late, s.dropLate(c, now)...)
+		x := s.queue.peek(c)
+		if x == nil {
+			continue
+		}
+		b := s.choose(x, now)
+		if b == nil {
+			continue
+		}
+		s.queue.pop(c)
+		s.running[c]++
+		if x.sends == 0 {
+			s.retries.sent(s.limits.RetryPercent, now)
+		}
+		x.sends++
+		return x, b, late
+	}
+	return nil, nil, late
+}
+
+func (s *Scheduler) resumeParked(now time.Time) {
+	for len(s.parked) > 0 && s.retries.take(now) {
+		x := s.parked[0]
+		s.parked = s.parked[1:]
+		s.queue.pushFront(x)
+	}
+}
+
+// dropLate drops the requests at the head of a class that cannot be answered in time.
+func (s *Scheduler) dropLate(c model.Class, now time.Time) []Rejected {
+	var late []Rejected
+	for {
+		x := s.queue.peek(c)
+		if x == nil {
+			return late
+		}
+		times := s.serviceTimes(x.Kind)
+		need := time.Duration(0)
+		if times.known() {
+			need = times.p50 / 2
+		}
+		if now.Add(need).Before(x.Deadline) {
+			return late
+		}
+		s.queue.remove(x)
+		late = append(late, Rejected{x, RejectedLate, s.retryAfter(c)})
+	}
+}
+
+// choose picks a backend server: own availability zone, own region, and others
+// under the byte budget when the near ones serve nobody or kept the request waiting.
+func (s *Scheduler) choose(x *Request, now time.Time) *Server {
+	for _, t := range []Tier{TierZone, TierRegion} {
+		if b := s.pool.pick(t, x.avoid, now); b != nil {
+			return b
+		}
+	}
+	if !s.mayCross(x, now) {
+		return nil
+	}
+	b := s.pool.pick(TierFar, x.avoid, now)
+	if b != nil {
+		s.charge(x.Size, now)
+	}
+	return b
+}
+
+func (s *Scheduler) mayCross(x *Request, now time.Time) bool {
+	near := s.pool.serving(TierZone, now) || s.pool.serving(TierRegion, now)
+	patience := x.Deadline.Sub(x.Since) / farWaitShare
+	if near && now.Sub(x.Since) < patience {
+		return false
+	}
+	rate := float64(s.limits.CrossRegionRate)
+	s.crossing.fill(rate, rate, now)
+	return s.crossing.tokens > 0
+}
+
+// charge takes bytes from the budget of other regions, which may go into debt.
+func (s *Scheduler) charge(bytes int64, now time.Time) {
+	rate := float64(s.limits.CrossRegionRate)
+	s.crossing.fill(rate, rate, now)
+	s.crossing.tokens -= float64(bytes)
+}
+
+// Stopped counts a request out of the running ones.
+func (s *Scheduler) Stopped(x *Request) { s.running[x.Class]-- }
+
+// Again queues a request that was running and not executed. It waits for the retry
+// budget when that is spent.
+func (s *Scheduler) Again(x *Request, now time.Time) {
+	s.Stopped(x)
+	if s.retries.take(now) {
+		s.queue.pushFront(x)
+		return
+	}
+	s.parked = append(s.parked, x)
+}
+
+// Hedge chooses a further backend server for a running request within the retry
+// budget; nil when there is none.
+func (s *Scheduler) Hedge(x *Request, now time.Time) *Server {
+	if !s.retries.take(now) {
+		return nil
+	}
+	return s.choose(x, now)
+}
+
+// Waiting returns the number of requests that are not running.
+func (s *Scheduler) Waiting() int { return s.queue.requests + len(s.parked) }
+
+// Queued returns the number of requests of a class that wait.
+func (s *Scheduler) Queued(c model.Class) int { return s.queue.classes[c].requests }
+
+// Running returns the number of requests of a class that are running.
+func (s *Scheduler) Running(c model.Class) int { return s.running[c] }
+
+func (s *Scheduler) serviceTimes(kind string) *serviceTimes {
+	t := s.times[kind]
+	if t == nil {
+		t = &serviceTimes{}
+		s.times[kind] = t
+	}
+	return t
+}
--- a/internal/dispatch/tickets.go
+++ b/internal/dispatch/tickets.go
@@ -7,6 +7,7 @@
 
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/dispatch/schedule"
 	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/platform"
@@ -97,14 +98,14 @@
 
 // executeTicketed sends the request once. A server that certainly did not execute
 // it lets it be sent to another; after silence it is only looked up.
-func (d *Dispatcher) executeTicketed(it *item, b *backend) {
-	if !d.book.Send(*it.ticket, b.server.Address) {
-		d.release(b, it, exchangeResult{end: endNeverSeen}, 0)
+func (d *Dispatcher) executeTicketed(it *item, b *schedule.Server) {
+	if !d.book.Send(*it.ticket, b.Address()) {
+		d.release(b, it, schedule.Report{End: schedule.EndNeutral})
 		d.uncount(it)
 		d.giveAway(it)
 		return
 	}
-	ctx, cancel := context.WithDeadline(d.base, it.deadline.Add(resolveFor))
+	ctx, cancel := context.WithDeadline(d.base, it.Deadline.Add(resolveFor))
 	defer cancel()
 	ended := context.AfterFunc(it.ctx, func() { d.giveUp(it) })
 	res := d.exchangeWith(ctx, it, b, executionID(it.request.ID, it.ticket.ID))
@@ -126,6 +127,12 @@
 	}
 }
 
+func (d *Dispatcher) uncount(it *item) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.Stopped(&it.Request)
+}
+
 // giveUp tells the caller of an item that its deadline passed. The exchange goes on
 // for the sake of a retry.
 func (d *Dispatcher) giveUp(it *item) {
