--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -126,6 +126,7 @@
 	started := time.Now()
 	v := d.ports.View()
 	kind, known := v.kind(r.Kind)
+	d.recent.add(r, unknown(r.ID, ReasonInFlight), started)
 	res := d.decide(ctx, v, r, kind, known)
 	res.Request = r.ID
 	d.checkResult(r, res)
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -28,9 +28,11 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, vms, servers)
+		defer func() {
+			w.close()
+			time.Sleep(recovery) // fakes that are still silent or late
+		}()
 		f(t, w)
-		w.close()
-		time.Sleep(2 * time.Minute) // fakes that are still silent or late
 	})
 }
 
@@ -130,3 +132,15 @@
 		assert.Assert(t, w.executions("1") <= 1)
 	})
 }
+
+func TestCrossedAnswerReachesNobody(t *testing.T) {
+	inWorld(t, 1, 1, func(t *testing.T, w *world) {
+		m := w.vms["vm-0"]
+		for _, r := range []Request{quote("1"), m.order("2")} {
+			w.servers["backend-0"].faults = breakCalls("execute", wireCrossed)
+			res := m.Do(context.Background(), r)
+			assert.Equal(t, res.Outcome, model.OutcomeDone)
+			assert.Equal(t, string(res.Body), wholeAnswer(r))
+		}
+	})
+}
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -138,8 +138,7 @@
 	if d.draining || it.ctx.Err() != nil {
 		return nil
 	}
-	it.Avoid(first.Address())
-	other := d.scheduler.Hedge(&it.Request, time.Now())
+	other := d.scheduler.Hedge(&it.Request, first, time.Now())
 	if other != nil {
 		d.metrics.hedges.Inc(1)
 	}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"testing"
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/config"
@@ -203,10 +202,11 @@
 
 // world is a set of VMs and backend servers in one process and virtual time.
 type world struct {
-	t       *testing.T
+	t       reporter
 	mu      sync.Mutex
 	servers map[string]*fakeServer
-	vms     map[string]*vm
+	vms     map[string]*vm // by address
+	all     []*vm          // with those that were replaced
 	view    View
 	// peerFault decides on the calls between VMs.
 	peerFault func(call, from, to string) wireFault
@@ -222,11 +222,16 @@
 	frozenUntil time.Time
 }
 
-// testReporter fails the test on any violation.
-type testReporter struct{ t *testing.T }
+// reporter takes findings; *testing.T is one.
+type reporter interface {
+	Errorf(format string, args ...any)
+}
+
+// violations reports broken promises that the program found itself.
+type violations struct{ reporter }
 
-func (r testReporter) Violated(v invariant.Violation) {
-	r.t.Errorf("violated: %s: request %s: %s", v.Promise, v.Request, v.Detail)
+func (r violations) Violated(v invariant.Violation) {
+	r.Errorf("violated: %s: request %s: %s", v.Promise, v.Request, v.Detail)
 }
 
 const (
@@ -246,7 +251,7 @@
 	}
 }
 
-func newWorld(t *testing.T, vms, servers int) *world {
+func newWorld(t reporter, vms, servers int) *world {
 	w := &world{t: t, servers: map[string]*fakeServer{}, vms: map[string]*vm{}}
 	w.view = View{AZ: "az", Region: "region", Config: testConfig()}
 	for i := range servers {
@@ -262,23 +267,26 @@
 		w.view.Backends = append(w.view.Backends, BackendView{Server: server, Live: true, FreeSlots: 8})
 	}
 	for i := range vms {
-		w.addVM(fmt.Sprintf("vm-%d", i))
+		address := fmt.Sprintf("vm-%d", i)
+		w.addVM(address, model.Incarnation("inc-"+address))
 	}
 	return w
 }
 
-func (w *world) addVM(address string) *vm {
-	incarnation := model.Incarnation("inc-" + address)
+func (w *world) addVM(address string, incarnation model.Incarnation) *vm {
 	m := &vm{world: w, address: address}
 	m.Dispatcher = New(Options{
 		Address:     address,
 		Incarnation: incarnation,
 		Ports:       Ports{View: func() *View { return w.viewOf(address) }, Dialer: dialer{m}, Peers: peers{m}},
-		Reporter:    testReporter{w.t},
+		Reporter:    violations{w.t},
 		Seed:        1,
 	})
-	w.view.Peers = append(w.view.Peers, PeerView{Address: address, Incarnation: incarnation, AZ: "az", Alive: true})
+	w.change(func(v *View) {
+		v.Peers = append(v.Peers, PeerView{Address: address, Incarnation: incarnation, AZ: "az", Alive: true})
+	})
 	w.vms[address] = m
+	w.all = append(w.all, m)
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
 	go m.Run(ctx)
@@ -307,7 +315,7 @@
 }
 
 func (w *world) close() {
-	for _, m := range w.vms {
+	for _, m := range w.all {
 		m.cancel()
 		m.Close()
 	}
@@ -347,16 +355,16 @@
 	m.frozenUntil = time.Now().Add(d)
 }
 
-// pass holds a call back while the VM is frozen, for good when it is down.
-func (m *vm) pass(ctx context.Context) error {
+// pass holds a call back while the VM is frozen and reports whether the VM lives. A
+// thawed VM goes on with the call, however late it is.
+func (m *vm) pass() bool {
 	m.world.mu.Lock()
-	down, until := m.down, m.frozenUntil
+	until := m.frozenUntil
 	m.world.mu.Unlock()
-	if down {
-		return platform.ErrUnavailable
-	}
 	time.Sleep(time.Until(until))
-	return ctx.Err()
+	m.world.mu.Lock()
+	defer m.world.mu.Unlock()
+	return !m.down
 }
 
 type dialer struct{ m *vm }
@@ -376,10 +384,21 @@
 }
 
 func (b backendOf) Execute(ctx context.Context, e platform.Execution) (platform.Answer, error) {
-	if err := b.m.pass(ctx); err != nil {
+	if !b.m.pass() {
+		return platform.Answer{}, platform.ErrUnavailable
+	}
+	a, err := b.fakeServer.Execute(ctx, e)
+	b.m.pass()
+	return a, err
+}
+
+func (b backendOf) Lookup(ctx context.Context, id model.RequestID) (platform.Answer, error) {
+	if !b.m.pass() {
 		return platform.Answer{}, platform.ErrUnavailable
 	}
-	return b.fakeServer.Execute(ctx, e)
+	a, err := b.fakeServer.Lookup(ctx, id)
+	b.m.pass()
+	return a, err
 }
 
 type peers struct{ m *vm }
@@ -398,22 +417,34 @@
 	return target, w.peerFault(name, p.m.address, to)
 }
 
-func (p peers) Forward(ctx context.Context, address string, r Request) (Result, error) {
-	target, f := p.call("forward", address)
-	return wire(ctx, f, func() (Result, error) {
-		if err := target.pass(ctx); err != nil {
-			return Result{}, platform.ErrInDoubt
+// callPeer carries a call between VMs. A VM that dies meanwhile answers nothing.
+func callPeer[T any](ctx context.Context, p peers, name, to string, effect func(*vm) (T, error)) (T, error) {
+	if !p.m.pass() {
+		var zero T
+		return zero, platform.ErrUnavailable
+	}
+	target, f := p.call(name, to)
+	return wire(ctx, f, func() (T, error) {
+		var zero T
+		if !target.pass() {
+			return zero, platform.ErrInDoubt
+		}
+		value, err := effect(target)
+		if !target.pass() {
+			return zero, platform.ErrInDoubt
 		}
+		return value, err
+	})
+}
+
+func (p peers) Forward(ctx context.Context, address string, r Request) (Result, error) {
+	return callPeer(ctx, p, "forward", address, func(target *vm) (Result, error) {
 		return target.Do(ctx, r), nil
 	})
 }
 
 func (p peers) Lookup(ctx context.Context, address string, id model.RequestID, ticket string) (Result, error) {
-	target, f := p.call("lookup", address)
-	return wire(ctx, f, func() (Result, error) {
-		if err := target.pass(ctx); err != nil {
-			return Result{}, platform.ErrInDoubt
-		}
+	return callPeer(ctx, p, "lookup", address, func(target *vm) (Result, error) {
 		res, ok := target.Known(ctx, id, ticket)
 		if !ok {
 			return res, platform.ErrNotFound
@@ -423,8 +454,7 @@
 }
 
 func (p peers) HandOver(ctx context.Context, address string, from model.Incarnation, tickets []TicketState) error {
-	target, f := p.call("hand-over", address)
-	_, err := wire(ctx, f, func() (bool, error) {
+	_, err := callPeer(ctx, p, "hand-over", address, func(target *vm) (bool, error) {
 		if target.Accept(from, tickets) != nil {
 			return false, platform.ErrUnavailable
 		}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"slices"
 	"time"
@@ -75,7 +76,8 @@
 	}
 }
 
-// forwardTwice repeats a forward whose answer was lost, under the same ticket.
+// forwardTwice repeats a forward whose answer was lost. The request has a ticket or
+// is idempotent.
 func (d *Dispatcher) forwardTwice(ctx context.Context, address string, r Request) (Result, error) {
 	res, err := d.forward(ctx, address, r)
 	if errors.Is(err, platform.ErrInDoubt) && ctx.Err() == nil {
@@ -111,8 +113,10 @@
 		switch {
 		case err == nil && settled(res):
 			return res, nil
-		case err == nil || errors.Is(err, platform.ErrNotFound):
+		case err == nil:
 			misses = 0
+		case errors.Is(err, platform.ErrNotFound):
+			return Result{}, fmt.Errorf("%s never got the request: %w", address, platform.ErrInDoubt)
 		default:
 			misses++
 		}
@@ -224,7 +228,7 @@
 	r.Hops++
 	inDoubt := false
 	for _, p := range successors(v, d.options.Address, d.options.Incarnation) {
-		res, err := d.forward(ctx, p.Address, r)
+		res, err := d.forwardTwice(ctx, p.Address, r)
 		if err == nil && (res.Outcome != model.OutcomeNotRun || !inDoubt) {
 			return d.trusted(r, res)
 		}
--- a/internal/dispatch/schedule/feedback.go
+++ b/internal/dispatch/schedule/feedback.go
@@ -1,10 +1,6 @@
 package schedule
 
-import (
-	"time"
-
-	"github.com/eelgrassreach/eelgrassreach/internal/model"
-)
+import "time"
 
 // End says how a send to a backend server ended.
 type End int
@@ -103,7 +99,4 @@
 const slowFactor = 2
 
 // Address returns the address of the server.
-func (b *Server) Address() string { return b.server.Address }
-
-// BackendServer returns the server's configuration.
-func (b *Server) BackendServer() model.BackendServer { return b.server }
+func (b *Server) Address() string { return b.address }
--- a/internal/dispatch/schedule/pool.go
+++ b/internal/dispatch/schedule/pool.go
@@ -50,6 +50,7 @@
 
 // Server is what the scheduler knows of one backend server.
 type Server struct {
+	address     string // never changes
 	server      model.BackendServer
 	tier        Tier
 	usable      bool // live, not leaving and not quarantined by the view
@@ -118,7 +119,7 @@
 func (p *pool) updateServer(fs FleetServer, now time.Time) *Server {
 	b := p.servers[fs.Address]
 	if b == nil {
-		b = &Server{free: max(fs.FreeSlots, 1)}
+		b = &Server{address: fs.Address, free: max(fs.FreeSlots, 1)}
 		p.servers[fs.Address] = b
 	}
 	b.server = fs.BackendServer
@@ -163,10 +164,10 @@
 
 // pick chooses a server of a tier by the power of two choices and counts the
 // request in flight there; nil when none has room. except is not chosen.
-func (p *pool) pick(t Tier, except map[string]bool, now time.Time) *Server {
+func (p *pool) pick(t Tier, except *Server, now time.Time) *Server {
 	var open []*Server
 	for _, b := range p.tiers[t] {
-		if !except[b.server.Address] && p.room(b, now) > p.headroom(t) {
+		if b != except && p.room(b, now) > p.headroom(t) {
 			open = append(open, b)
 		}
 	}
--- a/internal/dispatch/schedule/scheduler.go
+++ b/internal/dispatch/schedule/scheduler.go
@@ -28,17 +28,8 @@
 	Since    time.Time
 	Deadline time.Time
 
-	cost  time.Duration   // expected slot time
-	sends int             // to backend servers
-	avoid map[string]bool // addresses of servers that it is not sent to again
-}
-
-// Avoid excludes a backend server from further sends of the request.
-func (x *Request) Avoid(address string) {
-	if x.avoid == nil {
-		x.avoid = map[string]bool{}
-	}
-	x.avoid[address] = true
+	cost  time.Duration // expected slot time
+	sends int           // to backend servers
 }
 
 // Rejection says why a request was not queued or left the queue unsent.
@@ -174,7 +165,7 @@
 		if x == nil {
 			continue
 		}
-		b := s.choose(x, now)
+		b := s.choose(x, nil, now)
 		if b == nil {
 			continue
 		}
@@ -220,16 +211,17 @@
 
 // choose picks a backend server: own availability zone, own region, and others
 // under the byte budget when the near ones serve nobody or kept the request waiting.
-func (s *Scheduler) choose(x *Request, now time.Time) *Server {
+// except, which may be nil, is not chosen.
+func (s *Scheduler) choose(x *Request, except *Server, now time.Time) *Server {
 	for _, t := range []Tier{TierZone, TierRegion} {
-		if b := s.pool.pick(t, x.avoid, now); b != nil {
+		if b := s.pool.pick(t, except, now); b != nil {
 			return b
 		}
 	}
 	if !s.mayCross(x, now) {
 		return nil
 	}
-	b := s.pool.pick(TierFar, x.avoid, now)
+	b := s.pool.pick(TierFar, except, now)
 	if b != nil {
 		s.charge(x.Size, now)
 	}
@@ -268,13 +260,13 @@
 	s.parked = append(s.parked, x)
 }
 
-// Hedge chooses a further backend server for a running request within the retry
-// budget; nil when there is none.
-func (s *Scheduler) Hedge(x *Request, now time.Time) *Server {
+// Hedge chooses a backend server other than first for a running request within the
+// retry budget; nil when there is none.
+func (s *Scheduler) Hedge(x *Request, first *Server, now time.Time) *Server {
 	if !s.retries.take(now) {
 		return nil
 	}
-	return s.choose(x, now)
+	return s.choose(x, first, now)
 }
 
 // Waiting returns the number of requests that are not running.
