Test tickets; send only what waits in the queue

A randomised hand-over found that Send accepted a ticket that no use had queued at the new arbiter. It now accepts the queued phase alone.

--- a/internal/ticket/book.go
+++ b/internal/ticket/book.go
@@ -236,13 +236,13 @@
 }
 
 // Send records that the request of t is about to be sent to a backend server. It
-// reports false when it must not be sent: the arbitration was given away, or the
-// ticket is settled or in doubt.
+// reports false when it must not be sent: the arbitration was given away, or it was
+// sent before and not shown unsent.
 func (b *Book) Send(t Ticket, backend string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.entries[t.ID]
-	if b.frozen || e == nil || e.phase == phaseSettled || e.phase == phaseInDoubt {
+	if b.frozen || e == nil || e.phase != phaseQueued {
 		return false
 	}
 	e.phase = phaseSent
--- /dev/null
+++ b/internal/ticket/ticket_test.go
@@ -0,0 +1,132 @@
+package ticket
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func TestTicketRoundTrip(t *testing.T) {
+	want := New("10.0.0.1:7000", "inc", time.Minute, start)
+	got, err := Parse(want.String())
+	assert.NilError(t, err)
+	assert.Assert(t, got.Expiry.Equal(start.Add(time.Minute)))
+	got.Expiry = want.Expiry
+	assert.Equal(t, got, want)
+}
+
+func TestTicketDetectsChange(t *testing.T) {
+	text := New("10.0.0.1:7000", "inc", time.Minute, start).String()
+	rapid.Check(t, func(t *rapid.T) {
+		raw := []byte(text)
+		i := rapid.IntRange(0, len(raw)-1).Draw(t, "at")
+		raw[i] = rapid.SampledFrom([]byte("ABCabc019-_ =")).Draw(t, "byte")
+		if string(raw) == text {
+			return
+		}
+		_, err := Parse(string(raw))
+		assert.ErrorIs(t, err, ErrMalformed)
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(New("10.0.0.1:7000", "inc", time.Minute, start).String())
+	f.Add("")
+	f.Fuzz(func(t *testing.T, s string) {
+		got, err := Parse(s)
+		if err == nil && got.String() != s {
+			t.Fatalf("%q reads as %q", s, got.String())
+		}
+	})
+}
+
+func use(b *Book, t Ticket, now time.Time) Verdict {
+	v, _ := b.Use(t, "request", "binding", now)
+	return v
+}
+
+func TestBookVerdicts(t *testing.T) {
+	ticket := New("a", "inc", time.Minute, start)
+	settled := func(b *Book) { use(b, ticket, start); b.Settle(ticket, Answer{Outcome: model.OutcomeDone}) }
+	inDoubt := func(b *Book) { use(b, ticket, start); b.Send(ticket, "server"); b.Doubt(ticket) }
+	cases := []struct {
+		name   string
+		before func(b *Book)
+		at     time.Duration
+		want   Verdict
+	}{
+		{"first use", func(*Book) {}, 0, Run},
+		{"in flight", func(b *Book) { use(b, ticket, start) }, 0, Wait},
+		{"settled", settled, 0, Answered},
+		{"settled and expired", settled, 2 * time.Minute, Answered},
+		{"in doubt", inDoubt, 0, Ask},
+		{"expired unused", func(*Book) {}, time.Minute, ExpiredUnused},
+		{"expired long ago", func(*Book) {}, time.Minute + Retention + 1, Forgotten},
+		{"frozen", func(b *Book) { b.Freeze() }, 0, HandedOver},
+		{"frozen and settled", func(b *Book) { settled(b); b.Freeze() }, 0, Answered},
+		{"frozen and queued", func(b *Book) { use(b, ticket, start); b.Freeze() }, 0, HandedOver},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := NewBook("inc", Bounds{})
+			c.before(b)
+			assert.Equal(t, use(b, ticket, start.Add(c.at)), c.want)
+		})
+	}
+	v, _ := NewBook("other", Bounds{}).Use(ticket, "request", "binding", start)
+	assert.Equal(t, v, NotArbiter)
+}
+
+func TestBookBounds(t *testing.T) {
+	b := NewBook("inc", Bounds{Entries: 2, BodyBytes: 10})
+	first, second, third := New("a", "inc", 0, start), New("a", "inc", 0, start), New("a", "inc", 0, start)
+	for _, ticket := range []Ticket{first, second} {
+		assert.Equal(t, use(b, ticket, start), Run)
+		b.Settle(ticket, Answer{Outcome: model.OutcomeDone, Body: make([]byte, 8)})
+	}
+	assert.Equal(t, use(b, first, start), BodyDropped)
+	assert.Equal(t, use(b, second, start), Answered)
+	assert.Equal(t, use(b, third, start), Full)
+	later := start.Add(DefaultTTL + Retention + time.Second)
+	assert.Equal(t, use(b, New("a", "inc", 0, later), later), Run)
+	assert.Equal(t, len(b.entries), 1)
+	assert.Equal(t, b.bodyBytes, int64(0))
+}
+
+// TestHandOverRunsOnce hands tickets from Book to Book and checks that each is
+// sent by at most one of them.
+func TestHandOverRunsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		giver, taker := NewBook("giver", Bounds{}), NewBook("taker", Bounds{})
+		ticket := New("a", "giver", 0, start)
+		sends := 0
+		try := func(b *Book) {
+			if b.Send(ticket, "server") {
+				sends++
+				b.Doubt(ticket)
+			}
+		}
+		steps := rapid.SliceOf(rapid.SampledFrom([]string{"use", "send", "hand over", "take use", "take send"})).Draw(t, "steps")
+		for _, s := range steps {
+			switch s {
+			case "use":
+				use(giver, ticket, start)
+			case "send":
+				try(giver)
+			case "hand over":
+				_ = taker.Adopt("giver", giver.Freeze()["giver"], start)
+			case "take use":
+				use(taker, ticket, start)
+			case "take send":
+				try(taker)
+			}
+		}
+		assert.Assert(t, sends <= 1)
+	})
+}
