Tests of the clients' error mapping and of the stand-ins

Each failed call is compared with what the stand-in recorded: refused, cut before and after its effect, silent before and after it, and looked up.

--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,281 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// bed is a stand-in of each kind with clients.
+type bed struct {
+	platform *standin.Platform
+	backend  *standin.Backend
+	log      *platform.LogClient
+	port     platform.Backend
+}
+
+func newBed(t *testing.T) *bed {
+	t.Helper()
+	b := &bed{platform: standin.NewPlatform(3), backend: standin.NewBackend("b1", 8, 8)}
+	platformServer := httptest.NewServer(b.platform.Handler())
+	backendServer := httptest.NewServer(b.backend.Handler())
+	client := platform.NewHTTPClient(4, false)
+	dialer := platform.NewHTTPDialer(platform.DialerOptions{})
+	b.log = platform.NewLogClient(platformServer.URL, client)
+	b.port = dialer.Backend(strings.TrimPrefix(backendServer.URL, "http://"))
+	t.Cleanup(func() {
+		b.platform.SetFault(standin.Fault{})
+		b.backend.SetFault(standin.Fault{})
+		client.CloseIdleConnections()
+		dialer.Close()
+		platformServer.CloseClientConnections()
+		platformServer.Close()
+		backendServer.CloseClientConnections()
+		backendServer.Close()
+	})
+	return b
+}
+
+func shortly(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// TestExecuteFaults compares what the client says of a failed execution with what
+// the backend server did, and then what a look-up says.
+func TestExecuteFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		fault  standin.Fault
+		class  error
+		ran    int
+		lookup error
+	}{
+		{"refused", standin.Fault{Refuse: true}, platform.ErrUnavailable, 0, platform.ErrNotFound},
+		{"cut before effect", standin.Fault{Down: true}, platform.ErrInDoubt, 0, platform.ErrNotFound},
+		{"cut after effect", standin.Fault{AnswerLost: true}, platform.ErrInDoubt, 1, nil},
+		{"silent before effect", standin.Fault{Silent: standin.SilentBefore}, platform.ErrInDoubt, 0, platform.ErrNotFound},
+		{"silent after effect", standin.Fault{Silent: standin.SilentAfter}, platform.ErrInDoubt, 1, nil},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBed(t)
+			tc.fault.Paths = []string{platform.PathExecutions}
+			b.backend.SetFault(tc.fault)
+			_, err := b.port.Execute(shortly(t), platform.Execution{Request: "r1"})
+			assert.ErrorIs(t, err, tc.class)
+			assert.Assert(t, !errors.Is(err, otherClass(tc.class)))
+
+			b.backend.SetFault(standin.Fault{})
+			answer, err := b.port.Lookup(t.Context(), "r1")
+			assert.ErrorIs(t, err, tc.lookup)
+			if tc.lookup == nil {
+				assert.Equal(t, answer.State, platform.ExecutionDone)
+			}
+			assert.Equal(t, b.backend.Record().Executions[0].Times, tc.ran)
+		})
+	}
+}
+
+func otherClass(class error) error {
+	if errors.Is(class, platform.ErrInDoubt) {
+		return platform.ErrUnavailable
+	}
+	return platform.ErrInDoubt
+}
+
+// TestLateExecutionIsRefused has a request arrive after it was looked up.
+func TestLateExecutionIsRefused(t *testing.T) {
+	b := newBed(t)
+	b.backend.SetFault(standin.Fault{Freeze: true, Paths: []string{platform.PathExecutions}, Times: 1})
+	_, err := b.port.Execute(shortly(t), platform.Execution{Request: "r1"})
+	assert.ErrorIs(t, err, platform.ErrInDoubt)
+	_, err = b.port.Lookup(t.Context(), "r1")
+	assert.ErrorIs(t, err, platform.ErrNotFound)
+
+	b.backend.SetFault(standin.Fault{})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if b.backend.Record().Executions[0].Received == 0 {
+			return poll.Continue("the request did not arrive")
+		}
+		return poll.Success()
+	})
+	assert.Equal(t, b.backend.Record().Executions[0].Times, 0)
+}
+
+// TestAppendFaults compares what the client says of a failed append with the log.
+func TestAppendFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		fault  standin.Fault
+		class  error
+		stored int64
+	}{
+		{"refused", standin.Fault{Refuse: true}, platform.ErrUnavailable, 0},
+		{"cut before effect", standin.Fault{Down: true}, platform.ErrInDoubt, 0},
+		{"answer lost", standin.Fault{AnswerLost: true}, platform.ErrInDoubt, 1},
+		{"silent before effect", standin.Fault{Silent: standin.SilentBefore}, platform.ErrInDoubt, 0},
+		{"silent after effect", standin.Fault{Silent: standin.SilentAfter}, platform.ErrInDoubt, 1},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBed(t)
+			b.platform.SetFault(tc.fault)
+			_, err := b.log.Append(shortly(t), []byte("x"))
+			assert.ErrorIs(t, err, tc.class)
+			assert.Assert(t, !errors.Is(err, otherClass(tc.class)))
+			assert.Equal(t, b.platform.Record().Next-1, tc.stored)
+		})
+	}
+}
+
+// TestReusedConnection cuts a connection that carried a call before. The call that
+// meets the cut may not be sent twice.
+func TestReusedConnection(t *testing.T) {
+	b := newBed(t)
+	_, err := b.log.Append(t.Context(), []byte("first"))
+	assert.NilError(t, err)
+	b.platform.SetFault(standin.Fault{AnswerLost: true, Times: 1})
+	_, err = b.log.Append(t.Context(), []byte("second"))
+	assert.ErrorIs(t, err, platform.ErrInDoubt)
+	assert.Equal(t, b.platform.Record().Next, int64(3))
+}
+
+func TestNothingListens(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	dialer := platform.NewHTTPDialer(platform.DialerOptions{})
+	defer dialer.Close()
+
+	_, err = dialer.Backend(address).Execute(t.Context(), platform.Execution{Request: "r1"})
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = platform.NewLogClient("http://"+address, nil).Append(t.Context(), []byte("x"))
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+}
+
+// TestBusyConnections has a call wait for a connection until its context ends.
+func TestBusyConnections(t *testing.T) {
+	b := newBed(t)
+	b.platform.SetFault(standin.Fault{Silent: standin.SilentBefore})
+	done := make(chan error, 4)
+	busy, cancel := context.WithCancel(t.Context())
+	for range cap(done) {
+		go func() {
+			_, err := b.log.Append(busy, []byte("x"))
+			done <- err
+		}()
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if b.platform.Calls() < cap(done) {
+			return poll.Continue("not all connections are busy")
+		}
+		return poll.Success()
+	})
+	_, err := b.log.Append(shortly(t), []byte("y"))
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	cancel()
+	for range cap(done) {
+		assert.ErrorIs(t, <-done, platform.ErrInDoubt)
+	}
+}
+
+// TestAnswersThatProveNothing has an HTTP server that is no backend server answer.
+func TestAnswersThatProveNothing(t *testing.T) {
+	whole := `{"request":"r1","state":"done","body":"eA==","length":1,"digest":"` + platform.Digest([]byte("x")) + `"}`
+	tests := []struct {
+		name   string
+		status int
+		body   string
+		want   error
+	}{
+		{"whole", 200, whole, nil},
+		{"of another request", 200, strings.Replace(whole, "r1", "r2", 1), platform.ErrInDoubt},
+		{"shorter than its length", 200, strings.Replace(whole, `"length":1`, `"length":2`, 1), platform.ErrInDoubt},
+		{"changed", 200, strings.Replace(whole, "eA==", "eQ==", 1), platform.ErrInDoubt},
+		{"cut", 200, whole[:len(whole)/2], platform.ErrInDoubt},
+		{"of unknown state", 200, strings.Replace(whole, "done", "lost", 1), platform.ErrInDoubt},
+		{"bare 404", 404, "not found", platform.ErrInDoubt},
+		{"bare 503", 503, "", platform.ErrInDoubt},
+		{"503 with an effect", 503, `{"message":"late"}`, platform.ErrInDoubt},
+		{"redirect", 307, "", platform.ErrInDoubt},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Location", "/elsewhere")
+				w.WriteHeader(tc.status)
+				_, _ = w.Write([]byte(tc.body))
+			}))
+			defer server.Close()
+			dialer := platform.NewHTTPDialer(platform.DialerOptions{})
+			defer dialer.Close()
+			_, err := dialer.Backend(server.Listener.Addr().String()).Execute(t.Context(), platform.Execution{Request: "r1"})
+			assert.ErrorIs(t, err, tc.want)
+			assert.Assert(t, !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrNotFound))
+		})
+	}
+}
+
+func TestReadLog(t *testing.T) {
+	b := newBed(t)
+	for _, data := range []string{"a", "b", "c", "d"} {
+		_, err := b.log.Append(t.Context(), []byte(data))
+		assert.NilError(t, err)
+	}
+	_, err := b.log.Read(t.Context(), 1, 10, 0)
+	assert.ErrorIs(t, err, platform.ErrTrimmed)
+	batch, err := b.log.Read(t.Context(), 2, 2, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(batch.Records), 2)
+	assert.Equal(t, string(batch.Records[0].Data), "b")
+	assert.Equal(t, batch.First, int64(2))
+	assert.Equal(t, batch.Next, int64(5))
+
+	got := make(chan platform.Batch, 1)
+	go func() {
+		batch, err := b.log.Read(t.Context(), 5, 10, time.Minute)
+		assert.Check(t, err)
+		got <- batch
+	}()
+	_, err = b.log.Append(t.Context(), []byte("e"))
+	assert.NilError(t, err)
+	batch = <-got
+	assert.Equal(t, string(batch.Records[0].Data), "e")
+}
+
+// TestCommandFencing has a batch under an older token refused whole.
+func TestCommandFencing(t *testing.T) {
+	b := newBed(t)
+	hold := platform.TaskCommand{Verb: platform.VerbHold, Task: "t1", Accelerators: 8, Members: 1, Lease: time.Minute}
+	results, err := b.port.Command(t.Context(), platform.CommandBatch{Token: model.Token{Offset: 2}, Commands: []platform.TaskCommand{hold}})
+	assert.NilError(t, err)
+	assert.Equal(t, results[0], platform.TaskResult{Task: "t1", State: platform.TaskHeld})
+
+	stop := platform.TaskCommand{Verb: platform.VerbStop, Task: "t1"}
+	results, err = b.port.Command(t.Context(), platform.CommandBatch{Token: model.Token{Offset: 1, Rank: 9}, Commands: []platform.TaskCommand{stop, stop}})
+	assert.NilError(t, err)
+	for _, r := range results {
+		assert.Equal(t, r.Refused, platform.RefusedFenced)
+	}
+	status, err := b.port.Status(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, status.Tasks[0].State, platform.TaskHeld)
+}
--- /dev/null
+++ b/internal/platform/transport_test.go
@@ -0,0 +1,33 @@
+package platform
+
+import (
+	"errors"
+	"net"
+	"net/http/httptrace"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestSealForbidsLateWrite has the transport write after the call was reported as unsent.
+func TestSealForbidsLateWrite(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	conn := &guardedConn{Conn: near}
+	x := &exchange{}
+	x.gotConn(httptrace.GotConnInfo{Conn: conn})
+	assert.ErrorIs(t, x.classify(), ErrUnavailable)
+	_, err := conn.Write([]byte("x"))
+	assert.ErrorIs(t, err, errSealed)
+}
+
+// TestOpaqueConnectionIsInDoubt covers a client that was made without guardedConn.
+func TestOpaqueConnectionIsInDoubt(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	x := &exchange{}
+	x.gotConn(httptrace.GotConnInfo{Conn: near})
+	assert.Assert(t, errors.Is(x.classify(), ErrInDoubt))
+}
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -67,6 +67,7 @@
 	mu      sync.Mutex
 	fault   Fault
 	left    int           // calls that the fault still applies to, when Times is set
+	calls   int           // all calls so far
 	changed chan struct{} // closed when the next fault is set
 }
 
@@ -91,11 +92,19 @@
 	return s.fault
 }
 
+// count returns the number of calls so far.
+func (s *switches) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // take returns the fault for one call and a channel that is closed when the next
 // fault is set.
 func (s *switches) take(path string) (Fault, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if !s.fault.affects(path) {
 		return Fault{}, s.changed
 	}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -40,6 +40,9 @@
 // SetFault puts a fault in force.
 func (p *Platform) SetFault(f Fault) { p.faults.set(f) }
 
+// Calls returns the number of calls that arrived, answered or not.
+func (p *Platform) Calls() int { return p.faults.count() }
+
 // Record returns the platform's own account.
 func (p *Platform) Record() PlatformRecord {
 	b, _, _ := p.log.read(0, 0)
