--- /dev/null
+++ b/internal/api/types.go
@@ -0,0 +1,175 @@
+// Package api holds the messages of the HTTP API, shared by the server and the
+// command line, and the client.
+package api
+
+import (
+	"encoding/json"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/config"
+	"github.com/eelgrassreach/eelgrassreach/internal/control"
+	"github.com/eelgrassreach/eelgrassreach/internal/dispatch"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// ConfigChangeRequest asks to publish records as one change.
+type ConfigChangeRequest struct {
+	// ID makes the change idempotent; the server makes one when it is empty.
+	ID      string            `json:"id,omitempty"`
+	Records []json.RawMessage `json:"records"`
+	// ExpectedRevision is the revision that the change builds on; nil means the
+	// one in force at the VM that takes the change.
+	ExpectedRevision *int64 `json:"expectedRevision,omitempty"`
+	Comment          string `json:"comment,omitempty"`
+	DryRun           bool   `json:"dryRun,omitempty"`
+}
+
+// Verdicts of a change beside those of the journal.
+const (
+	VerdictRefused = "refused" // findings stand; nothing was published
+	VerdictValid   = "valid"   // dry run without findings
+)
+
+// ConfigChangeReply answers a change.
+type ConfigChangeReply struct {
+	ID       string          `json:"id"`
+	Verdict  string          `json:"verdict"`
+	Offset   int64           `json:"offset,omitempty"`
+	Winner   int64           `json:"winner,omitempty"` // offset of the change that won
+	Detail   string          `json:"detail,omitempty"`
+	Findings config.Findings `json:"findings,omitempty"`
+}
+
+// ConfigReply is the configuration in force.
+type ConfigReply struct {
+	Revision int64             `json:"revision"`
+	Records  []json.RawMessage `json:"records"`
+	Stalled  string            `json:"stalled,omitempty"`
+}
+
+// ConfigHistoryReply lists the decisions on changes, the newest last.
+type ConfigHistoryReply struct {
+	Decisions []journal.Decision `json:"decisions"`
+}
+
+// JobSubmitRequest submits a job.
+type JobSubmitRequest struct {
+	// ID makes the submission idempotent; the server makes one when it is empty.
+	ID              model.JobID          `json:"id,omitempty"`
+	Organisation    model.OrganisationID `json:"organisation"`
+	Shape           model.GangShape      `json:"shape"`
+	Class           string               `json:"class"`
+	AZ              model.AZ             `json:"az,omitempty"` // home; empty lets the VM choose
+	DeclaredRuntime string               `json:"declaredRuntime,omitempty"`
+	Idempotent      bool                 `json:"idempotent,omitempty"`
+	Payload         string               `json:"payload,omitempty"`
+}
+
+// JobListReply lists jobs.
+type JobListReply struct {
+	Jobs []control.JobStatus `json:"jobs"`
+}
+
+// JobCancelRequest cancels jobs.
+type JobCancelRequest struct {
+	Jobs []model.JobID `json:"jobs"`
+}
+
+// JobCancelReply answers a cancellation, in the order of the request.
+type JobCancelReply struct {
+	Receipts []control.CancelReceipt `json:"receipts"`
+}
+
+// RunRequest asks to run a request.
+type RunRequest struct {
+	ID           model.RequestID      `json:"id,omitempty"`
+	Ticket       string               `json:"ticket,omitempty"`
+	Kind         string               `json:"kind"`
+	Organisation model.OrganisationID `json:"organisation"`
+	Caller       model.CallerID       `json:"caller"`
+	Body         []byte               `json:"body"`
+	DeadlineMS   int64                `json:"deadlineMS,omitempty"` // from now; 0: the kind's
+}
+
+// OutcomeReply is the outcome of a request.
+type OutcomeReply struct {
+	ID           model.RequestID `json:"id"`
+	Outcome      model.Outcome   `json:"outcome"`
+	Reason       model.Reason    `json:"reason,omitempty"`
+	Body         []byte          `json:"body,omitempty"`
+	Length       int             `json:"length"`
+	Digest       string          `json:"digest,omitempty"` // SHA-256 of body, hexadecimal
+	RetryAfterMS int64           `json:"retryAfterMS,omitempty"`
+}
+
+// TicketRequest asks for a ticket.
+type TicketRequest struct {
+	TTL string `json:"ttl,omitempty"` // duration
+}
+
+// TicketReply carries a ticket.
+type TicketReply struct {
+	Ticket string `json:"ticket"`
+}
+
+// StatusReply is one VM's view.
+type StatusReply struct {
+	Incarnation   model.Incarnation        `json:"incarnation"`
+	AZ            model.AZ                 `json:"az"`
+	Ready         bool                     `json:"ready"`
+	Draining      bool                     `json:"draining"`
+	Partial       string                   `json:"partial,omitempty"`
+	Applied       int64                    `json:"applied"`
+	Revision      int64                    `json:"configRevision"`
+	ConfigStalled string                   `json:"configStalled,omitempty"`
+	Platform      PlatformStatus           `json:"platform"`
+	Terms         []control.TermState      `json:"terms"`
+	Peers         []control.PeerState      `json:"peers"`
+	Backends      BackendCounts            `json:"backends"`
+	BackendList   []control.BackendState   `json:"backendList,omitempty"`
+	Queues        []dispatch.QueueState    `json:"queues"`
+	Jobs          []JobCount               `json:"jobs"`
+	AtRisk        []control.GuaranteeState `json:"guaranteesAtRisk"`
+	Fragmentation float64                  `json:"fragmentation"`
+	Violations    int64                    `json:"invariantViolations"`
+}
+
+// PlatformStatus tells whether the log answers.
+type PlatformStatus struct {
+	Reachable bool   `json:"reachable"`
+	For       string `json:"for"` // duration of the present state
+}
+
+// BackendCounts counts backend servers by state.
+type BackendCounts struct {
+	Live        int `json:"live"`
+	Leaving     int `json:"leaving"`
+	Quarantined int `json:"quarantined"`
+	Lost        int `json:"lost"`
+}
+
+// JobCount is the number of jobs in one state.
+type JobCount struct {
+	State control.JobState `json:"state"`
+	Count int              `json:"count"`
+}
+
+// Problem is the body of an error answer, as in RFC 9457.
+type Problem struct {
+	Type         string          `json:"type"` // a ProblemType
+	Title        string          `json:"title"`
+	Status       int             `json:"status"`
+	Detail       string          `json:"detail,omitempty"`
+	Reason       model.Reason    `json:"reason,omitempty"`
+	RetryAfterMS int64           `json:"retryAfterMS,omitempty"`
+	Findings     config.Findings `json:"findings,omitempty"`
+}
+
+// The types of problems.
+const (
+	ProblemBadRequest  = "bad-request"
+	ProblemNotFound    = "not-found"
+	ProblemRefused     = "refused" // certain: the command had no effect
+	ProblemUnavailable = "unavailable"
+	ProblemInDoubt     = "in-doubt" // the command may have had an effect
+)
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,134 @@
+// Package command holds every action of callers and operators that changes
+// state: submit and cancel jobs, publish configuration, run requests, mint tickets.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/config"
+	"github.com/eelgrassreach/eelgrassreach/internal/control"
+	"github.com/eelgrassreach/eelgrassreach/internal/dispatch"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// ReasonDraining refuses commands during a planned stop.
+const ReasonDraining model.Reason = "draining"
+
+// drainingRetryAfter is when another VM will have taken the traffic over.
+const drainingRetryAfter = time.Second
+
+// CheckFunc checks records against the configuration in force.
+type CheckFunc func(current *config.Current, records []json.RawMessage) config.Findings
+
+// Handler carries out commands.
+type Handler struct {
+	Control   control.Service
+	Dispatch  dispatch.Service
+	Check     CheckFunc
+	TicketTTL time.Duration
+	Gate      *Gate
+}
+
+// InvalidError reports a command with bad fields. Nothing was done.
+type InvalidError struct {
+	Findings config.Findings
+}
+
+// Error returns the findings.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("%d findings, the first: %s: %s", len(e.Findings), e.Findings[0].Field, e.Findings[0].Message)
+}
+
+// admit returns a refusal once the gate is closed.
+func (h *Handler) admit() (release func(), err error) {
+	release, ok := h.Gate.Enter()
+	if !ok {
+		return nil, &control.Refusal{
+			Reason:     ReasonDraining,
+			Message:    "this VM is stopping",
+			RetryAfter: drainingRetryAfter,
+		}
+	}
+	return release, nil
+}
+
+// Run runs a request to its outcome.
+func (h *Handler) Run(ctx context.Context, r dispatch.Request) (dispatch.Result, error) {
+	release, err := h.admit()
+	if err != nil {
+		return dispatch.Result{}, err
+	}
+	defer release()
+	return h.Dispatch.Do(ctx, r), nil
+}
+
+// MintTicket returns a ticket; a zero ttl means the default.
+func (h *Handler) MintTicket(ttl time.Duration) (string, error) {
+	release, err := h.admit()
+	if err != nil {
+		return "", err
+	}
+	defer release()
+	if ttl == 0 {
+		ttl = h.TicketTTL
+	}
+	return h.Dispatch.MintTicket(ttl), nil
+}
+
+// Cancel cancels jobs.
+func (h *Handler) Cancel(ctx context.Context, ids []model.JobID) ([]control.CancelReceipt, error) {
+	release, err := h.admit()
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	return h.Control.Cancel(ctx, ids)
+}
+
+// Change is a configuration change to publish.
+type Change struct {
+	ID               string
+	Records          []json.RawMessage
+	ExpectedRevision *int64 // nil: the revision in force here
+	Comment          string
+	DryRun           bool
+}
+
+// Published is the answer to a change.
+type Published struct {
+	ID       string
+	Valid    bool // dry run without findings
+	Findings config.Findings
+	Decision journal.Decision
+}
+
+// Publish checks a change and publishes it when there are no findings.
+func (h *Handler) Publish(ctx context.Context, c Change) (Published, error) {
+	release, err := h.admit()
+	if err != nil {
+		return Published{}, err
+	}
+	defer release()
+	current := h.Control.View().Config
+	if c.ID == "" {
+		c.ID = model.RandomID()
+	}
+	findings := h.Check(current, c.Records)
+	if len(findings) > 0 || c.DryRun {
+		return Published{ID: c.ID, Valid: len(findings) == 0, Findings: findings}, nil
+	}
+	change := journal.ConfigChange{
+		ExpectedRevision: current.Revision,
+		Records:          c.Records,
+		Comment:          c.Comment,
+	}
+	if c.ExpectedRevision != nil {
+		change.ExpectedRevision = *c.ExpectedRevision
+	}
+	decision, err := h.Control.Publish(ctx, c.ID, change)
+	return Published{ID: c.ID, Decision: decision}, err
+}
--- /dev/null
+++ b/internal/query/query.go
@@ -0,0 +1,138 @@
+// Package query holds every read of callers and operators. Reads never change state.
+package query
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/api"
+	"github.com/eelgrassreach/eelgrassreach/internal/control"
+	"github.com/eelgrassreach/eelgrassreach/internal/dispatch"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// Handler answers queries from the newest view.
+type Handler struct {
+	Control  control.Service
+	Dispatch dispatch.Service
+	// Render returns the configuration in force as records.
+	Render   func(*control.View) []json.RawMessage
+	Draining func() bool
+}
+
+// Config returns the configuration in force.
+func (h *Handler) Config() api.ConfigReply {
+	view := h.Control.View()
+	return api.ConfigReply{
+		Revision: view.Config.Revision,
+		Records:  h.Render(view),
+		Stalled:  view.ConfigStalled,
+	}
+}
+
+// History returns the newest decisions on configuration changes.
+func (h *Handler) History() []journal.Decision {
+	return h.Control.View().ConfigHistory
+}
+
+// Decision returns the verdict on a change that this VM has replayed.
+func (h *Handler) Decision(ctx context.Context, id string) (journal.Decision, bool) {
+	return h.Control.Decision(ctx, id)
+}
+
+// Job returns the status of a job that this VM knows.
+func (h *Handler) Job(id model.JobID) (control.JobStatus, bool) {
+	return h.Control.View().Job(id)
+}
+
+// Jobs lists the jobs of an organisation, or all.
+func (h *Handler) Jobs(org model.OrganisationID) []control.JobStatus {
+	return h.Control.View().Jobs(org)
+}
+
+// Outcome returns the outcome known for a request.
+func (h *Handler) Outcome(ctx context.Context, id model.RequestID, ticket string) (dispatch.Result, bool) {
+	return h.Dispatch.Lookup(ctx, id, ticket)
+}
+
+// Ready reports whether the balancer may send traffic here.
+func (h *Handler) Ready() bool {
+	return h.Control.View().Ready && !h.Draining()
+}
+
+// Status returns this VM's view; servers adds every backend server.
+func (h *Handler) Status(now time.Time, servers bool) api.StatusReply {
+	view := h.Control.View()
+	status := api.StatusReply{
+		Incarnation:   view.Incarnation,
+		AZ:            view.AZ,
+		Ready:         h.Ready(),
+		Draining:      h.Draining(),
+		Partial:       view.PartialBecause,
+		Applied:       view.Applied,
+		Revision:      view.Config.Revision,
+		ConfigStalled: view.ConfigStalled,
+		Platform: api.PlatformStatus{
+			Reachable: view.LogReachable,
+			For:       now.Sub(view.LogSince).Round(time.Second).String(),
+		},
+		Terms:         sortedTerms(view),
+		Peers:         view.Peers,
+		Queues:        h.Dispatch.Queues(),
+		Jobs:          jobCounts(view),
+		AtRisk:        view.AtRisk,
+		Fragmentation: view.Fragmentation,
+		Violations:    view.Violations,
+	}
+	for _, b := range sortedBackends(view) {
+		countBackend(&status.Backends, b)
+		if servers {
+			status.BackendList = append(status.BackendList, b)
+		}
+	}
+	return status
+}
+
+func countBackend(counts *api.BackendCounts, b control.BackendState) {
+	switch {
+	case !b.Live:
+		counts.Lost++
+	case b.Leaving:
+		counts.Leaving++
+	case b.Quarantined:
+		counts.Quarantined++
+	default:
+		counts.Live++
+	}
+}
+
+func sortedTerms(view *control.View) []control.TermState {
+	terms := make([]control.TermState, 0, len(view.Terms))
+	for _, t := range view.Terms {
+		terms = append(terms, t)
+	}
+	slices.SortFunc(terms, func(a, b control.TermState) int { return cmp.Compare(a.AZ, b.AZ) })
+	return terms
+}
+
+func sortedBackends(view *control.View) []control.BackendState {
+	list := make([]control.BackendState, 0, len(view.Backends))
+	for _, b := range view.Backends {
+		list = append(list, b)
+	}
+	slices.SortFunc(list, func(a, b control.BackendState) int { return cmp.Compare(a.Server.ID, b.Server.ID) })
+	return list
+}
+
+func jobCounts(view *control.View) []api.JobCount {
+	counts := make([]api.JobCount, 0, len(view.JobsByState))
+	for state, n := range view.JobsByState {
+		counts = append(counts, api.JobCount{State: state, Count: n})
+	}
+	slices.SortFunc(counts, func(a, b api.JobCount) int { return cmp.Compare(a.State, b.State) })
+	return counts
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,115 @@
+// Package settings reads the flags and environment variables of `serve`, checks
+// them as one, and reports every finding together.
+package settings
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// EnvPrefix opens the name of every environment variable that the program reads.
+const EnvPrefix = "EELGRASSREACH"
+
+// Trace exporters.
+const (
+	TraceOff    = "off"
+	TraceStdout = "stdout"
+	TraceOTLP   = "otlp"
+)
+
+// Serve holds the checked settings of a VM.
+type Serve struct {
+	AZ            model.AZ
+	Region        model.Region
+	Listen        string // IP:port of the HTTP listener
+	Advertise     string // IP:port that peers and callers use
+	Platform      string // base URL of the platform
+	Peers         []string
+	DrainNotice   time.Duration
+	DrainTimeout  time.Duration
+	AppendRate    int   // appends per second
+	MaxBody       int64 // bytes
+	MaxConns      int   // connections per backend server
+	TicketTTL     time.Duration
+	LogLevel      string
+	Trace         string
+	TraceEndpoint string // host:port of an OTLP/HTTP collector
+}
+
+// Finding is one fault in the settings.
+type Finding struct {
+	Flag    string
+	Value   string
+	Message string
+}
+
+// EnvVar returns the environment variable that sets the same value as the flag.
+func (f Finding) EnvVar() string {
+	name := strings.ReplaceAll(f.Flag, "-", "_")
+	return EnvPrefix + "_" + strings.ToUpper(name)
+}
+
+// Findings lists the faults in the order of the settings reference.
+type Findings []Finding
+
+// Error lists every finding on a line of its own.
+func (fs Findings) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d findings in the settings:", len(fs))
+	for _, f := range fs {
+		fmt.Fprintf(&b, "\n  -%s (%s) = %q: %s", f.Flag, f.EnvVar(), f.Value, f.Message)
+	}
+	return b.String()
+}
+
+// Raw holds the settings as given, before the checks.
+type Raw struct {
+	az, region, listen, advertise, platform, peers string
+	drainNotice, drainTimeout, ticketTTL           string
+	appendRate, maxBody, maxConns                  string
+	logLevel, trace, traceEndpoint                 string
+}
+
+// Register declares the flags on fs. Values stay text until Check, so that all
+// faults are found together.
+func Register(fs *flag.FlagSet) *Raw {
+	r := &Raw{}
+	fs.StringVar(&r.az, "az", "", "availability zone of this VM")
+	fs.StringVar(&r.region, "region", "default", "region of the availability zone")
+	fs.StringVar(&r.listen, "listen", "127.0.0.1:7300", "IP:port to listen on")
+	fs.StringVar(&r.advertise, "advertise", "", "IP:port that other VMs use; the listen address when empty")
+	fs.StringVar(&r.platform, "platform", "", "base URL of the platform, http://IP:port")
+	fs.StringVar(&r.peers, "peers", "", "comma-separated IP:port of other VMs, used until the VM list is read")
+	fs.StringVar(&r.drainNotice, "drain-notice", "3s", "time between not ready and the end of acceptance in a planned stop")
+	fs.StringVar(&r.drainTimeout, "drain-timeout", "30s", "bound on a planned stop after the notice")
+	fs.StringVar(&r.ticketTTL, "ticket-ttl", "10m", "lifetime of a ticket when none is asked for")
+	fs.StringVar(&r.appendRate, "append-rate", "30", "appends per second to the platform's log, at most")
+	fs.StringVar(&r.maxBody, "max-body", "1048576", "largest request body in bytes")
+	fs.StringVar(&r.maxConns, "max-conns", "16", "connections to one backend server, at most")
+	fs.StringVar(&r.logLevel, "log-level", "info", "debug, info, warn or error")
+	fs.StringVar(&r.trace, "trace", TraceOff, "off, stdout or otlp")
+	fs.StringVar(&r.traceEndpoint, "trace-endpoint", "127.0.0.1:4318", "IP:port of the OTLP/HTTP collector")
+	return r
+}
+
+// ParseServe reads args and the environment, and returns checked settings. The
+// error is flag.ErrHelp, a usage error, or Findings.
+func ParseServe(args []string, output io.Writer) (Serve, error) {
+	fs := flag.NewFlagSet("eelgrassreach serve", flag.ContinueOnError)
+	fs.SetOutput(output)
+	raw := Register(fs)
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
+		return Serve{}, err
+	}
+	if fs.NArg() > 0 {
+		return Serve{}, fmt.Errorf("unexpected arguments: %s", strings.Join(fs.Args(), " "))
+	}
+	return raw.Check()
+}
