Placement that keeps guarantees reclaimable, with its invariant checks

Cause: control needs a policy, the fit of guarantees and the check of a shape. Guaranteed shapes are held as cells by first fit in a fixed order; gangs inside a guarantee take cells, all others borrow and are evicted on reclaim. Ruled out: a checker that searches for an assignment itself by backtracking.

--- /dev/null
+++ b/internal/invariant/placement.go
@@ -0,0 +1,69 @@
+package invariant
+
+import (
+	"fmt"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/placement"
+)
+
+// CheckNoDoublePromise returns a violation for each server whose gangs hold more
+// accelerators than it has. Members on servers that the zone does not list are passed
+// over: nothing is known of their capacity.
+func CheckNoDoublePromise(zone placement.Zone) []Violation {
+	promised := make(map[model.BackendServerID]int)
+	for _, gang := range zone.Placed {
+		for _, member := range gang.Members {
+			promised[member.Server] += member.Accelerators
+		}
+	}
+	var violations []Violation
+	for _, server := range zone.Servers {
+		if promised[server.ID] <= server.Accelerators {
+			continue
+		}
+		violations = append(violations, Violation{
+			Promise: NoDoublePromise,
+			Server:  server.ID,
+			Detail:  fmt.Sprintf("%d accelerators promised of %d", promised[server.ID], server.Accelerators),
+		})
+	}
+	return violations
+}
+
+// CheckWholeGangs returns a violation for each placed gang whose members are not
+// exactly its shape or are further apart than its adjacency allows.
+func CheckWholeGangs(zone placement.Zone) []Violation {
+	racks := make(map[model.BackendServerID]model.RackID)
+	for _, server := range zone.Servers {
+		racks[server.ID] = server.Rack
+	}
+	var violations []Violation
+	for _, gang := range zone.Placed {
+		if fault := gangFault(gang, racks); fault != "" {
+			violations = append(violations, Violation{Promise: NoPartialGang, Job: gang.Job, Detail: fault})
+		}
+	}
+	return violations
+}
+
+func gangFault(gang placement.Placed, racks map[model.BackendServerID]model.RackID) string {
+	if len(gang.Members) != gang.Shape.Tasks {
+		return fmt.Sprintf("%d members placed of %d", len(gang.Members), gang.Shape.Tasks)
+	}
+	first := gang.Members[0]
+	for _, member := range gang.Members {
+		if member.Accelerators != gang.Shape.Accelerators {
+			return fmt.Sprintf("a member has %d accelerators, the shape has %d",
+				member.Accelerators, gang.Shape.Accelerators)
+		}
+		if gang.Shape.Adjacency == model.AdjacentServer && member.Server != first.Server {
+			return fmt.Sprintf("members on %s and %s, adjacency is server", first.Server, member.Server)
+		}
+		if gang.Shape.Adjacency == model.AdjacentRack && racks[member.Server] != racks[first.Server] {
+			return fmt.Sprintf("members in racks %s and %s, adjacency is rack",
+				racks[first.Server], racks[member.Server])
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/invariant/reporter.go
@@ -0,0 +1,38 @@
+package invariant
+
+import (
+	"sync/atomic"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+)
+
+// Counter reports violations as a metric and a log line.
+type Counter struct {
+	total  atomic.Int64
+	scope  tally.Scope
+	logger *zap.Logger
+}
+
+// NewCounter returns a Counter on the scope and the logger. Neither may be nil; use
+// tally.NoopScope and zap.NewNop for none.
+func NewCounter(scope tally.Scope, logger *zap.Logger) *Counter {
+	return &Counter{scope: scope, logger: logger}
+}
+
+// Violated counts the violation by promise and logs it.
+func (c *Counter) Violated(v Violation) {
+	c.total.Add(1)
+	tags := map[string]string{"promise": string(v.Promise)}
+	c.scope.Tagged(tags).Counter("invariant_violations").Inc(1)
+	c.logger.Error("invariant violated",
+		zap.String("promise", string(v.Promise)),
+		zap.String("job", string(v.Job)),
+		zap.String("request", string(v.Request)),
+		zap.String("server", string(v.Server)),
+		zap.String("detail", v.Detail),
+	)
+}
+
+// Total returns the number of violations since the start.
+func (c *Counter) Total() int64 { return c.total.Load() }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -95,12 +95,28 @@
 	Honoured     int
 }
 
+// Backing is the cell of a guaranteed gang that does not run: accelerators that are
+// free or that evicting borrowed gangs frees.
+type Backing struct {
+	Organisation model.OrganisationID
+	Shape        model.GangShape
+	Members      []Member
+}
+
 // Plan is the result of a decision.
 type Plan struct {
 	Starts    []Start
 	Evictions []Eviction
 	Waiting   []Waiting
 	Risks     []Risk
+	// Backing proves that every guarantee can be reclaimed: the cells are disjoint and
+	// hold no gang inside a guarantee once the plan is applied.
+	Backing []Backing
+	// Promotions are running borrowed gangs that from now on run inside a guarantee,
+	// and Demotions the opposite. The caller changes Placed.Borrowed accordingly; when
+	// it does not, later plans name them again.
+	Promotions []model.JobID
+	Demotions  []model.JobID
 	// Fragmentation is the share, 0 to 1, of free accelerators that no reference
 	// shape can use.
 	Fragmentation float64
--- /dev/null
+++ b/internal/placement/reclaiming.go
@@ -0,0 +1,143 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Options tunes Reclaiming. Zero durations stand for the defaults.
+type Options struct {
+	// ReserveAfter is the wait after which a gang gets a draining reservation.
+	ReserveAfter time.Duration
+	// EvictAfter is the wait after which the reserved cell is cleared by evicting
+	// borrowed gangs that were submitted later.
+	EvictAfter time.Duration
+}
+
+// Reclaiming keeps every guarantee reclaimable: there is always an assignment of the
+// guaranteed shapes to cells that evicting borrowed gangs alone would free. Guaranteed
+// gangs are placed so that the cells of the others stay; all other gangs borrow.
+type Reclaiming struct {
+	Options Options
+}
+
+// Decide implements Policy. Gangs inside a guarantee go first, by class and then by
+// submission; then the gang with the draining reservation; then all others by class
+// and submission.
+func (p Reclaiming) Decide(zone Zone, pending []Gang) Plan {
+	d := newDecision(zone, p.Options.withDefaults())
+	d.demote()
+	queue := byClass(pending)
+	rest := d.startAllGuaranteed(queue)
+	reserved := d.reserve(rest)
+	for i, g := range rest {
+		if i != reserved {
+			d.startBorrowed(g)
+		}
+	}
+	d.promote()
+	return d.finish()
+}
+
+func (o Options) withDefaults() Options {
+	o.ReserveAfter = cmp.Or(o.ReserveAfter, DefaultReserveAfter)
+	o.EvictAfter = cmp.Or(o.EvictAfter, DefaultEvictAfter)
+	return o
+}
+
+// startAllGuaranteed places the gangs inside guarantees and returns the others.
+func (d *decision) startAllGuaranteed(queue []Gang) []Gang {
+	rest := make([]Gang, 0, len(queue))
+	for _, g := range queue {
+		own := covering(d.demands[g.Organisation], g.Shape)
+		if own == nil || !d.startGuaranteed(g, own) {
+			rest = append(rest, g)
+		}
+	}
+	return rest
+}
+
+// demote reports gangs whose guarantee is no longer there. They count as borrowed.
+func (d *decision) demote() {
+	for i := range d.zone.Placed {
+		gang := &d.zone.Placed[i]
+		if !gang.Borrowed && !d.inside[i] && !gang.Evicting {
+			d.plan.Demotions = append(d.plan.Demotions, gang.Job)
+		}
+	}
+}
+
+// promote lets borrowed gangs take up guarantees of their organisation that no
+// pending gang took, where the other guarantees keep their cells.
+func (d *decision) promote() {
+	for i := range d.zone.Placed {
+		gang := &d.zone.Placed[i]
+		if !gang.Borrowed || d.evicting[i] || touchesUnusable(d.topology, gang.Members) {
+			continue
+		}
+		own := covering(d.demands[gang.Organisation], gang.Shape)
+		if own == nil || len(own.cells) == 0 {
+			continue
+		}
+		if d.promoteInto(gang, own) {
+			d.plan.Promotions = append(d.plan.Promotions, gang.Job)
+		}
+	}
+}
+
+// promoteInto tries to swap one cell of the demand for the accelerators that the gang
+// runs on.
+func (d *decision) promoteInto(gang *Placed, own *demand) bool {
+	for _, p := range d.poolOf(own) {
+		c := p.cell()
+		c.addTo(d.cells.guarded, own.shape().Accelerators, -1)
+		fits := d.fitsUnguarded(gang.Members)
+		c.addTo(d.cells.guarded, own.shape().Accelerators, 1)
+		if !fits {
+			continue
+		}
+		d.takeCell(own, p)
+		own.idle--
+		d.addMembers(d.residual, gang.Members, -1)
+		return true
+	}
+	return false
+}
+
+// fitsUnguarded reports whether the members use only room that no cell of the
+// assignment takes.
+func (d *decision) fitsUnguarded(members []Member) bool {
+	need := make(map[int]int)
+	for _, member := range members {
+		need[d.topology.position[member.Server]] += member.Accelerators
+	}
+	for s, accelerators := range need {
+		if d.residual[s]-d.cells.guarded[s] < accelerators {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *decision) addMembers(amounts []int, members []Member, sign int) {
+	for _, member := range members {
+		amounts[d.topology.position[member.Server]] += sign * member.Accelerators
+	}
+}
+
+// byClass orders gangs by class and keeps the order of submission inside a class.
+func byClass(pending []Gang) []Gang {
+	queue := slices.Clone(pending)
+	slices.SortStableFunc(queue, func(a, b Gang) int { return cmp.Compare(a.Class, b.Class) })
+	return queue
+}
+
+func sortBySubmission(queue []Gang, positions []int) {
+	slices.SortStableFunc(positions, func(a, b int) int {
+		return cmp.Or(
+			queue[a].Submitted.Compare(queue[b].Submitted),
+			cmp.Compare(queue[a].Job, queue[b].Job),
+		)
+	})
+}
--- /dev/null
+++ b/internal/placement/replay/replay.go
@@ -0,0 +1,129 @@
+// Package replay applies placement plans to a zone in virtual time. It serves tests
+// and measurements; nothing in it models processes or a network.
+package replay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/placement"
+)
+
+// State is a zone with its queue.
+type State struct {
+	Zone    placement.Zone
+	Pending []placement.Gang // ordered by submission, then job
+}
+
+// Submit adds a gang to the queue.
+func (s *State) Submit(g placement.Gang) {
+	at, _ := slices.BinarySearchFunc(s.Pending, g, bySubmission)
+	s.Pending = slices.Insert(s.Pending, at, g)
+}
+
+func bySubmission(a, b placement.Gang) int {
+	return cmp.Or(a.Submitted.Compare(b.Submitted), cmp.Compare(a.Job, b.Job))
+}
+
+// Decide asks the policy for a plan and applies it.
+func (s *State) Decide(policy placement.Policy) placement.Plan {
+	plan := policy.Decide(s.Zone, s.Pending)
+	s.Apply(plan)
+	return plan
+}
+
+// Apply starts the gangs of the plan, marks the evicted ones and changes what runs
+// inside guarantees.
+func (s *State) Apply(plan placement.Plan) {
+	placed := slices.Clone(s.Zone.Placed)
+	for i := range placed {
+		gang := &placed[i]
+		if slices.ContainsFunc(plan.Evictions, func(e placement.Eviction) bool { return e.Job == gang.Job }) {
+			gang.Evicting = true
+		}
+		if slices.Contains(plan.Promotions, gang.Job) {
+			gang.Borrowed = false
+		}
+		if slices.Contains(plan.Demotions, gang.Job) {
+			gang.Borrowed = true
+		}
+	}
+	starts := make(map[model.JobID]placement.Start, len(plan.Starts))
+	for _, start := range plan.Starts {
+		starts[start.Job] = start
+	}
+	var waiting []placement.Gang
+	for _, g := range s.Pending {
+		start, started := starts[g.Job]
+		if !started {
+			waiting = append(waiting, g)
+			continue
+		}
+		placed = append(placed, placement.Placed{
+			Gang:     g,
+			Members:  start.Members,
+			Borrowed: start.Borrowed,
+			Started:  s.Zone.Now,
+		})
+	}
+	slices.SortFunc(placed, func(a, b placement.Placed) int { return cmp.Compare(a.Job, b.Job) })
+	s.Zone.Placed = placed
+	s.Pending = waiting
+}
+
+// Remove takes a placed gang out, whether it ended or was stopped; ok is false when it
+// is not placed.
+func (s *State) Remove(job model.JobID) (gang placement.Placed, ok bool) {
+	i := s.find(job)
+	if i < 0 {
+		return placement.Placed{}, false
+	}
+	gang = s.Zone.Placed[i]
+	s.Zone.Placed = slices.Delete(slices.Clone(s.Zone.Placed), i, i+1)
+	return gang, true
+}
+
+// Requeue takes a placed gang out and puts it back into the queue.
+func (s *State) Requeue(job model.JobID) {
+	if gang, ok := s.Remove(job); ok {
+		s.Submit(gang.Gang)
+	}
+}
+
+// Find returns a placed gang; ok is false when it is not placed.
+func (s *State) Find(job model.JobID) (gang placement.Placed, ok bool) {
+	i := s.find(job)
+	if i < 0 {
+		return placement.Placed{}, false
+	}
+	return s.Zone.Placed[i], true
+}
+
+func (s *State) find(job model.JobID) int {
+	return slices.IndexFunc(s.Zone.Placed, func(g placement.Placed) bool { return g.Job == job })
+}
+
+// SetUsable changes whether a server takes work. The gangs that run on a server that
+// became unusable are restarted whole: they go back to the queue.
+func (s *State) SetUsable(id model.BackendServerID, usable bool) {
+	servers := slices.Clone(s.Zone.Servers)
+	for i := range servers {
+		if servers[i].ID == id {
+			servers[i].Usable = usable
+		}
+	}
+	s.Zone.Servers = servers
+	if usable {
+		return
+	}
+	for _, gang := range slices.Clone(s.Zone.Placed) {
+		if slices.ContainsFunc(gang.Members, func(m placement.Member) bool { return m.Server == id }) {
+			s.Requeue(gang.Job)
+		}
+	}
+}
+
+// Advance moves the virtual time.
+func (s *State) Advance(d time.Duration) { s.Zone.Now = s.Zone.Now.Add(d) }
