--- /dev/null
+++ b/internal/control/action.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/membership"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+)
+
+// Action is an output of the transition, carried out by the loop.
+type Action interface{ action() }
+
+// Append submits an entry to the log; EntryAppended reports back.
+type Append struct{ Entry journal.Entry }
+
+// Command sends a batch to a backend server; CommandAnswered reports back. It must
+// not be sent after NotAfter, and waits for an answer up to Timeout.
+type Command struct {
+	Server   model.BackendServerID
+	Address  string
+	Batch    platform.CommandBatch
+	NotAfter time.Time
+	Timeout  time.Duration
+}
+
+// PollStatus asks a backend server for its report; StatusAnswered reports back.
+type PollStatus struct {
+	Server  model.BackendServerID
+	Address string
+	Sent    time.Time
+	Timeout time.Duration
+}
+
+// SendHeartbeat sends a heartbeat to a peer; HeartbeatReceived carries its answer.
+type SendHeartbeat struct {
+	Address   string
+	Heartbeat membership.Heartbeat
+}
+
+// SendOffer offers a job to a term holder; OfferAnswered reports back.
+type SendOffer struct {
+	Address string
+	Offer   JobOffer
+}
+
+// SendTermOffer offers a term to a successor; TermOfferAnswered reports back.
+type SendTermOffer struct {
+	Address string
+	Offer   TermOffer
+}
+
+// Report passes a violated promise to the invariant reporter.
+type Report struct{ Violation invariant.Violation }
+
+// SubmitReply answers JobSubmitted. Refusal is nil when the job was accepted.
+type SubmitReply struct {
+	Reply   ReplyID
+	Receipt JobReceipt
+	Refusal *Refusal
+}
+
+// CancelReply answers JobsCancelled.
+type CancelReply struct {
+	Reply    ReplyID
+	Receipts []CancelReceipt
+}
+
+// PublishReply answers ChangePublished. Refusal is nil once there is a verdict.
+type PublishReply struct {
+	Reply    ReplyID
+	Decision journal.Decision
+	Refusal  *Refusal
+}
+
+// DecisionReply answers DecisionAsked.
+type DecisionReply struct {
+	Reply    ReplyID
+	Decision journal.Decision
+	Known    bool
+}
+
+// OfferReply answers JobOffered.
+type OfferReply struct {
+	Reply  ReplyID
+	Answer OfferAnswer
+}
+
+// TermOfferReply answers TermOffered.
+type TermOfferReply struct {
+	Reply    ReplyID
+	Accepted bool
+}
+
+// DrainReply answers DrainRequested.
+type DrainReply struct{ Reply ReplyID }
+
+func (Append) action()         {}
+func (Command) action()        {}
+func (PollStatus) action()     {}
+func (SendHeartbeat) action()  {}
+func (SendOffer) action()      {}
+func (SendTermOffer) action()  {}
+func (Report) action()         {}
+func (SubmitReply) action()    {}
+func (CancelReply) action()    {}
+func (PublishReply) action()   {}
+func (DecisionReply) action()  {}
+func (OfferReply) action()     {}
+func (TermOfferReply) action() {}
+func (DrainReply) action()     {}
--- /dev/null
+++ b/internal/control/adopt.go
@@ -0,0 +1,199 @@
+package control
+
+import (
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/replica"
+)
+
+// unexpected handles a task that this VM did not start: it is part of a gang to
+// take over, or left from an attempt that is closed.
+func (s *State) unexpected(id model.BackendServerID, r platform.TaskReport) {
+	g := s.gangs[r.Job]
+	if g != nil && g.attempt == r.Attempt {
+		if g.gathering {
+			s.adoptMember(g, id, r)
+		}
+		return
+	}
+	if g != nil || s.closed(r) {
+		s.stopStray(id, r)
+		return
+	}
+	if o := s.outcomes[r.Job]; o != nil && o.ended.Attempt == r.Attempt {
+		s.stopStray(id, r)
+		return
+	}
+	if !r.State.Active() && !s.open(r) {
+		return
+	}
+	s.adoptMember(s.adopt(r), id, r)
+}
+
+// stopStray stops a task that belongs to no attempt in force.
+func (s *State) stopStray(id model.BackendServerID, r platform.TaskReport) {
+	if r.State.Active() {
+		s.queue(id, platform.TaskCommand{Verb: platform.VerbStop, Task: r.Task})
+	}
+}
+
+// closed reports whether replay has closed the task's attempt.
+func (s *State) closed(r platform.TaskReport) bool {
+	j := s.replica.Job(r.Job)
+	if j == nil {
+		return false
+	}
+	return j.Ended() || (j.Attempt.ID == r.Attempt && !j.Attempt.Open)
+}
+
+// open reports whether the task belongs to the attempt that is open in replay.
+func (s *State) open(r platform.TaskReport) bool {
+	j := s.replica.Job(r.Job)
+	return j != nil && j.Attempt.Open && j.Attempt.ID == r.Attempt
+}
+
+// adopt makes the gang of a task that another VM started.
+func (s *State) adopt(r platform.TaskReport) *gang {
+	g := &gang{
+		job: model.Job{
+			ID:           r.Job,
+			Organisation: r.Organisation,
+			Shape:        model.GangShape{Tasks: r.Members, Accelerators: r.Accelerators, Adjacency: model.AdjacentAny},
+			HomeAZ:       s.self.AZ,
+		},
+		attempt:   r.Attempt,
+		number:    1,
+		permit:    permitGranted,
+		phase:     JobRunning,
+		since:     s.now,
+		started:   s.now,
+		startSent: true,
+		renewed:   s.now,
+		gathering: true,
+		size:      r.Members,
+	}
+	if l := s.local[r.Job]; l != nil {
+		g.job = l.job
+	}
+	if j := s.replica.Job(r.Job); j != nil {
+		g.job = j.Job
+		g.number = j.Attempt.Number
+	}
+	s.gangs[r.Job] = g
+	s.placement.dirty = true
+	return g
+}
+
+func (s *State) adoptMember(g *gang, id model.BackendServerID, r platform.TaskReport) {
+	m := &member{
+		task:         r.Task,
+		server:       id,
+		accelerators: r.Accelerators,
+		state:        r.State,
+		sent:         s.now,
+		proved:       s.now,
+		until:        s.now.Add(s.settings.Lease),
+		checkpoint:   r.Checkpoint,
+	}
+	s.addMember(g, m)
+}
+
+// superviseGathering decides whether a gang that was taken over is whole. Until
+// then it is not renewed, so that a part of one ends with its lease.
+func (s *State) superviseGathering(g *gang) {
+	if len(g.members) == g.size && all(g, runsOrDone) {
+		g.gathering = false
+		g.renewed = s.now.Add(-s.settings.RenewInterval)
+		s.enter(g, JobRunning)
+		s.superviseRunning(g)
+		return
+	}
+	broken := !all(g, func(m *member) bool { return runsOrDone(m) || m.state == platform.TaskHeld })
+	if broken || s.surveyDone() || s.now.Sub(s.term.actedAt) >= s.settings.Lease {
+		g.gathering = false
+		s.failGathered(g)
+	}
+}
+
+func (s *State) failGathered(g *gang) {
+	why := ending{result: replica.ResultRetry, reason: ReasonPartialTakenOver}
+	for _, m := range g.members {
+		if m.state == platform.TaskFailed {
+			s.taskFailed(g, m)
+		}
+	}
+	s.stop(g, why)
+}
+
+func runsOrDone(m *member) bool {
+	return m.state == platform.TaskRunning || m.state == platform.TaskDone
+}
+
+// surveyDone reports whether every backend server has reported under the own token
+// or is gone.
+func (s *State) surveyDone() bool {
+	for _, v := range s.servers {
+		if !s.surveyed(v) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *State) surveyed(v *server) bool {
+	return v.gone || (v.surveyed && v.fenced == s.term.token)
+}
+
+// settled reports whether placement may be decided: all backend servers that
+// answer have been surveyed.
+func (s *State) settled() bool {
+	for _, v := range s.servers {
+		if s.live(v) && !s.surveyed(v) {
+			return false
+		}
+	}
+	return s.now.Sub(s.term.actedAt) >= s.settings.CommandTimeout || s.surveyDone()
+}
+
+// closeLostAttempts closes attempts that are open in the log and certainly run
+// nowhere: every backend server that may run them has reported under the own token.
+func (s *State) closeLostAttempts() {
+	s.replica.Jobs(func(j *replica.Job) {
+		if !j.Attempt.Open || j.Job.HomeAZ != s.self.AZ || s.gangs[j.Job.ID] != nil {
+			return
+		}
+		if s.outcomes[j.Job.ID] != nil || !s.certainlyLost(j) {
+			return
+		}
+		s.recordLost(j)
+	})
+}
+
+func (s *State) recordLost(j *replica.Job) {
+	s.outcomes[j.Job.ID] = &outcome{
+		ended: journal.JobEnded{
+			Job:     j.Job.ID,
+			Attempt: j.Attempt.ID,
+			Result:  string(replica.ResultRetry),
+			Reason:  ReasonHolderLost,
+		},
+		job: j.Job,
+	}
+}
+
+func (s *State) certainlyLost(j *replica.Job) bool {
+	if j.Job.Idempotent && s.now.Sub(s.term.actedAt) >= 2*s.settings.Lease {
+		return true
+	}
+	if len(j.Attempt.Servers) == 0 {
+		return s.surveyDone()
+	}
+	for _, id := range j.Attempt.Servers {
+		v := s.servers[id]
+		if v != nil && !s.surveyed(v) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/control/entry.go
@@ -0,0 +1,120 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+)
+
+// appendState is what the VM knows of an entry that it gave to the log.
+type appendState int
+
+const (
+	appendSent    appendState = iota // given to the publisher
+	appendDoubt                      // counts as recorded until replay tells
+	appendNotSent                    // certainly not in the log
+)
+
+// pendingEntry is an entry of this VM that is not read back.
+type pendingEntry struct {
+	entry journal.Entry
+	state appendState
+	// retry submits the entry again once the log answers. Without it a failed
+	// append is dropped.
+	retry bool
+	sent  time.Time
+}
+
+// submitEntry gives an entry to the log under the ID and follows it up. A body
+// that cannot be encoded is a programming error.
+func (s *State) submitEntry(id string, kind journal.Kind, body any, retry bool) {
+	if s.entries[id] != nil {
+		return
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(fmt.Sprintf("encode %s entry: %v", kind, err))
+	}
+	e := &pendingEntry{
+		entry: journal.Entry{ID: id, Kind: kind, Author: s.self.Incarnation, Body: data},
+		retry: retry,
+	}
+	s.entries[id] = e
+	if !s.log.reachable && retry {
+		e.state = appendNotSent
+		return
+	}
+	s.sendEntry(e)
+}
+
+func (s *State) sendEntry(e *pendingEntry) {
+	e.state = appendSent
+	e.sent = s.now
+	s.emit(Append{Entry: e.entry})
+}
+
+func (s *State) entryAppended(a EntryAppended) {
+	e := s.entries[a.Result.EntryID]
+	if e == nil {
+		return
+	}
+	switch a.Result.State {
+	case journal.AppendStored:
+		return
+	case journal.AppendInDoubt:
+		e.state = appendDoubt
+		s.appendInDoubt(e.entry)
+	case journal.AppendNotSent:
+		e.state = appendNotSent
+		if !e.retry {
+			delete(s.entries, e.entry.ID)
+		}
+		s.appendFailed(e.entry)
+	}
+}
+
+// retryEntries submits entries again that certainly are not in the log.
+func (s *State) retryEntries() {
+	if !s.log.reachable {
+		return
+	}
+	for _, id := range sortedKeys(s.entries) {
+		e := s.entries[id]
+		if e.state == appendNotSent && e.retry && s.now.Sub(e.sent) >= s.settings.RetryDelay {
+			s.sendEntry(e)
+		}
+	}
+}
+
+// resolve ends the wait for an entry.
+func (s *State) resolve(id string, d journal.Decision) {
+	delete(s.entries, id)
+	for _, w := range s.takeWaiters(id) {
+		w.decided(s, d)
+	}
+}
+
+func (s *State) appendInDoubt(e journal.Entry) {
+	switch e.Kind {
+	case journal.KindJobAccepted:
+		s.acceptInDoubt(e)
+	case journal.KindAttempt:
+		s.placement.dirty = true
+	}
+}
+
+func (s *State) appendFailed(e journal.Entry) {
+	switch e.Kind {
+	case journal.KindJobAccepted:
+		s.acceptNotSent(e)
+	case journal.KindAttempt:
+		s.claimNotSent(e)
+	case journal.KindTerm:
+		s.term.claim = ""
+	}
+	for _, w := range s.takeWaiters(e.ID) {
+		w.notSent(s)
+	}
+}
--- /dev/null
+++ b/internal/control/event.go
@@ -0,0 +1,155 @@
+package control
+
+import (
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/membership"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+)
+
+// ReplyID names the caller that waits for a Reply action.
+type ReplyID uint64
+
+// Event is an input of the transition.
+type Event interface{ event() }
+
+// EntriesRead carries log entries up to, not including, offset Next.
+type EntriesRead struct {
+	Entries []journal.Located
+	Next    int64
+}
+
+// SnapshotRead carries a whole replicated state.
+type SnapshotRead struct{ Snapshot journal.Snapshot }
+
+// LogReachable tells whether the platform's log answers.
+type LogReachable struct{ OK bool }
+
+// EntryAppended carries what became of an Append action.
+type EntryAppended struct{ Result journal.AppendResult }
+
+// CommandAnswered carries the results of a Command action. Err wraps
+// platform.ErrUnavailable when nothing had an effect, platform.ErrInDoubt otherwise.
+type CommandAnswered struct {
+	Server  model.BackendServerID
+	Batch   platform.CommandBatch
+	Results []platform.TaskResult
+	Err     error
+}
+
+// StatusAnswered carries a backend server's report on a poll sent at Sent.
+type StatusAnswered struct {
+	Server model.BackendServerID
+	Sent   time.Time
+	Status platform.BackendStatus
+	Err    error
+}
+
+// HeartbeatReceived carries a heartbeat or the answer to one.
+type HeartbeatReceived struct{ Heartbeat membership.Heartbeat }
+
+// VMsListed carries the platform's VM list.
+type VMsListed struct{ VMs []platform.VMEntry }
+
+// JobSubmitted asks to accept a job; SubmitReply answers.
+type JobSubmitted struct {
+	Reply ReplyID
+	Job   model.Job
+}
+
+// JobsCancelled asks to cancel jobs; CancelReply answers.
+type JobsCancelled struct {
+	Reply ReplyID
+	Jobs  []model.JobID
+}
+
+// ChangePublished asks to append a configuration change; PublishReply answers.
+type ChangePublished struct {
+	Reply   ReplyID
+	EntryID string
+	Change  journal.ConfigChange
+}
+
+// DecisionAsked asks for the verdict on an entry; DecisionReply answers.
+type DecisionAsked struct {
+	Reply   ReplyID
+	EntryID string
+}
+
+// JobOffer gives a term holder a job that is not in the log, with the start permit
+// for one attempt.
+type JobOffer struct {
+	Job      model.Job
+	Acceptor model.Incarnation
+	Attempt  model.AttemptID
+}
+
+// OfferAnswer answers a JobOffer. Reason explains a refusal, after which the
+// permit is back with the acceptor.
+type OfferAnswer struct {
+	Accepted bool
+	Reason   model.Reason
+}
+
+// JobOffered carries an offer from a peer; OfferReply answers.
+type JobOffered struct {
+	Reply ReplyID
+	Offer JobOffer
+}
+
+// OfferAnswered carries the answer to a SendOffer action.
+type OfferAnswered struct {
+	Job    model.JobID
+	Answer OfferAnswer
+	Err    error
+}
+
+// TermOffer asks a successor to take over a term in a planned stop.
+type TermOffer struct {
+	AZ    model.AZ
+	Token model.Token
+	From  model.Incarnation
+}
+
+// TermOffered carries an offer from the holder; TermOfferReply answers.
+type TermOffered struct {
+	Reply ReplyID
+	Offer TermOffer
+}
+
+// TermOfferAnswered carries the answer to a SendTermOffer action.
+type TermOfferAnswered struct {
+	Accepted bool
+	Err      error
+}
+
+// DrainRequested starts the planned stop; DrainReply answers when it may go.
+type DrainRequested struct{ Reply ReplyID }
+
+// ReplyAbandoned tells that a caller no longer waits.
+type ReplyAbandoned struct{ Reply ReplyID }
+
+// Ticked tells that time has passed.
+type Ticked struct{}
+
+func (EntriesRead) event()       {}
+func (SnapshotRead) event()      {}
+func (LogReachable) event()      {}
+func (EntryAppended) event()     {}
+func (CommandAnswered) event()   {}
+func (StatusAnswered) event()    {}
+func (HeartbeatReceived) event() {}
+func (VMsListed) event()         {}
+func (JobSubmitted) event()      {}
+func (JobsCancelled) event()     {}
+func (ChangePublished) event()   {}
+func (DecisionAsked) event()     {}
+func (JobOffered) event()        {}
+func (OfferAnswered) event()     {}
+func (TermOffered) event()       {}
+func (TermOfferAnswered) event() {}
+func (DrainRequested) event()    {}
+func (ReplyAbandoned) event()    {}
+func (Ticked) event()            {}
--- /dev/null
+++ b/internal/control/fakes_test.go
@@ -0,0 +1,242 @@
+package control
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/config"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/placement"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+)
+
+// fixedConfig is a configuration that never changes.
+type fixedConfig struct{ current *config.Current }
+
+func (c fixedConfig) Apply(journal.Located) journal.Decision {
+	return journal.Decision{Verdict: journal.VerdictAccepted}
+}
+func (c fixedConfig) Current() *config.Current { return c.current }
+func (c fixedConfig) Stalled() string          { return "" }
+func (c fixedConfig) Encode() ([]byte, error)  { return json.Marshal("fixed") }
+func (c fixedConfig) Restore([]byte) error     { return nil }
+
+// firstFit places gangs on the first usable servers, whatever the adjacency.
+type firstFit struct{}
+
+func (firstFit) Decide(z placement.Zone, pending []placement.Gang) placement.Plan {
+	free := make(map[model.BackendServerID]int)
+	for _, v := range z.Servers {
+		if v.Usable {
+			free[v.ID] = v.Accelerators
+		}
+	}
+	for _, p := range z.Placed {
+		for _, m := range p.Members {
+			free[m.Server] -= m.Accelerators
+		}
+	}
+	var plan placement.Plan
+	for _, g := range pending {
+		members := firstFitMembers(z, free, g)
+		if members == nil {
+			plan.Waiting = append(plan.Waiting, placement.Waiting{Job: g.Job, Reason: placement.WaitCapacity})
+			continue
+		}
+		for _, m := range members {
+			free[m.Server] -= m.Accelerators
+		}
+		plan.Starts = append(plan.Starts, placement.Start{Job: g.Job, Members: members})
+	}
+	return plan
+}
+
+func firstFitMembers(z placement.Zone, free map[model.BackendServerID]int, g placement.Gang) []placement.Member {
+	var members []placement.Member
+	used := make(map[model.BackendServerID]int)
+	for _, v := range z.Servers {
+		for len(members) < g.Shape.Tasks && free[v.ID]-used[v.ID] >= g.Shape.Accelerators {
+			used[v.ID] += g.Shape.Accelerators
+			members = append(members, placement.Member{Server: v.ID, Accelerators: g.Shape.Accelerators})
+		}
+	}
+	if len(members) < g.Shape.Tasks {
+		return nil
+	}
+	return members
+}
+
+// fakeTask is a task on a fakeServer.
+type fakeTask struct {
+	platform.TaskReport
+	until   time.Time
+	started time.Time // zero: never ran
+	ends    time.Time // of the work
+	ended   time.Time // when it stopped running or being held
+}
+
+// fakeServer is a backend server with leases and fencing in virtual time.
+type fakeServer struct {
+	info    model.BackendServer
+	token   model.Token
+	tasks   map[model.TaskID]*fakeTask
+	leaving bool
+	dead    bool
+	failAll bool
+	noFence bool // mechanism switched off
+	runtime func(model.JobID) time.Duration
+}
+
+func (f *fakeServer) free() int {
+	n := f.info.Accelerators
+	for _, t := range f.tasks {
+		if t.State.Active() {
+			n -= t.Accelerators
+		}
+	}
+	return n
+}
+
+// expire brings the tasks up to date.
+func (f *fakeServer) expire(now time.Time) {
+	for _, t := range f.tasks {
+		switch {
+		case t.State == platform.TaskRunning && !t.ends.After(now) && !t.ends.After(t.until):
+			t.State, t.ended = platform.TaskDone, t.ends
+		case t.State.Active() && !t.until.After(now):
+			t.State, t.ended = platform.TaskLapsed, t.until
+		}
+	}
+}
+
+// die loses every task at once.
+func (f *fakeServer) die(now time.Time) {
+	f.expire(now)
+	f.dead = true
+	for _, t := range f.tasks {
+		if t.State.Active() {
+			t.State, t.ended = platform.TaskStopped, now
+		}
+	}
+}
+
+func (f *fakeServer) status(now time.Time) platform.BackendStatus {
+	f.expire(now)
+	st := platform.BackendStatus{ID: f.info.ID, Leaving: f.leaving, FreeSlots: f.free(), Token: f.token}
+	for _, id := range sortedKeys(f.tasks) {
+		st.Tasks = append(st.Tasks, f.tasks[id].TaskReport)
+	}
+	return st
+}
+
+func (f *fakeServer) command(b platform.CommandBatch, now time.Time) []platform.TaskResult {
+	f.expire(now)
+	fenced := b.Token.Less(f.token) && !f.noFence
+	if !fenced && f.token.Less(b.Token) {
+		f.token = b.Token
+	}
+	var results []platform.TaskResult
+	for _, c := range b.Commands {
+		if fenced {
+			results = append(results, platform.TaskResult{Task: c.Task, Refused: platform.RefusedFenced})
+			continue
+		}
+		results = append(results, f.one(c, now))
+	}
+	return results
+}
+
+func (f *fakeServer) one(c platform.TaskCommand, now time.Time) platform.TaskResult {
+	t := f.tasks[c.Task]
+	r := platform.TaskResult{Task: c.Task}
+	if t == nil && c.Verb == platform.VerbHold {
+		return f.hold(c, now)
+	}
+	if t == nil {
+		r.Refused = platform.RefusedNoTask
+		return r
+	}
+	r.State = t.State
+	if !t.State.Active() {
+		r.Refused = platform.RefusedNotActive
+		return r
+	}
+	switch c.Verb {
+	case platform.VerbStart:
+		f.start(t, now)
+		t.until = now.Add(c.Lease)
+	case platform.VerbRenew:
+		t.until = now.Add(c.Lease)
+	case platform.VerbCheckpoint:
+		t.Checkpoint = "checkpoint of " + string(t.Attempt)
+	case platform.VerbStop:
+		t.State, t.ended = platform.TaskStopped, now
+	}
+	r.State = t.State
+	r.Checkpoint = t.Checkpoint
+	return r
+}
+
+func (f *fakeServer) hold(c platform.TaskCommand, now time.Time) platform.TaskResult {
+	r := platform.TaskResult{Task: c.Task}
+	switch {
+	case f.leaving:
+		r.Refused = platform.RefusedLeaving
+		return r
+	case f.free() < c.Accelerators:
+		r.Refused = platform.RefusedFull
+		return r
+	}
+	f.tasks[c.Task] = &fakeTask{
+		TaskReport: platform.TaskReport{
+			Task:         c.Task,
+			Job:          c.Job,
+			Attempt:      c.Attempt,
+			Organisation: c.Organisation,
+			Accelerators: c.Accelerators,
+			Members:      c.Members,
+			State:        platform.TaskHeld,
+			Checkpoint:   c.Checkpoint,
+		},
+		until: now.Add(c.Lease),
+	}
+	r.State = platform.TaskHeld
+	return r
+}
+
+func (f *fakeServer) start(t *fakeTask, now time.Time) {
+	if t.State == platform.TaskRunning {
+		return
+	}
+	t.started = now
+	if f.failAll {
+		t.State, t.ended, t.Error = platform.TaskFailed, now, "fails everything"
+		return
+	}
+	t.State = platform.TaskRunning
+	t.ends = now.Add(f.runtime(t.Job))
+}
+
+// fakeLog is the platform's log.
+type fakeLog struct {
+	entries []journal.Located
+	down    bool
+	// lose stores what is appended and loses the answer.
+	lose  bool
+	delay time.Duration
+}
+
+func (l *fakeLog) append(e journal.Entry, now time.Time) int64 {
+	offset := int64(len(l.entries) + 1)
+	l.entries = append(l.entries, journal.Located{Offset: offset, Time: now, Entry: e})
+	return offset
+}
+
+func (l *fakeLog) from(next int64) ([]journal.Located, int64) {
+	if next > int64(len(l.entries)) {
+		return nil, next
+	}
+	return slices.Clone(l.entries[next-1:]), int64(len(l.entries) + 1)
+}
--- /dev/null
+++ b/internal/control/gang.go
@@ -0,0 +1,295 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/placement"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/replica"
+)
+
+type replicaTerm = replica.Term
+
+// permit is the state of a gang's start permit.
+type permit int
+
+const (
+	permitClaimed permit = iota // given to the log, not read back
+	permitGranted               // the gang may start
+)
+
+// gang is one attempt to run a job, as its term holder sees it.
+type gang struct {
+	job      model.Job
+	attempt  model.AttemptID
+	number   int
+	permit   permit
+	claim    string // entry ID of the claim; empty for a permit without one
+	phase    JobState
+	since    time.Time // when phase was entered
+	members  []*member
+	borrowed bool
+	started  time.Time
+	// startSent is set once any member may have been told to start.
+	startSent  bool
+	checkpoint string
+	renewed    time.Time
+	ending     ending
+	// gathering is set while a gang that was taken over is not known to be whole.
+	gathering bool
+	// size is the number of members that the whole gang has.
+	size int
+}
+
+// ending says why a gang is being stopped.
+type ending struct {
+	final    bool
+	result   replica.JobResult
+	reason   model.Reason
+	failedOn []model.BackendServerID
+}
+
+// member is one task of a gang.
+type member struct {
+	task         model.TaskID
+	server       model.BackendServerID
+	accelerators int
+	state        platform.TaskState // empty: not held
+	pending      platform.Verb      // sent and not answered
+	sent         time.Time
+	// until is the time after which the task certainly does not run, whatever
+	// became of commands without an answer.
+	until time.Time
+	// doubted is when a lease command last went without an answer.
+	doubted time.Time
+	// proved is when the task was last known to be active.
+	proved     time.Time
+	checkpoint string
+	saved      bool
+}
+
+// ended reports whether the member certainly occupies no accelerators.
+func (m *member) ended() bool {
+	return m.state != "" && !m.state.Active()
+}
+
+// newGang makes a gang from a placement decision.
+func (s *State) newGang(job model.Job, attempt model.AttemptID, number int, members []placement.Member) *gang {
+	g := &gang{job: job, attempt: attempt, number: number, phase: JobHolding, since: s.now, renewed: s.now, size: len(members)}
+	prefix := s.newID()
+	for i, p := range members {
+		s.addMember(g, &member{
+			task:         model.TaskID(fmt.Sprintf("%s-%d", prefix, i)),
+			server:       p.Server,
+			accelerators: p.Accelerators,
+		})
+	}
+	s.gangs[job.ID] = g
+	return g
+}
+
+func (s *State) addMember(g *gang, m *member) {
+	g.members = append(g.members, m)
+	s.index(g, m)
+}
+
+// taskRef finds a task's gang and member.
+type taskRef struct {
+	gang   *gang
+	member *member
+}
+
+func (s *State) index(g *gang, m *member) {
+	tasks := s.tasks[m.server]
+	if tasks == nil {
+		tasks = make(map[model.TaskID]taskRef)
+		s.tasks[m.server] = tasks
+	}
+	tasks[m.task] = taskRef{gang: g, member: m}
+}
+
+func (s *State) findMember(id model.BackendServerID, task model.TaskID) (*gang, *member) {
+	ref := s.tasks[id][task]
+	return ref.gang, ref.member
+}
+
+func (s *State) enter(g *gang, phase JobState) {
+	g.phase = phase
+	g.since = s.now
+	s.placement.dirty = true
+}
+
+// superviseGangs moves each gang on as far as its members allow.
+func (s *State) superviseGangs() {
+	for _, id := range sortedKeys(s.gangs) {
+		s.supervise(s.gangs[id])
+	}
+}
+
+func (s *State) supervise(g *gang) {
+	s.expireMembers(g)
+	if g.gathering {
+		s.superviseGathering(g)
+		return
+	}
+	switch g.phase {
+	case JobHolding:
+		s.superviseHolding(g)
+	case JobStarting:
+		s.superviseStarting(g)
+	case JobRunning:
+		s.superviseRunning(g)
+	case JobCheckpointing:
+		s.superviseCheckpoint(g)
+	case JobStopping:
+		s.superviseStopping(g)
+	}
+}
+
+// hold asks every member's backend server to reserve accelerators.
+func (s *State) hold(g *gang) {
+	for _, m := range g.members {
+		s.command(m, platform.TaskCommand{
+			Verb:         platform.VerbHold,
+			Task:         m.task,
+			Job:          g.job.ID,
+			Attempt:      g.attempt,
+			Organisation: g.job.Organisation,
+			Accelerators: m.accelerators,
+			Members:      len(g.members),
+			Lease:        s.settings.Lease,
+			Payload:      g.job.Payload,
+			Checkpoint:   g.checkpoint,
+		})
+	}
+}
+
+// command queues a command for a member.
+func (s *State) command(m *member, c platform.TaskCommand) {
+	m.pending = c.Verb
+	m.sent = s.now
+	s.queue(m.server, c)
+}
+
+func (s *State) superviseHolding(g *gang) {
+	if !all(g, func(m *member) bool { return m.state == platform.TaskHeld }) {
+		return
+	}
+	if g.permit != permitGranted {
+		return
+	}
+	s.enter(g, JobStarting)
+	g.startSent = true
+	g.started = s.now
+	for _, m := range g.members {
+		s.start(m)
+	}
+}
+
+func (s *State) start(m *member) {
+	s.command(m, platform.TaskCommand{Verb: platform.VerbStart, Task: m.task, Lease: s.settings.Lease})
+}
+
+func (s *State) superviseStarting(g *gang) {
+	for _, m := range g.members {
+		if m.state == platform.TaskHeld && m.pending == "" {
+			s.start(m)
+		}
+	}
+	if all(g, func(m *member) bool { return m.state == platform.TaskRunning || m.state == platform.TaskDone }) {
+		s.enter(g, JobRunning)
+		g.renewed = s.now
+	}
+}
+
+func (s *State) superviseRunning(g *gang) {
+	if all(g, func(m *member) bool { return m.state == platform.TaskDone }) {
+		s.finish(g, ending{final: true, result: replica.ResultDone})
+		return
+	}
+	for _, m := range g.members {
+		if v := s.servers[m.server]; v != nil && v.leaving && !m.ended() {
+			s.evict(g, ReasonServerLeaving)
+			return
+		}
+	}
+}
+
+// evict checkpoints and stops a gang so that it can run again elsewhere.
+func (s *State) evict(g *gang, reason model.Reason) {
+	if g.phase != JobRunning {
+		s.stop(g, ending{result: replica.ResultRetry, reason: reason})
+		return
+	}
+	g.ending = ending{result: replica.ResultRetry, reason: reason}
+	s.enter(g, JobCheckpointing)
+	for _, m := range g.members {
+		if !m.ended() {
+			s.command(m, platform.TaskCommand{Verb: platform.VerbCheckpoint, Task: m.task})
+		}
+	}
+}
+
+func (s *State) superviseCheckpoint(g *gang) {
+	saved := all(g, func(m *member) bool { return m.saved || m.ended() })
+	if saved || s.now.Sub(g.since) >= s.settings.CheckpointTimeout {
+		s.stop(g, g.ending)
+	}
+}
+
+// stop ends every member. The gang is finished when all certainly have ended.
+func (s *State) stop(g *gang, why ending) {
+	if g.phase == JobStopping {
+		if why.final && !g.ending.final {
+			g.ending = why
+		}
+		return
+	}
+	g.ending = why
+	s.enter(g, JobStopping)
+	for _, m := range g.members {
+		s.stopMember(m)
+	}
+}
+
+func (s *State) stopMember(m *member) {
+	if !m.ended() {
+		s.command(m, platform.TaskCommand{Verb: platform.VerbStop, Task: m.task})
+	}
+}
+
+func (s *State) superviseStopping(g *gang) {
+	if all(g, func(m *member) bool { return m.ended() || s.lapsed(g, m) }) {
+		s.finish(g, g.ending)
+		return
+	}
+	for _, m := range g.members {
+		if m.pending == "" && s.now.Sub(m.sent) >= s.settings.CommandTimeout {
+			s.stopMember(m)
+		}
+	}
+}
+
+// finish removes a gang whose members have all ended and records the outcome.
+func (s *State) finish(g *gang, why ending) {
+	delete(s.gangs, g.job.ID)
+	for _, m := range g.members {
+		delete(s.tasks[m.server], m.task)
+	}
+	s.placement.dirty = true
+	if why.result == replica.ResultRetry {
+		s.delayed[g.job.ID] = s.now.Add(s.settings.RetryDelay)
+	}
+	s.recordOutcome(g, why)
+}
+
+func all(g *gang, ok func(*member) bool) bool {
+	for _, m := range g.members {
+		if !ok(m) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/control/health.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/replica"
+)
+
+// Quarantine rules.
+const (
+	quarantineJobs      = 3                // distinct jobs that failed in a row
+	quarantineTime      = 30 * time.Second // before the first probe
+	quarantineTimeLimit = 10 * time.Minute
+)
+
+// failure is one job's failure on a backend server.
+type failure struct {
+	job          model.JobID
+	organisation model.OrganisationID
+}
+
+// serverHealth is the evidence on a backend server since its last success.
+type serverHealth struct {
+	failures    []failure
+	quarantined bool
+	until       time.Time
+	period      time.Duration
+}
+
+// taskFailed records a failure and stops the gang. A job that failed on several
+// healthy backend servers is the culprit itself and is ended.
+func (s *State) taskFailed(g *gang, m *member) {
+	v := s.servers[m.server]
+	why := ending{result: replica.ResultRetry, reason: ReasonTaskFailed}
+	if v != nil {
+		s.recordFailure(v, g)
+	}
+	why.failedOn = []model.BackendServerID{m.server}
+	if s.failedOnMany(g.job.ID, m.server) {
+		why.final = true
+		why.result = replica.ResultFailed
+		why.reason = ReasonFailedOnMany
+	}
+	s.stop(g, why)
+}
+
+func (s *State) failedOnMany(id model.JobID, latest model.BackendServerID) bool {
+	failed := []model.BackendServerID{latest}
+	if j := s.replica.Job(id); j != nil {
+		failed = append(failed, j.Failed...)
+	}
+	slices.Sort(failed)
+	healthy := 0
+	for _, f := range slices.Compact(failed) {
+		if v := s.servers[f]; v == nil || !v.health.quarantined {
+			healthy++
+		}
+	}
+	return healthy >= s.settings.FailedServers
+}
+
+func (s *State) recordFailure(v *server, g *gang) {
+	f := failure{job: g.job.ID, organisation: g.job.Organisation}
+	if !slices.Contains(v.health.failures, f) {
+		v.health.failures = append(v.health.failures, f)
+	}
+	if len(v.health.failures) >= quarantineJobs || (v.health.period > 0 && !v.health.quarantined) {
+		s.quarantine(v)
+	}
+}
+
+func (s *State) quarantine(v *server) {
+	v.health.period = min(max(2*v.health.period, quarantineTime), quarantineTimeLimit)
+	v.health.quarantined = true
+	v.health.until = s.now.Add(v.health.period)
+	s.placement.dirty = true
+}
+
+// taskSucceeded clears the evidence against the backend server.
+func (s *State) taskSucceeded(m *member) {
+	if v := s.servers[m.server]; v != nil {
+		v.health = serverHealth{}
+	}
+}
+
+// probeQuarantined lets a backend server take work again when its time is over. A
+// single failure sends it back for twice as long, a success clears it.
+func (s *State) probeQuarantined() {
+	for _, v := range s.servers {
+		if v.health.quarantined && !s.now.Before(v.health.until) {
+			v.health.quarantined = false
+			v.health.failures = nil
+			s.placement.dirty = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/lease.go
@@ -0,0 +1,238 @@
+package control
+
+import (
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/replica"
+)
+
+// maxDelivery is how long after its sender gave up a command may still arrive.
+const maxDelivery = 30 * time.Second
+
+// leased extends the bound on a member's life after an answered lease command.
+func (s *State) leased(m *member) {
+	m.proved = s.now
+	m.until = s.now.Add(s.settings.Lease)
+	if !m.doubted.IsZero() && s.now.Sub(m.doubted) < maxDelivery {
+		m.until = m.until.Add(s.settings.Lease)
+	}
+}
+
+// doubtful extends the bound after a lease command without an answer. Such a
+// command has an effect only while the task still has its lease, so it arrives
+// before the old bound, if at all.
+func (s *State) doubtful(m *member) {
+	m.doubted = s.now
+	if m.until.Before(s.now) {
+		m.until = s.now
+	}
+	m.until = m.until.Add(s.settings.Lease)
+}
+
+// memberAnswered follows up a backend server's answer about one task.
+func (s *State) memberAnswered(g *gang, m *member, verb platform.Verb, r platform.TaskResult) {
+	if r.Refused != "" {
+		s.memberRefused(g, m, verb, r)
+		return
+	}
+	if r.Checkpoint != "" {
+		m.checkpoint = r.Checkpoint
+	}
+	state := r.State
+	switch verb {
+	case platform.VerbHold, platform.VerbStart, platform.VerbRenew:
+		s.leased(m)
+	case platform.VerbCheckpoint:
+		m.saved = true
+	case platform.VerbStop:
+		if state.Active() || state == "" {
+			state = platform.TaskStopped
+		}
+	}
+	s.memberChanged(g, m, state)
+}
+
+func (s *State) memberRefused(g *gang, m *member, verb platform.Verb, r platform.TaskResult) {
+	ended := r.State
+	if ended == "" || ended.Active() {
+		ended = platform.TaskLapsed
+	}
+	switch verb {
+	case platform.VerbHold:
+		m.state = platform.TaskStopped
+		if r.Refused == platform.RefusedLeaving {
+			s.setLeaving(s.servers[m.server], true)
+		}
+		s.stop(g, ending{result: replica.ResultRetry, reason: ReasonHoldRefused})
+	case platform.VerbStart, platform.VerbRenew:
+		s.memberChanged(g, m, ended)
+	case platform.VerbCheckpoint:
+		m.saved = true
+	case platform.VerbStop:
+		// A hold in doubt may arrive after the stop; its bound decides.
+		if m.state != "" || !s.now.Before(m.until) {
+			s.memberChanged(g, m, ended)
+		}
+	}
+}
+
+// memberUnanswered follows up a command whose answer was lost or that was not sent.
+func (s *State) memberUnanswered(g *gang, m *member, verb platform.Verb, inDoubt bool) {
+	lease := verb == platform.VerbHold || verb == platform.VerbStart || verb == platform.VerbRenew
+	if lease && inDoubt {
+		s.doubtful(m)
+	}
+	switch verb {
+	case platform.VerbHold:
+		s.stop(g, ending{result: replica.ResultRetry, reason: ReasonHoldRefused})
+	case platform.VerbCheckpoint:
+		m.saved = true
+	}
+}
+
+// memberChanged takes a task's state and ends the gang when it can no longer be whole.
+func (s *State) memberChanged(g *gang, m *member, state platform.TaskState) {
+	if state == "" || m.state == state || m.ended() {
+		return
+	}
+	m.state = state
+	s.placement.dirty = true
+	switch state {
+	case platform.TaskFailed:
+		s.taskFailed(g, m)
+	case platform.TaskStopped, platform.TaskLapsed:
+		s.stop(g, ending{result: replica.ResultRetry, reason: ReasonMemberLost})
+	case platform.TaskDone:
+		s.taskSucceeded(m)
+	}
+}
+
+// expireMembers stops a gang of which a member's lease may have lapsed.
+func (s *State) expireMembers(g *gang) {
+	if g.phase == JobStopping {
+		return
+	}
+	for _, m := range g.members {
+		if m.state.Active() && !s.now.Before(m.until) {
+			s.stop(g, ending{result: replica.ResultRetry, reason: ReasonServerLost})
+			return
+		}
+	}
+}
+
+// lapsed reports whether a member certainly does not run although its backend
+// server does not answer.
+func (s *State) lapsed(g *gang, m *member) bool {
+	if s.now.Before(m.until) || m.pending != "" {
+		return false
+	}
+	v := s.servers[m.server]
+	if v == nil || v.gone || m.state == "" {
+		return true
+	}
+	return g.job.Idempotent || s.vouched(v, m.until)
+}
+
+// vouched reports whether no other VM can have renewed leases on a silent backend
+// server before time t: every VM that may hold a token which the server would
+// accept was heard from after t without a newer token, or is gone.
+func (s *State) vouched(v *server, t time.Time) bool {
+	for i, offset := range s.term.named {
+		if i == s.self.Incarnation || offset < v.fenced.Offset {
+			continue
+		}
+		p := s.peers.ByIncarnation(i)
+		if p != nil && p.LastSeen.Before(t) {
+			return false
+		}
+	}
+	return true
+}
+
+// renew extends the leases of the gangs that are due, each as a whole: a gang with
+// a member that is not known to be active is not renewed.
+func (s *State) renew() {
+	for _, id := range sortedKeys(s.gangs) {
+		g := s.gangs[id]
+		if g.gathering || g.phase == JobStopping || s.now.Sub(g.renewed) < s.settings.RenewInterval {
+			continue
+		}
+		if s.proved(g) {
+			s.renewGang(g)
+		}
+	}
+}
+
+// proved reports whether every member was known to be active since the last
+// renewal, and polls the backend servers of those that were not.
+func (s *State) proved(g *gang) bool {
+	ok := true
+	for _, m := range g.members {
+		if m.ended() {
+			continue
+		}
+		if m.pending != "" {
+			ok = false
+			continue
+		}
+		if m.proved.Before(g.renewed) || !m.state.Active() {
+			ok = false
+			if v := s.servers[m.server]; v != nil {
+				v.pollNow = true
+			}
+		}
+	}
+	return ok
+}
+
+func (s *State) renewGang(g *gang) {
+	g.renewed = s.now
+	for _, m := range g.members {
+		if !m.ended() {
+			s.command(m, platform.TaskCommand{Verb: platform.VerbRenew, Task: m.task, Lease: s.settings.Lease})
+		}
+	}
+}
+
+// reconcile compares a backend server's report with what this VM expects.
+func (s *State) reconcile(id model.BackendServerID, v *server, e StatusAnswered) {
+	listed := make(map[model.TaskID]bool, len(v.tasks))
+	for _, r := range v.tasks {
+		listed[r.Task] = true
+		g, m := s.findMember(id, r.Task)
+		if g == nil {
+			s.unexpected(id, r)
+			continue
+		}
+		s.memberReported(g, m, r, e.Sent)
+	}
+	for _, task := range sortedKeys(s.tasks[id]) {
+		ref := s.tasks[id][task]
+		m := ref.member
+		if !listed[task] && m.state.Active() && m.pending == "" && e.Sent.After(m.sent) {
+			s.memberChanged(ref.gang, m, platform.TaskLapsed)
+		}
+	}
+}
+
+func (s *State) memberReported(g *gang, m *member, r platform.TaskReport, sent time.Time) {
+	if r.Checkpoint != "" {
+		m.checkpoint = r.Checkpoint
+	}
+	if !r.State.Active() {
+		s.memberChanged(g, m, r.State)
+		return
+	}
+	if m.pending != "" || !sent.After(m.sent) {
+		return
+	}
+	if m.state == "" && g.phase != JobStopping {
+		return
+	}
+	m.proved = s.now
+	if m.state == platform.TaskHeld || m.state == "" {
+		s.memberChanged(g, m, r.State)
+	}
+}
--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,231 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/membership"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+)
+
+const (
+	eventQueue = 4096 // events
+	eventBatch = 1024 // events in one step
+)
+
+// Loop runs the State in one goroutine and carries its actions out in others. It
+// implements Service and journal.Sink.
+type Loop struct {
+	options   Options
+	state     *State
+	events    chan Event
+	stopped   chan struct{}
+	view      atomic.Pointer[View]
+	heartbeat atomic.Pointer[membership.Heartbeat]
+	nextReply atomic.Uint64
+	replies   replyTable
+	work      sync.WaitGroup
+}
+
+var (
+	_ Service      = (*Loop)(nil)
+	_ journal.Sink = (*Loop)(nil)
+)
+
+// New returns a loop that does nothing until Run.
+func New(o Options) *Loop {
+	if o.Settings == (Settings{}) {
+		o.Settings = DefaultSettings()
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.NewID == nil {
+		o.NewID = model.RandomID
+	}
+	l := &Loop{
+		options: o,
+		state:   NewState(o.Identity, o.Settings, o.Replica, o.Policy, o.NewID),
+		events:  make(chan Event, eventQueue),
+		stopped: make(chan struct{}),
+	}
+	l.publish()
+	return l
+}
+
+// Run applies events until ctx ends, and returns when all work has stopped.
+func (l *Loop) Run(ctx context.Context) {
+	l.work.Go(func() { l.readVMs(ctx) })
+	ticker := time.NewTicker(l.options.Settings.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			close(l.stopped)
+			l.work.Wait()
+			return
+		case e := <-l.events:
+			l.step(ctx, l.batch(e))
+		case <-ticker.C:
+			l.step(ctx, l.batch(Ticked{}))
+		}
+	}
+}
+
+// batch adds the events that are waiting to the first.
+func (l *Loop) batch(first Event) []Event {
+	events := []Event{first}
+	for len(events) < eventBatch {
+		select {
+		case e := <-l.events:
+			events = append(events, e)
+		default:
+			return events
+		}
+	}
+	return events
+}
+
+// step publishes the view before the actions, so that a caller who got a reply
+// finds its effect in the view.
+func (l *Loop) step(ctx context.Context, events []Event) {
+	actions := l.state.Step(events, l.options.Now())
+	l.publish()
+	for _, a := range actions {
+		l.carryOut(ctx, a)
+	}
+}
+
+func (l *Loop) publish() {
+	l.view.Store(l.state.View())
+	h := l.state.ownHeartbeat()
+	l.heartbeat.Store(&h)
+}
+
+// post gives an event to the loop; it returns false when the loop has stopped or
+// ctx has ended first.
+func (l *Loop) post(ctx context.Context, e Event) bool {
+	select {
+	case l.events <- e:
+		return true
+	case <-l.stopped:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// readVMs reads the platform's VM list at intervals.
+func (l *Loop) readVMs(ctx context.Context) {
+	ticker := time.NewTicker(l.options.Settings.ListInterval)
+	defer ticker.Stop()
+	for {
+		read, cancel := context.WithTimeout(ctx, l.options.Settings.ListInterval)
+		vms, err := l.options.VMs.List(read)
+		cancel()
+		if err == nil {
+			l.post(ctx, VMsListed{VMs: vms})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Records implements journal.Sink.
+func (l *Loop) Records(entries []journal.Located, next int64) {
+	l.post(context.Background(), EntriesRead{Entries: entries, Next: next})
+}
+
+// Snapshot implements journal.Sink.
+func (l *Loop) Snapshot(s journal.Snapshot) {
+	l.post(context.Background(), SnapshotRead{Snapshot: s})
+}
+
+// Reachable implements journal.Sink.
+func (l *Loop) Reachable(ok bool) { l.post(context.Background(), LogReachable{OK: ok}) }
+
+// Appended takes the result of an append.
+func (l *Loop) Appended(r journal.AppendResult) {
+	l.post(context.Background(), EntryAppended{Result: r})
+}
+
+// HandleHeartbeat takes a peer's heartbeat and returns the own one.
+func (l *Loop) HandleHeartbeat(ctx context.Context, h membership.Heartbeat) membership.Heartbeat {
+	l.post(ctx, HeartbeatReceived{Heartbeat: h})
+	return *l.heartbeat.Load()
+}
+
+// View implements Service.
+func (l *Loop) View() *View { return l.view.Load() }
+
+// carryOut starts one action.
+func (l *Loop) carryOut(ctx context.Context, a Action) {
+	switch a := a.(type) {
+	case Append:
+		l.options.Appender.Submit(a.Entry)
+	case Command:
+		l.work.Go(func() { l.post(ctx, l.command(ctx, a)) })
+	case PollStatus:
+		l.work.Go(func() { l.post(ctx, l.poll(ctx, a)) })
+	case SendHeartbeat:
+		l.work.Go(func() { l.sendHeartbeat(ctx, a) })
+	case SendOffer:
+		l.work.Go(func() { l.post(ctx, l.sendOffer(ctx, a)) })
+	case SendTermOffer:
+		l.work.Go(func() { l.post(ctx, l.sendTermOffer(ctx, a)) })
+	case Report:
+		l.options.Reporter.Violated(a.Violation)
+	default:
+		l.replies.deliver(a)
+	}
+}
+
+// command sends a batch unless this VM was paused past the time for it.
+func (l *Loop) command(ctx context.Context, a Command) Event {
+	answered := CommandAnswered{Server: a.Server, Batch: a.Batch}
+	if l.options.Now().After(a.NotAfter) {
+		answered.Err = platform.ErrUnavailable
+		return answered
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	answered.Results, answered.Err = l.options.Dialer.Backend(a.Address).Command(ctx, a.Batch)
+	return answered
+}
+
+func (l *Loop) poll(ctx context.Context, a PollStatus) Event {
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	status, err := l.options.Dialer.Backend(a.Address).Status(ctx)
+	return StatusAnswered{Server: a.Server, Sent: a.Sent, Status: status, Err: err}
+}
+
+func (l *Loop) sendHeartbeat(ctx context.Context, a SendHeartbeat) {
+	call, cancel := context.WithTimeout(ctx, l.options.Settings.HolderTimeout)
+	defer cancel()
+	answer, err := l.options.Peers.Heartbeat(call, a.Address, a.Heartbeat)
+	if err == nil {
+		l.post(ctx, HeartbeatReceived{Heartbeat: answer})
+	}
+}
+
+func (l *Loop) sendOffer(ctx context.Context, a SendOffer) Event {
+	ctx, cancel := context.WithTimeout(ctx, l.options.Settings.HolderTimeout)
+	defer cancel()
+	answer, err := l.options.Peers.OfferJob(ctx, a.Address, a.Offer)
+	return OfferAnswered{Job: a.Offer.Job.ID, Answer: answer, Err: err}
+}
+
+func (l *Loop) sendTermOffer(ctx context.Context, a SendTermOffer) Event {
+	ctx, cancel := context.WithTimeout(ctx, l.options.Settings.CommandTimeout)
+	defer cancel()
+	accepted, err := l.options.Peers.HandOverTerm(ctx, a.Address, a.Offer)
+	return TermOfferAnswered{Accepted: accepted, Err: err}
+}
--- /dev/null
+++ b/internal/control/oracle_test.go
@@ -0,0 +1,122 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+)
+
+// attemptFacts is what really happened to one attempt.
+type attemptFacts struct {
+	job     model.JobID
+	size    int
+	started int
+	running int
+	done    int
+	first   time.Time // start of the first member
+	last    time.Time // end of the last member; zero while one runs
+}
+
+// facts collects what the backend servers know, which no VM can.
+func (c *cluster) facts() map[model.AttemptID]*attemptFacts {
+	all := make(map[model.AttemptID]*attemptFacts)
+	for _, id := range sortedKeys(c.servers) {
+		f := c.servers[id]
+		f.expire(c.now)
+		for _, t := range f.tasks {
+			if t.started.IsZero() {
+				continue
+			}
+			a := all[t.Attempt]
+			if a == nil {
+				a = &attemptFacts{job: t.Job, size: t.Members, first: t.started}
+				all[t.Attempt] = a
+			}
+			a.add(t)
+		}
+	}
+	return all
+}
+
+func (a *attemptFacts) add(t *fakeTask) {
+	a.started++
+	if t.started.Before(a.first) {
+		a.first = t.started
+	}
+	switch t.State {
+	case platform.TaskRunning:
+		a.running++
+	case platform.TaskDone:
+		a.done++
+	}
+	if t.ended.After(a.last) {
+		a.last = t.ended
+	}
+}
+
+// partialBound is how long a part of a gang may run.
+func (c *cluster) partialBound() time.Duration {
+	return c.settings.Lease + c.settings.CommandTimeout
+}
+
+// observe checks the promises against what really happened.
+func (c *cluster) observe() {
+	facts := c.facts()
+	for id, a := range facts {
+		c.observePartial(id, a)
+		if a.started > a.size {
+			c.breach("attempt %s of %s started %d members of %d", id, a.job, a.started, a.size)
+		}
+	}
+	c.observeDouble(facts)
+}
+
+func (c *cluster) observePartial(id model.AttemptID, a *attemptFacts) {
+	if a.running == 0 || a.running+a.done == a.size {
+		delete(c.partial, id)
+		return
+	}
+	since, ok := c.partial[id]
+	if !ok {
+		c.partial[id] = c.now
+		return
+	}
+	if c.now.Sub(since) > c.partialBound()+c.settings.Tick {
+		c.breach("attempt %s of %s ran partially for %v: %d of %d", id, a.job, c.now.Sub(since), a.running, a.size)
+	}
+}
+
+// observeDouble reports attempts of one non-idempotent job that overlap, or start
+// after an attempt was done.
+func (c *cluster) observeDouble(facts map[model.AttemptID]*attemptFacts) {
+	for x, a := range facts {
+		for y, b := range facts {
+			if x == y || a.job != b.job || c.jobs[a.job].Idempotent || b.first.Before(a.first) {
+				continue
+			}
+			if a.running > 0 || a.last.After(b.first) {
+				c.breach("attempts %s and %s of %s overlap", x, y, a.job)
+			}
+			if a.done == a.size {
+				c.breach("attempt %s of %s started after %s was done", y, a.job, x)
+			}
+		}
+	}
+}
+
+func (c *cluster) breach(format string, args ...any) {
+	c.breaches = append(c.breaches, fmt.Sprintf(format, args...))
+}
+
+// assertClean fails the test on any broken promise.
+func (c *cluster) assertClean() {
+	c.t.Helper()
+	if len(c.breaches) > 0 {
+		c.t.Fatalf("%d promises broken, first: %s", len(c.breaches), c.breaches[0])
+	}
+	if len(c.reported) > 0 {
+		c.t.Fatalf("%d violations reported, first: %+v", len(c.reported), c.reported[0])
+	}
+}
--- /dev/null
+++ b/internal/control/outcome.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/replica"
+)
+
+// outcome is the end of an attempt that is not read back from the log.
+type outcome struct {
+	ended journal.JobEnded
+	job   model.Job
+}
+
+func endEntryID(a model.AttemptID) string { return "end-" + string(a) }
+
+// recordOutcome keeps how a gang ended until the log has it.
+func (s *State) recordOutcome(g *gang, why ending) {
+	checkpoint := g.checkpoint
+	for _, m := range g.members {
+		if m.checkpoint != "" {
+			checkpoint = m.checkpoint
+		}
+	}
+	s.outcomes[g.job.ID] = &outcome{
+		ended: journal.JobEnded{
+			Job:        g.job.ID,
+			Attempt:    g.attempt,
+			Final:      why.final,
+			Result:     string(why.result),
+			Reason:     why.reason,
+			Checkpoint: checkpoint,
+			FailedOn:   why.failedOn,
+		},
+		job: g.job,
+	}
+	if !g.startSent {
+		s.returnPermit(g)
+	}
+}
+
+// recordOutcomes appends the outcomes whose attempt the log has, and drops those
+// of attempts that were never claimed or are closed.
+func (s *State) recordOutcomes() {
+	for _, id := range sortedKeys(s.outcomes) {
+		o := s.outcomes[id]
+		j := s.replica.Job(id)
+		switch {
+		case j == nil:
+			if s.local[id] == nil {
+				delete(s.outcomes, id)
+			}
+		case j.Attempt.ID == o.ended.Attempt && j.Attempt.Open:
+			s.submitEntry(endEntryID(o.ended.Attempt), journal.KindJobEnded, o.ended, true)
+		case s.entries[claimEntryID(o.ended.Attempt)] == nil:
+			delete(s.outcomes, id)
+			s.placement.dirty = true
+		}
+	}
+}
+
+// endReplayed follows the end of an attempt that was read back.
+func (s *State) endReplayed(e journal.JobEnded) {
+	if o := s.outcomes[e.Job]; o != nil && o.ended.Attempt == e.Attempt {
+		delete(s.outcomes, e.Job)
+	}
+	g := s.gangs[e.Job]
+	if g != nil && g.attempt == e.Attempt {
+		s.stop(g, ending{result: replica.ResultRetry, reason: e.Reason})
+	}
+}
+
+// dropDisownedGangs stops gangs whose job ended while this VM was behind.
+func (s *State) dropDisownedGangs() {
+	for _, id := range sortedKeys(s.gangs) {
+		if j := s.replica.Job(id); j != nil && j.Ended() {
+			s.stop(s.gangs[id], ending{result: replica.ResultRetry, reason: ReasonRecorded})
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/place.go
@@ -0,0 +1,223 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/placement"
+	"github.com/eelgrassreach/eelgrassreach/internal/replica"
+)
+
+// placementState is the result of the newest placement decision.
+type placementState struct {
+	dirty         bool
+	decided       time.Time
+	waiting       map[model.JobID]model.Reason
+	risks         []placement.Risk
+	fragmentation float64
+}
+
+func claimEntryID(a model.AttemptID) string { return "claim-" + string(a) }
+
+// place decides on all pending jobs when something has changed.
+func (s *State) place() {
+	s.wakeDelayed()
+	if !s.placement.dirty || !s.settled() {
+		return
+	}
+	s.placement.dirty = false
+	s.placement.decided = s.now
+	pending := s.pending()
+	plan := s.policy.Decide(s.zone(), pending)
+	s.placement.waiting = make(map[model.JobID]model.Reason, len(plan.Waiting))
+	for _, w := range plan.Waiting {
+		s.placement.waiting[w.Job] = model.Reason(w.Reason)
+	}
+	s.placement.risks = plan.Risks
+	s.placement.fragmentation = plan.Fragmentation
+	for _, e := range plan.Evictions {
+		if g := s.gangs[e.Job]; g != nil && g.phase != JobStopping && g.phase != JobCheckpointing {
+			s.evict(g, ReasonPreempted)
+		}
+	}
+	for _, st := range plan.Starts {
+		s.startJob(st)
+	}
+}
+
+// wakeDelayed lets refused gangs be placed again when their delay is over.
+func (s *State) wakeDelayed() {
+	for id, t := range s.delayed {
+		if !s.now.Before(t) {
+			delete(s.delayed, id)
+			s.placement.dirty = true
+		}
+	}
+}
+
+// zone is the placement state of the availability zone.
+func (s *State) zone() placement.Zone {
+	z := placement.Zone{AZ: s.self.AZ, Now: s.now}
+	for _, id := range sortedKeys(s.servers) {
+		v := s.servers[id]
+		z.Servers = append(z.Servers, placement.Server{BackendServer: v.info, Usable: s.usable(v)})
+	}
+	cfg := s.replica.Config().Current()
+	for _, id := range sortedKeys(cfg.Organisations) {
+		z.Organisations = append(z.Organisations, cfg.Organisations[id])
+	}
+	for _, id := range sortedKeys(s.gangs) {
+		z.Placed = append(z.Placed, s.placed(s.gangs[id]))
+	}
+	return z
+}
+
+func (s *State) placed(g *gang) placement.Placed {
+	p := placement.Placed{
+		Gang:     s.candidate(g.job, g.started),
+		Borrowed: g.borrowed,
+		Evicting: g.phase == JobStopping || g.phase == JobCheckpointing,
+		Started:  g.started,
+	}
+	for _, m := range g.members {
+		p.Members = append(p.Members, placement.Member{Server: m.server, Accelerators: m.accelerators})
+	}
+	return p
+}
+
+func (s *State) candidate(job model.Job, submitted time.Time) placement.Gang {
+	c := placement.Gang{
+		Job:             job.ID,
+		Organisation:    job.Organisation,
+		Shape:           job.Shape,
+		Class:           job.Class,
+		Submitted:       submitted,
+		DeclaredRuntime: job.DeclaredRuntime,
+	}
+	if j := s.replica.Job(job.ID); j != nil {
+		c.Submitted = j.AcceptedAt
+		c.Avoid = j.Failed
+	}
+	return c
+}
+
+// pending lists the jobs that may be started here, ordered by submission.
+func (s *State) pending() []placement.Gang {
+	var list []placement.Gang
+	s.replica.Jobs(func(j *replica.Job) {
+		if s.waitsForPlacement(j) {
+			list = append(list, s.candidate(j.Job, j.AcceptedAt))
+		}
+	})
+	for id, l := range s.local {
+		if l.permit == permitHere && s.schedules(l.job.HomeAZ) && !s.barred(id) {
+			list = append(list, s.candidate(l.job, l.submitted))
+		}
+	}
+	slices.SortFunc(list, func(a, b placement.Gang) int {
+		if c := a.Submitted.Compare(b.Submitted); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Job, b.Job)
+	})
+	return list
+}
+
+func (s *State) waitsForPlacement(j *replica.Job) bool {
+	if j.Ended() || j.Cancelled || j.Attempt.Open || j.Job.HomeAZ != s.self.AZ || s.barred(j.Job.ID) {
+		return false
+	}
+	return s.log.reachable || j.Job.Idempotent
+}
+
+// barred reports whether a job has a gang, an outcome that is not read back, a
+// cancellation, or a delay.
+func (s *State) barred(id model.JobID) bool {
+	if s.gangs[id] != nil || s.outcomes[id] != nil || s.cancels[id] != "" {
+		return true
+	}
+	_, delayed := s.delayed[id]
+	return delayed
+}
+
+// startJob makes the gang of a placement decision, claims its permit and holds.
+func (s *State) startJob(st placement.Start) {
+	if s.gangs[st.Job] != nil {
+		return
+	}
+	if l := s.local[st.Job]; l != nil && l.permit == permitHere {
+		g := s.newGang(l.job, l.attempt, 1, st.Members)
+		g.permit = permitGranted
+		l.permit = permitUsed
+		g.borrowed = st.Borrowed
+		s.hold(g)
+		return
+	}
+	j := s.replica.Job(st.Job)
+	if j == nil {
+		return
+	}
+	g := s.newGang(j.Job, model.AttemptID(s.newID()), j.Attempt.Number+1, st.Members)
+	g.borrowed = st.Borrowed
+	g.checkpoint = j.Checkpoint
+	s.claim(g)
+	s.hold(g)
+}
+
+// claim asks the log for the start permit. With the log unreachable only an
+// idempotent job gets here; it starts without one and the claim follows.
+func (s *State) claim(g *gang) {
+	g.claim = claimEntryID(g.attempt)
+	if !s.log.reachable {
+		g.permit = permitGranted
+	}
+	s.submitEntry(g.claim, journal.KindAttempt, journal.AttemptClaimed{
+		Job:        g.job.ID,
+		Attempt:    g.attempt,
+		Number:     g.number,
+		Term:       s.term.token,
+		Checkpoint: g.checkpoint,
+		Servers:    servers(g),
+	}, !s.log.reachable)
+}
+
+func servers(g *gang) []model.BackendServerID {
+	var list []model.BackendServerID
+	for _, m := range g.members {
+		list = append(list, m.server)
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// attemptReplayed follows the verdict on a claim that was read back.
+func (s *State) attemptReplayed(a journal.AttemptClaimed, d journal.Decision) {
+	g := s.gangs[a.Job]
+	if g == nil {
+		return
+	}
+	if g.attempt == a.Attempt {
+		if d.Verdict == journal.VerdictAccepted {
+			g.permit = permitGranted
+			return
+		}
+		s.stop(g, ending{result: replica.ResultRetry, reason: ReasonPermitRefused})
+		return
+	}
+	if d.Verdict == journal.VerdictAccepted {
+		s.stop(g, ending{result: replica.ResultRetry, reason: ReasonPermitRefused})
+	}
+}
+
+// claimNotSent handles a claim that certainly is not in the log.
+func (s *State) claimNotSent(e journal.Entry) {
+	for _, id := range sortedKeys(s.gangs) {
+		g := s.gangs[id]
+		if g.claim == e.ID && g.permit == permitClaimed {
+			s.stop(g, ending{result: replica.ResultRetry, reason: ReasonLogDown})
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/reason.go
@@ -0,0 +1,35 @@
+package control
+
+import "github.com/eelgrassreach/eelgrassreach/internal/model"
+
+// Reasons of refusals and of waiting or ended jobs. Waiting jobs also carry the
+// reasons of package placement.
+const (
+	ReasonLogDown          model.Reason = "the platform's log is unreachable"
+	ReasonLogInDoubt       model.Reason = "an append is in doubt"
+	ReasonMalformed        model.Reason = "malformed"
+	ReasonNotReady         model.Reason = "not ready"
+	ReasonLeaving          model.Reason = "this VM is leaving"
+	ReasonUnknownTenant    model.Reason = "unknown organisation"
+	ReasonInvalidShape     model.Reason = "invalid shape"
+	ReasonNeverFits        model.Reason = "no availability zone can ever hold the shape"
+	ReasonNoHolder         model.Reason = "the home availability zone has no reachable term holder"
+	ReasonPermitElsewhere  model.Reason = "the start permit was given to another VM"
+	ReasonClaiming         model.Reason = "waiting for the start permit to be read back"
+	ReasonServerSilent     model.Reason = "a backend server that may still run the job is unreachable"
+	ReasonSettling         model.Reason = "the term holder is taking stock of running tasks"
+	ReasonRetry            model.Reason = "waiting to be placed again after a refusal"
+	ReasonPending          model.Reason = "waiting for a placement decision"
+	ReasonRecorded         model.Reason = "as recorded in the log; the home's term holder knows more"
+	ReasonFailedOnMany     model.Reason = "failed on several healthy backend servers"
+	ReasonServerLost       model.Reason = "a backend server was lost"
+	ReasonServerLeaving    model.Reason = "a backend server is leaving"
+	ReasonPreempted        model.Reason = "preempted for a guarantee"
+	ReasonHoldRefused      model.Reason = "a backend server refused to hold a member"
+	ReasonStartRefused     model.Reason = "a backend server refused to start a member"
+	ReasonMemberLost       model.Reason = "a member was lost"
+	ReasonTaskFailed       model.Reason = "a task failed"
+	ReasonPermitRefused    model.Reason = "the start permit was refused in replay"
+	ReasonHolderLost       model.Reason = "the term holder was lost before the gang started"
+	ReasonPartialTakenOver model.Reason = "the gang was not whole when the term was taken over"
+)
--- /dev/null
+++ b/internal/control/snapshot.go
@@ -0,0 +1,41 @@
+package control
+
+import (
+	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/replica"
+)
+
+// snapshot appends the replicated state when the newest snapshot is far behind.
+// Only the term holder of the lowest-named availability zone does.
+func (s *State) snapshot() {
+	applied := s.replica.Applied()
+	if !s.log.reachable || applied-s.replica.SnapshotOffset() < s.settings.SnapshotOffsets {
+		return
+	}
+	if !s.lowestZone() || s.snapshotPending() {
+		return
+	}
+	data, err := s.replica.Encode()
+	if err != nil {
+		s.violated(invariant.Violation{Promise: invariant.ConfigNeverReverts, Detail: err.Error()})
+		return
+	}
+	s.submitEntry("snapshot-"+s.newID(), journal.KindSnapshot, journal.Snapshot{Offset: applied, State: data}, false)
+}
+
+func (s *State) snapshotPending() bool {
+	for _, e := range s.entries {
+		if e.entry.Kind == journal.KindSnapshot {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) lowestZone() bool {
+	lowest := s.self.AZ
+	s.replica.Terms(func(az model.AZ, _ replica.Term) { lowest = min(lowest, az) })
+	return lowest == s.self.AZ
+}
--- /dev/null
+++ b/internal/control/view.go
@@ -0,0 +1,130 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/replica"
+)
+
+// View returns an immutable picture of the state.
+func (s *State) View() *View {
+	v := &View{
+		Time:          s.now,
+		Incarnation:   s.self.Incarnation,
+		AZ:            s.self.AZ,
+		Ready:         s.ready(),
+		Applied:       s.replica.Applied(),
+		Config:        s.replica.Config().Current(),
+		LogReachable:  s.log.reachable,
+		LogSince:      s.log.since,
+		ConfigStalled: s.replica.Config().Stalled(),
+		Terms:         s.viewTerms(),
+		Backends:      s.viewBackends(),
+		Peers:         s.viewPeers(),
+		Fragmentation: s.placement.fragmentation,
+		Violations:    s.violations,
+	}
+	v.VMs, _ = s.peers.VMs()
+	for _, r := range s.placement.risks {
+		v.AtRisk = append(v.AtRisk, GuaranteeState{Organisation: r.Organisation, Guarantee: r.Guarantee, Honoured: r.Honoured})
+	}
+	if !s.log.reachable {
+		v.PartialBecause = string(ReasonLogDown)
+	}
+	s.viewJobs(v)
+	return v
+}
+
+func (s *State) viewTerms() map[model.AZ]TermState {
+	terms := make(map[model.AZ]TermState)
+	s.replica.Terms(func(az model.AZ, t replica.Term) {
+		terms[az] = TermState{AZ: az, Holder: t.Holder, Address: t.Address, Token: t.Token()}
+	})
+	for _, p := range s.peers.Peers() {
+		if terms[p.AZ].Token.Less(p.Token) && s.peers.Alive(p, s.now) {
+			terms[p.AZ] = TermState{AZ: p.AZ, Holder: p.Incarnation, Address: p.Address, Token: p.Token}
+		}
+	}
+	if s.acting() {
+		terms[s.self.AZ] = TermState{
+			AZ:      s.self.AZ,
+			Holder:  s.self.Incarnation,
+			Address: s.self.Address,
+			Token:   s.term.token,
+			Mine:    true,
+		}
+	}
+	return terms
+}
+
+func (s *State) viewBackends() map[model.BackendServerID]BackendState {
+	list := make(map[model.BackendServerID]BackendState)
+	for id, info := range s.replica.Config().Current().BackendServers {
+		list[id] = BackendState{Server: info}
+	}
+	for id, v := range s.servers {
+		list[id] = BackendState{
+			Server:      v.info,
+			Live:        s.live(v) && !v.gone,
+			Leaving:     v.leaving,
+			Quarantined: v.health.quarantined,
+			FreeSlots:   v.free,
+			LastSeen:    v.lastSeen,
+		}
+	}
+	return list
+}
+
+func (s *State) viewPeers() []PeerState {
+	var list []PeerState
+	for _, p := range s.peers.Peers() {
+		list = append(list, PeerState{
+			Address:     p.Address,
+			Incarnation: p.Incarnation,
+			AZ:          p.AZ,
+			Alive:       s.peers.Alive(p, s.now),
+			Leaving:     p.Leaving,
+			Applied:     p.Applied,
+		})
+	}
+	return list
+}
+
+// viewJobs copies the status of every job.
+func (s *State) viewJobs(v *View) {
+	jobs := make(map[model.JobID]JobStatus)
+	add := func(id model.JobID) {
+		if st, ok := s.status(id); ok {
+			jobs[id] = st
+		}
+	}
+	s.replica.Jobs(func(j *replica.Job) { add(j.Job.ID) })
+	for id := range s.local {
+		add(id)
+	}
+	for id := range s.gangs {
+		add(id)
+	}
+	v.JobsByState = make(map[JobState]int)
+	for _, st := range jobs {
+		v.JobsByState[st.State]++
+	}
+	v.lookup = func(id model.JobID) (JobStatus, bool) {
+		st, ok := jobs[id]
+		return st, ok
+	}
+	v.list = func(org model.OrganisationID) []JobStatus { return listJobs(jobs, org) }
+}
+
+func listJobs(jobs map[model.JobID]JobStatus, org model.OrganisationID) []JobStatus {
+	var list []JobStatus
+	for _, st := range jobs {
+		if org == "" || st.Job.Organisation == org {
+			list = append(list, st)
+		}
+	}
+	slices.SortFunc(list, func(a, b JobStatus) int { return cmp.Compare(a.Job.ID, b.Job.ID) })
+	return list
+}
--- /dev/null
+++ b/internal/control/waiter.go
@@ -0,0 +1,144 @@
+package control
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// waiter is a caller that waits for an entry to be read back.
+type waiter interface {
+	reply() ReplyID
+	// decided answers with the verdict.
+	decided(s *State, d journal.Decision)
+	// notSent answers that the log certainly does not hold the entry.
+	notSent(s *State)
+	// expired answers when the deadline has passed; it returns false to wait on.
+	expired(s *State) bool
+}
+
+func (s *State) wait(entryID string, w waiter) {
+	s.waiters[entryID] = append(s.waiters[entryID], w)
+}
+
+func (s *State) takeWaiters(entryID string) []waiter {
+	taken := s.waiters[entryID]
+	delete(s.waiters, entryID)
+	return taken
+}
+
+func (s *State) abandon(id ReplyID) {
+	for entry, list := range s.waiters {
+		list = slices.DeleteFunc(list, func(w waiter) bool { return w.reply() == id })
+		s.keepWaiters(entry, list)
+	}
+}
+
+func (s *State) expireWaiters() {
+	for _, entry := range sortedKeys(s.waiters) {
+		list := slices.DeleteFunc(s.waiters[entry], func(w waiter) bool { return w.expired(s) })
+		s.keepWaiters(entry, list)
+	}
+}
+
+func (s *State) keepWaiters(entryID string, list []waiter) {
+	if len(list) == 0 {
+		delete(s.waiters, entryID)
+		return
+	}
+	s.waiters[entryID] = list
+}
+
+// sortedKeys makes the order of actions independent of map order.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
+
+// publishWaiter waits for the verdict on a configuration change.
+type publishWaiter struct{ id ReplyID }
+
+func (w publishWaiter) reply() ReplyID { return w.id }
+
+func (w publishWaiter) decided(s *State, d journal.Decision) {
+	s.emit(PublishReply{Reply: w.id, Decision: d})
+}
+
+func (w publishWaiter) notSent(s *State) {
+	s.emit(PublishReply{Reply: w.id, Refusal: &Refusal{
+		Reason:     ReasonLogDown,
+		Message:    "the platform's log does not answer; nothing was published",
+		RetryAfter: s.settings.RetryDelay,
+	}})
+}
+
+func (w publishWaiter) expired(*State) bool { return false }
+
+func (s *State) changePublished(e ChangePublished) {
+	if d, ok := s.replica.Decision(e.EntryID); ok {
+		s.emit(PublishReply{Reply: e.Reply, Decision: d})
+		return
+	}
+	s.wait(e.EntryID, publishWaiter{id: e.Reply})
+	s.submitEntry(e.EntryID, journal.KindConfig, e.Change, false)
+}
+
+func (s *State) decisionAsked(e DecisionAsked) {
+	d, ok := s.replica.Decision(e.EntryID)
+	s.emit(DecisionReply{Reply: e.Reply, Decision: d, Known: ok})
+}
+
+// submitWaiter waits for a submission to be read back.
+type submitWaiter struct {
+	id       ReplyID
+	receipt  JobReceipt
+	deadline time.Time
+}
+
+func (w submitWaiter) reply() ReplyID { return w.id }
+
+func (w submitWaiter) decided(s *State, d journal.Decision) {
+	r := w.receipt
+	r.Durable = true
+	if j := s.replica.Job(r.Job); j != nil {
+		r.HomeAZ = j.Job.HomeAZ
+	}
+	if d.Verdict == journal.VerdictMalformed {
+		s.emit(SubmitReply{Reply: w.id, Refusal: &Refusal{Reason: ReasonMalformed, Message: d.Detail}})
+		return
+	}
+	s.emit(SubmitReply{Reply: w.id, Receipt: r})
+}
+
+func (w submitWaiter) notSent(s *State) { s.emit(SubmitReply{Reply: w.id, Receipt: w.receipt}) }
+
+func (w submitWaiter) expired(s *State) bool {
+	if s.now.Before(w.deadline) {
+		return false
+	}
+	w.notSent(s)
+	return true
+}
+
+// cancelWaiter waits for one cancellation of a wave; the last one answers.
+type cancelWaiter struct {
+	wave *cancelWave
+	job  model.JobID
+}
+
+func (w cancelWaiter) reply() ReplyID { return w.wave.reply }
+
+func (w cancelWaiter) decided(s *State, _ journal.Decision) { w.wave.settled(s, w.job, true) }
+
+func (w cancelWaiter) notSent(s *State) { w.wave.settled(s, w.job, false) }
+
+func (w cancelWaiter) expired(s *State) bool {
+	if s.now.Before(w.wave.deadline) {
+		return false
+	}
+	w.wave.settled(s, w.job, false)
+	return true
+}
--- a/internal/journal/entry.go
+++ b/internal/journal/entry.go
@@ -103,6 +103,8 @@
 	Number     int             `json:"number"`
 	Term       model.Token     `json:"term"`
 	Checkpoint string          `json:"checkpoint,omitempty"`
+	// Servers are the only backend servers that the attempt may run on.
+	Servers []model.BackendServerID `json:"servers,omitempty"`
 }
 
 // JobEnded closes an attempt. When Final is set it closes the job too.
@@ -113,6 +115,8 @@
 	Result     string          `json:"result"` // JobResult of the replica
 	Reason     model.Reason    `json:"reason,omitempty"`
 	Checkpoint string          `json:"checkpoint,omitempty"`
+	// FailedOn lists the backend servers on which members of the attempt failed.
+	FailedOn []model.BackendServerID `json:"failedOn,omitempty"`
 }
 
 // TermClaimed claims the term of an availability zone; the entry's offset is the
--- /dev/null
+++ b/internal/replica/job.go
@@ -0,0 +1,169 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// JobResult is the result in a JobEnded entry.
+type JobResult string
+
+// The results. ResultRetry closes an attempt and leaves the job to run again.
+const (
+	ResultDone      JobResult = "done"
+	ResultFailed    JobResult = "failed"
+	ResultCancelled JobResult = "cancelled"
+	ResultRetry     JobResult = "retry"
+)
+
+// Attempt is the start permit that replay granted last.
+type Attempt struct {
+	ID      model.AttemptID         `json:"id"`
+	Number  int                     `json:"number"`
+	Term    model.Token             `json:"term"`
+	Servers []model.BackendServerID `json:"servers,omitempty"`
+	// Acceptor is set when the VM that accepted the job granted the permit.
+	Acceptor model.Incarnation `json:"acceptor,omitempty"`
+	Open     bool              `json:"open"`
+}
+
+// Job is a job as the log knows it.
+type Job struct {
+	Job        model.Job         `json:"job"`
+	Acceptor   model.Incarnation `json:"acceptor"`
+	Accepted   int64             `json:"accepted"` // offset
+	AcceptedAt time.Time         `json:"acceptedAt"`
+	// HomeRevision is the offset of the entry that set the home availability zone.
+	HomeRevision int64                   `json:"homeRevision"`
+	Attempt      Attempt                 `json:"attempt"`
+	Failed       []model.BackendServerID `json:"failed,omitempty"` // servers on which attempts failed
+	Checkpoint   string                  `json:"checkpoint,omitempty"`
+	Cancelled    bool                    `json:"cancelled"`
+	Result       JobResult               `json:"result,omitempty"` // set when the job ended
+	Reason       model.Reason            `json:"reason,omitempty"`
+}
+
+// Ended reports whether the job will not run again.
+func (j *Job) Ended() bool { return j.Result != "" }
+
+// Job returns a job; nil when it is not known. The result must not be changed.
+func (s *State) Job(id model.JobID) *Job { return s.jobs[id] }
+
+// Jobs calls f for each job in no fixed order.
+func (s *State) Jobs(f func(*Job)) {
+	for _, j := range s.jobs {
+		f(j)
+	}
+}
+
+func (s *State) applyAccepted(l journal.Located, a journal.JobAccepted) journal.Decision {
+	if a.Job.ID == "" {
+		return malformed("job without ID")
+	}
+	if j := s.jobs[a.Job.ID]; j != nil {
+		return conflict(j.Accepted, "the job was accepted before")
+	}
+	j := &Job{
+		Job:          a.Job,
+		Acceptor:     a.Acceptor,
+		Accepted:     l.Offset,
+		AcceptedAt:   l.Time,
+		HomeRevision: l.Offset,
+	}
+	if a.Attempt != "" {
+		j.Attempt = Attempt{ID: a.Attempt, Number: 1, Acceptor: a.Acceptor, Open: true}
+	}
+	s.jobs[a.Job.ID] = j
+	return accepted()
+}
+
+func (s *State) applyCancelled(l journal.Located, c journal.JobCancelled) journal.Decision {
+	j := s.jobs[c.Job]
+	if j == nil {
+		return conflict(0, "no such job")
+	}
+	if j.Ended() || j.Cancelled {
+		return accepted()
+	}
+	j.Cancelled = true
+	if !j.Attempt.Open {
+		s.end(j, l.Offset, ResultCancelled, "")
+	}
+	return accepted()
+}
+
+func (s *State) applyMoved(l journal.Located, m journal.JobMoved) journal.Decision {
+	j := s.jobs[m.Job]
+	if j == nil || j.Ended() {
+		return conflict(0, "no such pending job")
+	}
+	if j.HomeRevision != m.ExpectedRevision {
+		return conflict(j.HomeRevision, "the home was changed by another entry")
+	}
+	if j.Attempt.Open {
+		return conflict(j.HomeRevision, "an attempt is open")
+	}
+	j.Job.HomeAZ = m.Home
+	j.HomeRevision = l.Offset
+	return accepted()
+}
+
+func (s *State) applyAttempt(_ journal.Located, a journal.AttemptClaimed) journal.Decision {
+	j := s.jobs[a.Job]
+	if j == nil || j.Ended() || j.Cancelled {
+		return conflict(0, "no such pending job")
+	}
+	term := s.terms[j.Job.HomeAZ]
+	if a.Term.Offset != term.Offset {
+		return conflict(term.Offset, "the term has passed on")
+	}
+	if j.Attempt.Open || a.Number != j.Attempt.Number+1 {
+		return conflict(j.Accepted, "another attempt was claimed")
+	}
+	j.Attempt = Attempt{ID: a.Attempt, Number: a.Number, Term: a.Term, Servers: a.Servers, Open: true}
+	return accepted()
+}
+
+func (s *State) applyEnded(l journal.Located, e journal.JobEnded) journal.Decision {
+	j := s.jobs[e.Job]
+	if j == nil || j.Ended() {
+		return conflict(0, "no such open job")
+	}
+	if e.Attempt != "" && (!j.Attempt.Open || j.Attempt.ID != e.Attempt) {
+		return conflict(j.Accepted, "the attempt is not open")
+	}
+	if e.Attempt == "" && j.Attempt.Open {
+		return conflict(j.Accepted, "an attempt is open")
+	}
+	j.Attempt.Open = false
+	if e.Checkpoint != "" {
+		j.Checkpoint = e.Checkpoint
+	}
+	j.Failed = union(j.Failed, e.FailedOn)
+	switch {
+	case e.Final:
+		s.end(j, l.Offset, JobResult(e.Result), e.Reason)
+	case j.Cancelled:
+		s.end(j, l.Offset, ResultCancelled, "")
+	}
+	return accepted()
+}
+
+func (s *State) end(j *Job, offset int64, r JobResult, reason model.Reason) {
+	j.Result = r
+	j.Reason = reason
+	j.Job.Payload = ""
+	s.ended.add(j.Job.ID, offset)
+}
+
+func union(have, more []model.BackendServerID) []model.BackendServerID {
+	for _, id := range more {
+		if !slices.Contains(have, id) {
+			have = append(have, id)
+		}
+	}
+	return have
+}
--- /dev/null
+++ b/internal/replica/state.go
@@ -0,0 +1,113 @@
+// Package replica is the state that every VM reaches by replaying the log: jobs,
+// attempts, terms, the configuration, and the verdict on each entry. Verdicts rest
+// on offsets and revisions alone, so that all VMs and releases agree on them.
+package replica
+
+import (
+	"github.com/eelgrassreach/eelgrassreach/internal/config"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// Config is the replicated configuration.
+type Config interface {
+	// Apply decides on a configuration entry and applies it when it wins.
+	Apply(l journal.Located) journal.Decision
+	// Current returns the configuration in force. It is never nil.
+	Current() *config.Current
+	// Stalled explains why newer records cannot be read; empty when they can.
+	Stalled() string
+	// Encode returns the state in a deterministic form that Restore reads.
+	Encode() ([]byte, error)
+	// Restore replaces the state.
+	Restore(data []byte) error
+}
+
+// State is the replicated state. It is owned by one goroutine.
+type State struct {
+	applied  int64
+	snapshot int64
+	config   Config
+	terms    map[model.AZ]Term
+	jobs     map[model.JobID]*Job
+	verdicts verdictLog
+	ended    endedQueue
+}
+
+// New returns the state before the first record.
+func New(cfg Config) *State {
+	return &State{
+		config:   cfg,
+		terms:    make(map[model.AZ]Term),
+		jobs:     make(map[model.JobID]*Job),
+		verdicts: newVerdictLog(),
+	}
+}
+
+// Applied returns the offset of the last record that was applied.
+func (s *State) Applied() int64 { return s.applied }
+
+// SnapshotOffset returns the offset of the newest snapshot record seen; 0 for none.
+func (s *State) SnapshotOffset() int64 { return s.snapshot }
+
+// Config returns the replicated configuration.
+func (s *State) Config() Config { return s.config }
+
+// Advance records that everything before offset next was applied and forgets what
+// is past the retention window.
+func (s *State) Advance(next int64) {
+	if next-1 <= s.applied {
+		return
+	}
+	s.applied = next - 1
+	s.prune()
+}
+
+// Apply decides on one entry and applies it when it wins.
+func (s *State) Apply(l journal.Located) journal.Decision {
+	if _, seen := s.verdicts.get(l.Entry.ID); seen {
+		return journal.Decision{EntryID: l.Entry.ID, Offset: l.Offset, Verdict: journal.VerdictDuplicate}
+	}
+	d := s.decide(l)
+	d.EntryID = l.Entry.ID
+	d.Offset = l.Offset
+	s.verdicts.add(d)
+	return d
+}
+
+// Decision returns the verdict on an entry within the retention window.
+func (s *State) Decision(entryID string) (journal.Decision, bool) {
+	return s.verdicts.get(entryID)
+}
+
+func (s *State) decide(l journal.Located) journal.Decision {
+	switch l.Entry.Kind {
+	case journal.KindConfig:
+		return s.config.Apply(l)
+	case journal.KindJobAccepted:
+		return applyBody(l, s.applyAccepted)
+	case journal.KindJobCancelled:
+		return applyBody(l, s.applyCancelled)
+	case journal.KindJobMoved:
+		return applyBody(l, s.applyMoved)
+	case journal.KindAttempt:
+		return applyBody(l, s.applyAttempt)
+	case journal.KindJobEnded:
+		return applyBody(l, s.applyEnded)
+	case journal.KindTerm:
+		return applyBody(l, s.applyTerm)
+	case journal.KindSnapshot:
+		s.snapshot = l.Offset
+		return accepted()
+	default:
+		return malformed("unknown kind " + string(l.Entry.Kind))
+	}
+}
+
+func (s *State) prune() {
+	horizon := s.applied - RetentionOffsets
+	s.verdicts.forget(horizon)
+	for _, id := range s.ended.takeBefore(horizon) {
+		delete(s.jobs, id)
+	}
+}
