One binary: serve and the client subcommands

Cause: the parts need assembling into a VM that runs as a process. Change: the VM's assembly and planned stop, twirp servers and clients, the command line with its exit codes. The path itself is not run yet.

--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,215 @@
+// Package cli is the command line: `serve` runs a VM, the other subcommands are
+// clients of the HTTP API.
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/api"
+	"github.com/eelgrassreach/eelgrassreach/internal/settings"
+	"github.com/eelgrassreach/eelgrassreach/internal/vm"
+)
+
+// ExitCode is the exit status of the program.
+type ExitCode int
+
+// The exit codes.
+const (
+	ExitOK       ExitCode = 0
+	ExitError    ExitCode = 1 // the VM could not be reached or failed
+	ExitUsage    ExitCode = 2 // bad arguments or settings
+	ExitRefused  ExitCode = 3 // certain: the command had no effect; the request did not run
+	ExitFailed   ExitCode = 4 // the request or job ran and failed
+	ExitUnknown  ExitCode = 5 // the outcome is not known yet
+	ExitConflict ExitCode = 6 // another change won
+	ExitNotFound ExitCode = 7
+)
+
+// Version is set at link time.
+var Version = "development"
+
+// Streams are the standard streams.
+type Streams struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+}
+
+// exitError carries an exit code with an optional message.
+type exitError struct {
+	code ExitCode
+	err  error
+}
+
+// Error returns the message.
+func (e *exitError) Error() string {
+	if e.err == nil {
+		return ""
+	}
+	return e.err.Error()
+}
+
+func exit(code ExitCode) error {
+	if code == ExitOK {
+		return nil
+	}
+	return &exitError{code: code}
+}
+
+func usage(format string, args ...any) error {
+	return &exitError{code: ExitUsage, err: fmt.Errorf(format, args...)}
+}
+
+// app is what the subcommands share.
+type app struct {
+	Streams
+}
+
+// Run parses args, runs the subcommand and returns the exit code. Messages go to
+// the error stream.
+func Run(ctx context.Context, args []string, streams Streams) ExitCode {
+	a := &app{Streams: streams}
+	root := a.root()
+	if err := root.Parse(args); err != nil {
+		return a.report(err, ExitUsage)
+	}
+	return a.report(root.Run(ctx), ExitError)
+}
+
+// report prints err and chooses the exit code; fallback is for plain errors.
+func (a *app) report(err error, fallback ExitCode) ExitCode {
+	var coded *exitError
+	var problem *api.Problem
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, flag.ErrHelp):
+		return ExitOK
+	case errors.As(err, &coded):
+		if coded.err != nil {
+			_, _ = fmt.Fprintln(a.Err, "eelgrassreach:", coded.err)
+		}
+		return coded.code
+	case errors.As(err, &problem):
+		a.printProblem(problem)
+		return problemCode(problem)
+	default:
+		_, _ = fmt.Fprintln(a.Err, "eelgrassreach:", err)
+		return fallback
+	}
+}
+
+func (a *app) printProblem(p *api.Problem) {
+	_, _ = fmt.Fprintln(a.Err, "eelgrassreach:", p)
+	for _, f := range p.Findings {
+		_, _ = fmt.Fprintln(a.Err, "  "+f.String())
+	}
+	if p.RetryAfterMS > 0 {
+		retry := time.Duration(p.RetryAfterMS) * time.Millisecond
+		_, _ = fmt.Fprintln(a.Err, "  retry after", retry)
+	}
+}
+
+func problemCode(p *api.Problem) ExitCode {
+	switch p.Type {
+	case api.ProblemBadRequest:
+		return ExitUsage
+	case api.ProblemNotFound:
+		return ExitNotFound
+	case api.ProblemRefused:
+		return ExitRefused
+	case api.ProblemInDoubt:
+		return ExitUnknown
+	default:
+		return ExitError
+	}
+}
+
+func (a *app) root() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "eelgrassreach",
+		ShortUsage: "eelgrassreach <subcommand> [flags]",
+		ShortHelp:  "Schedules multi-accelerator jobs and requests under organisations' guarantees.",
+		FlagSet:    a.flagSet("eelgrassreach"),
+		Subcommands: []*ffcli.Command{
+			a.serveCommand(),
+			a.configCommand(),
+			a.jobCommand(),
+			a.requestCommand(),
+			a.ticketCommand(),
+			a.statusCommand(),
+			a.versionCommand(),
+		},
+		Exec: needSubcommand,
+	}
+}
+
+func (a *app) flagSet(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(a.Err)
+	return fs
+}
+
+func needSubcommand(context.Context, []string) error {
+	return flag.ErrHelp
+}
+
+// group is a subcommand that only holds others.
+func (a *app) group(name, help string, subcommands ...*ffcli.Command) *ffcli.Command {
+	return &ffcli.Command{
+		Name:        name,
+		ShortUsage:  "eelgrassreach " + name + " <subcommand> [flags]",
+		ShortHelp:   help,
+		FlagSet:     a.flagSet(name),
+		Subcommands: subcommands,
+		Exec:        needSubcommand,
+	}
+}
+
+// envOptions makes every flag settable by an environment variable.
+func envOptions() []ff.Option {
+	return []ff.Option{ff.WithEnvVarPrefix(settings.EnvPrefix)}
+}
+
+func (a *app) serveCommand() *ffcli.Command {
+	fs := a.flagSet("eelgrassreach serve")
+	raw := settings.Register(fs)
+	return &ffcli.Command{
+		Name:       "serve",
+		ShortUsage: "eelgrassreach serve -az NAME -platform URL [flags]",
+		ShortHelp:  "Runs a VM of the system until SIGTERM.",
+		FlagSet:    fs,
+		Options:    envOptions(),
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return usage("serve: unexpected argument %q", args[0])
+			}
+			checked, err := raw.Check()
+			if err != nil {
+				return &exitError{code: ExitUsage, err: err}
+			}
+			return vm.Run(ctx, checked, a.Out, a.Err)
+		},
+	}
+}
+
+func (a *app) versionCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "version",
+		ShortUsage: "eelgrassreach version",
+		ShortHelp:  "Prints the version.",
+		FlagSet:    a.flagSet("eelgrassreach version"),
+		Exec: func(context.Context, []string) error {
+			_, err := fmt.Fprintln(a.Out, Version)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/cli/client.go
@@ -0,0 +1,110 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/api"
+)
+
+const defaultTimeout = 30 * time.Second
+
+// Output formats.
+const (
+	formatTable = "table"
+	formatJSON  = "json"
+)
+
+// clientFlags are the flags of every client subcommand.
+type clientFlags struct {
+	server  string
+	format  string
+	timeout time.Duration
+}
+
+func (c *clientFlags) register(fs *flag.FlagSet) {
+	fs.StringVar(&c.server, "server", "127.0.0.1:7300", "IP:port of any VM")
+	fs.StringVar(&c.format, "o", formatTable, "output: table or json")
+	fs.DurationVar(&c.timeout, "timeout", defaultTimeout, "bound on the whole call")
+}
+
+// call is a client subcommand in progress.
+type call struct {
+	*app
+	flags  *clientFlags
+	client *api.Client
+	args   []string
+}
+
+// clientSpec describes a client subcommand.
+type clientSpec struct {
+	group    string
+	name     string
+	argsHelp string
+	help     string
+	register func(fs *flag.FlagSet)
+	exec     func(ctx context.Context, c *call) error
+}
+
+func (a *app) clientCommand(spec clientSpec) *ffcli.Command {
+	full := strings.TrimSpace("eelgrassreach " + strings.TrimSpace(spec.group+" "+spec.name))
+	fs := a.flagSet(full)
+	flags := &clientFlags{}
+	flags.register(fs)
+	if spec.register != nil {
+		spec.register(fs)
+	}
+	return &ffcli.Command{
+		Name:       spec.name,
+		ShortUsage: strings.TrimSpace(full + " [flags] " + spec.argsHelp),
+		ShortHelp:  spec.help,
+		FlagSet:    fs,
+		Options:    envOptions(),
+		Exec: func(ctx context.Context, args []string) error {
+			if flags.format != formatTable && flags.format != formatJSON {
+				return usage("-o %q: must be table or json", flags.format)
+			}
+			ctx, cancel := context.WithTimeout(ctx, flags.timeout)
+			defer cancel()
+			return spec.exec(ctx, &call{app: a, flags: flags, client: api.NewClient(flags.server), args: args})
+		},
+	}
+}
+
+// needArgs fails unless exactly n arguments were given.
+func (c *call) needArgs(n int, what string) error {
+	if len(c.args) != n {
+		return usage("expected %s, got %d arguments", what, len(c.args))
+	}
+	return nil
+}
+
+// print writes v as JSON or lets table write rows.
+func (c *call) print(v any, table func(w *tabwriter.Writer)) error {
+	if c.flags.format == formatJSON {
+		encoder := json.NewEncoder(c.Out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(v)
+	}
+	w := tabwriter.NewWriter(c.Out, 0, 4, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+// row writes one row of cells.
+func row(w *tabwriter.Writer, cells ...any) {
+	for i, cell := range cells {
+		if i > 0 {
+			_, _ = fmt.Fprint(w, "\t")
+		}
+		_, _ = fmt.Fprint(w, cell)
+	}
+	_, _ = fmt.Fprintln(w)
+}
--- /dev/null
+++ b/internal/cli/config.go
@@ -0,0 +1,214 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/api"
+	"github.com/eelgrassreach/eelgrassreach/internal/config"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+)
+
+func (a *app) configCommand() *ffcli.Command {
+	return a.group("config", "Publishes and shows configuration records.",
+		a.configPut(), a.configGet(), a.configList(), a.configHistory(), a.configDiff(), a.configResolve())
+}
+
+// noExpectation is the default of -expect: the revision in force at the VM.
+const noExpectation = -1
+
+func (a *app) configPut() *ffcli.Command {
+	var file, comment, id string
+	var expect int64
+	var dryRun bool
+	return a.clientCommand(clientSpec{
+		group: "config", name: "put", argsHelp: "-f FILE",
+		help: "Publishes the records of a file as one change.",
+		register: func(fs *flag.FlagSet) {
+			fs.StringVar(&file, "f", "", "file with records; - for standard input")
+			fs.StringVar(&comment, "comment", "", "kept with the change")
+			fs.StringVar(&id, "id", "", "change ID, to repeat an earlier put safely")
+			fs.Int64Var(&expect, "expect", noExpectation, "revision that the change builds on; the one in force when negative")
+			fs.BoolVar(&dryRun, "dry-run", false, "check only")
+		},
+		exec: func(ctx context.Context, c *call) error {
+			records, err := c.readRecords(file)
+			if err != nil {
+				return err
+			}
+			in := api.ConfigChangeRequest{ID: id, Records: records, Comment: comment, DryRun: dryRun}
+			if expect >= 0 {
+				in.ExpectedRevision = &expect
+			}
+			reply, err := c.client.PutConfig(ctx, in)
+			if err != nil {
+				return err
+			}
+			reply.Findings = reply.Findings.InFile(file)
+			return c.printChange(reply)
+		},
+	})
+}
+
+// readRecords reads the records of a file; findings end the command.
+func (c *call) readRecords(file string) ([]json.RawMessage, error) {
+	if err := c.needArgs(0, "no arguments"); err != nil {
+		return nil, err
+	}
+	if file == "" {
+		return nil, usage("-f: a file is needed")
+	}
+	var source io.Reader = c.In
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return nil, usage("-f: %w", err)
+		}
+		defer func() { _ = f.Close() }()
+		source = f
+	}
+	records, findings := config.ParseFile(file, source)
+	if len(findings) > 0 {
+		return nil, &exitError{code: ExitRefused, err: findings}
+	}
+	return records, nil
+}
+
+// printChange prints the verdict on a change and chooses the exit code.
+func (c *call) printChange(r api.ConfigChangeReply) error {
+	err := c.print(r, func(w *tabwriter.Writer) {
+		switch r.Verdict {
+		case string(journal.VerdictAccepted), string(journal.VerdictDuplicate):
+			row(w, fmt.Sprintf("accepted at %d", r.Offset))
+		case string(journal.VerdictConflict):
+			row(w, fmt.Sprintf("conflict: the change at %d won", r.Winner))
+		case string(journal.VerdictUnknown):
+			row(w, "unknown; resolve it with: eelgrassreach config resolve "+r.ID)
+		case api.VerdictRefused:
+			row(w, fmt.Sprintf("refused: %d findings", len(r.Findings)))
+		default:
+			row(w, r.Verdict)
+		}
+		for _, f := range r.Findings {
+			row(w, "  "+f.String())
+		}
+		if r.Detail != "" {
+			row(w, "  "+r.Detail)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return exit(changeCode(r.Verdict))
+}
+
+func changeCode(verdict string) ExitCode {
+	switch verdict {
+	case string(journal.VerdictAccepted), string(journal.VerdictDuplicate), api.VerdictValid:
+		return ExitOK
+	case string(journal.VerdictConflict):
+		return ExitConflict
+	case string(journal.VerdictUnknown):
+		return ExitUnknown
+	default:
+		return ExitRefused
+	}
+}
+
+func (a *app) configResolve() *ffcli.Command {
+	return a.clientCommand(clientSpec{
+		group: "config", name: "resolve", argsHelp: "CHANGE-ID",
+		help: "Prints the verdict on a change whose answer was unknown.",
+		exec: func(ctx context.Context, c *call) error {
+			if err := c.needArgs(1, "one change ID"); err != nil {
+				return err
+			}
+			reply, err := c.client.ConfigChange(ctx, c.args[0])
+			if err != nil {
+				return err
+			}
+			return c.printChange(reply)
+		},
+	})
+}
+
+func (a *app) configGet() *ffcli.Command {
+	return a.clientCommand(clientSpec{
+		group: "config", name: "get",
+		help: "Prints the records in force, ready for put.",
+		exec: func(ctx context.Context, c *call) error {
+			reply, err := c.client.Config(ctx)
+			if err != nil {
+				return err
+			}
+			encoder := json.NewEncoder(c.Out)
+			encoder.SetIndent("", "  ")
+			return encoder.Encode(reply.Records)
+		},
+	})
+}
+
+// recordHead is the part of a record that lists show.
+type recordHead struct {
+	Type string `json:"type"`
+	ID   string `json:"id"`
+	Name string `json:"name"`
+}
+
+func (h recordHead) id() string {
+	if h.ID == "" {
+		return h.Name
+	}
+	return h.ID
+}
+
+func (a *app) configList() *ffcli.Command {
+	return a.clientCommand(clientSpec{
+		group: "config", name: "list",
+		help: "Lists the records in force.",
+		exec: func(ctx context.Context, c *call) error {
+			reply, err := c.client.Config(ctx)
+			if err != nil {
+				return err
+			}
+			return c.print(reply, func(w *tabwriter.Writer) {
+				row(w, "revision", reply.Revision)
+				if reply.Stalled != "" {
+					row(w, "STALLED", reply.Stalled)
+				}
+				row(w, "TYPE", "ID")
+				for _, raw := range reply.Records {
+					var head recordHead
+					_ = json.Unmarshal(raw, &head)
+					row(w, head.Type, head.id())
+				}
+			})
+		},
+	})
+}
+
+func (a *app) configHistory() *ffcli.Command {
+	return a.clientCommand(clientSpec{
+		group: "config", name: "history",
+		help: "Lists the newest changes and their verdicts.",
+		exec: func(ctx context.Context, c *call) error {
+			reply, err := c.client.ConfigHistory(ctx)
+			if err != nil {
+				return err
+			}
+			return c.print(reply, func(w *tabwriter.Writer) {
+				row(w, "OFFSET", "VERDICT", "WINNER", "CHANGE", "DETAIL")
+				for _, d := range reply.Decisions {
+					row(w, d.Offset, d.Verdict, d.Winner, d.EntryID, d.Detail)
+				}
+			})
+		},
+	})
+}
--- /dev/null
+++ b/internal/cli/jobs.go
@@ -0,0 +1,199 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/api"
+	"github.com/eelgrassreach/eelgrassreach/internal/control"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// jobPollInterval is the time between two looks at a job under -wait.
+const jobPollInterval = 100 * time.Millisecond
+
+func (a *app) jobCommand() *ffcli.Command {
+	return a.group("job", "Submits, shows and cancels jobs.",
+		a.jobSubmit(), a.jobStatus(), a.jobList(), a.jobCancel())
+}
+
+func (a *app) jobSubmit() *ffcli.Command {
+	var in api.JobSubmitRequest
+	var id, org, az, adjacency string
+	return a.clientCommand(clientSpec{
+		group: "job", name: "submit", argsHelp: "-organisation ID -tasks N -accelerators M",
+		help: "Submits a job.",
+		register: func(fs *flag.FlagSet) {
+			fs.StringVar(&id, "id", "", "job ID, to repeat a submission safely")
+			fs.StringVar(&org, "organisation", "", "organisation that owns the job")
+			fs.IntVar(&in.Shape.Tasks, "tasks", 1, "members of the gang")
+			fs.IntVar(&in.Shape.Accelerators, "accelerators", 1, "accelerators per member")
+			fs.StringVar(&adjacency, "adjacency", string(model.AdjacentAny), "server, rack or any")
+			fs.StringVar(&in.Class, "class", model.ClassNormal.String(), "urgent, normal or batch")
+			fs.StringVar(&az, "az", "", "home availability zone; chosen when empty")
+			fs.StringVar(&in.DeclaredRuntime, "runtime", "", "declared run time, a hint")
+			fs.BoolVar(&in.Idempotent, "idempotent", false, "may be attempted again while an earlier attempt is in doubt")
+			fs.StringVar(&in.Payload, "payload", "", "passed to every task")
+		},
+		exec: func(ctx context.Context, c *call) error {
+			if err := c.needArgs(0, "no arguments"); err != nil {
+				return err
+			}
+			in.ID = model.JobID(id)
+			in.Organisation = model.OrganisationID(org)
+			in.AZ = model.AZ(az)
+			in.Shape.Adjacency = model.Adjacency(adjacency)
+			receipt, err := c.client.SubmitJob(ctx, in)
+			if err != nil {
+				return err
+			}
+			return c.print(receipt, func(w *tabwriter.Writer) {
+				row(w, "JOB", "HOME", "DURABLE")
+				row(w, receipt.Job, receipt.HomeAZ, receipt.Durable)
+			})
+		},
+	})
+}
+
+func (a *app) jobStatus() *ffcli.Command {
+	var wait bool
+	return a.clientCommand(clientSpec{
+		group: "job", name: "status", argsHelp: "JOB-ID",
+		help: "Shows a job.",
+		register: func(fs *flag.FlagSet) {
+			fs.BoolVar(&wait, "wait", false, "wait until the job ends or -timeout")
+		},
+		exec: func(ctx context.Context, c *call) error {
+			if err := c.needArgs(1, "one job ID"); err != nil {
+				return err
+			}
+			status, err := c.awaitJob(ctx, model.JobID(c.args[0]), wait)
+			if err != nil {
+				return err
+			}
+			if err := c.printJobs([]control.JobStatus{status}, status); err != nil {
+				return err
+			}
+			return exit(jobCode(status.State, wait))
+		},
+	})
+}
+
+// awaitJob returns the job's status, once it has ended when wait is set. A job that
+// this VM has not seen yet is waited for too.
+func (c *call) awaitJob(ctx context.Context, id model.JobID, wait bool) (control.JobStatus, error) {
+	for {
+		status, err := c.client.Job(ctx, id)
+		if !wait || (err == nil && status.State.Ended()) {
+			return status, err
+		}
+		if err != nil && api.ProblemType(err) != api.ProblemNotFound {
+			return status, err
+		}
+		select {
+		case <-ctx.Done():
+			return status, err
+		case <-time.After(jobPollInterval):
+		}
+	}
+}
+
+func jobCode(state control.JobState, wait bool) ExitCode {
+	switch {
+	case state == control.JobFailed:
+		return ExitFailed
+	case wait && !state.Ended():
+		return ExitUnknown
+	default:
+		return ExitOK
+	}
+}
+
+func (c *call) printJobs(jobs []control.JobStatus, whole any) error {
+	return c.print(whole, func(w *tabwriter.Writer) {
+		row(w, "JOB", "ORGANISATION", "HOME", "SHAPE", "STATE", "ATTEMPTS", "BORROWED", "DURABLE", "SERVERS", "REASON")
+		for _, j := range jobs {
+			shape := fmt.Sprintf("%dx%d/%s", j.Job.Shape.Tasks, j.Job.Shape.Accelerators, j.Job.Shape.Adjacency)
+			row(w, j.Job.ID, j.Job.Organisation, j.Job.HomeAZ, shape, j.State, j.Attempts,
+				j.Borrowed, j.Durable, joinIDs(j.Servers), j.Reason)
+		}
+	})
+}
+
+func joinIDs(ids []model.BackendServerID) string {
+	parts := make([]string, len(ids))
+	for i, id := range ids {
+		parts[i] = string(id)
+	}
+	return strings.Join(parts, ",")
+}
+
+func (a *app) jobList() *ffcli.Command {
+	var org string
+	return a.clientCommand(clientSpec{
+		group: "job", name: "list",
+		help: "Lists jobs.",
+		register: func(fs *flag.FlagSet) {
+			fs.StringVar(&org, "organisation", "", "only this organisation")
+		},
+		exec: func(ctx context.Context, c *call) error {
+			reply, err := c.client.Jobs(ctx, model.OrganisationID(org))
+			if err != nil {
+				return err
+			}
+			return c.printJobs(reply.Jobs, reply)
+		},
+	})
+}
+
+func (a *app) jobCancel() *ffcli.Command {
+	return a.clientCommand(clientSpec{
+		group: "job", name: "cancel", argsHelp: "JOB-ID...",
+		help: "Cancels jobs. Cancelling twice changes nothing.",
+		exec: func(ctx context.Context, c *call) error {
+			if len(c.args) == 0 {
+				return usage("expected at least one job ID")
+			}
+			ids := make([]model.JobID, len(c.args))
+			for i, arg := range c.args {
+				ids[i] = model.JobID(arg)
+			}
+			reply, err := c.client.CancelJobs(ctx, api.JobCancelRequest{Jobs: ids})
+			if err != nil {
+				return err
+			}
+			if err := c.printReceipts(reply); err != nil {
+				return err
+			}
+			return exit(cancelCode(reply.Receipts))
+		},
+	})
+}
+
+func (c *call) printReceipts(reply api.JobCancelReply) error {
+	return c.print(reply, func(w *tabwriter.Writer) {
+		row(w, "JOB", "STATE", "DURABLE")
+		for _, r := range reply.Receipts {
+			state := string(r.State)
+			if state == "" {
+				state = "not known"
+			}
+			row(w, r.Job, state, r.Durable)
+		}
+	})
+}
+
+func cancelCode(receipts []control.CancelReceipt) ExitCode {
+	for _, r := range receipts {
+		if r.State == "" {
+			return ExitNotFound
+		}
+	}
+	return ExitOK
+}
--- /dev/null
+++ b/internal/cli/requests.go
@@ -0,0 +1,136 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/api"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+func (a *app) requestCommand() *ffcli.Command {
+	return a.group("request", "Runs requests and shows their outcomes.", a.requestRun(), a.requestStatus())
+}
+
+func (a *app) requestRun() *ffcli.Command {
+	var in api.RunRequest
+	var id, org, caller, body string
+	var deadline time.Duration
+	return a.clientCommand(clientSpec{
+		group: "request", name: "run", argsHelp: "-kind NAME -organisation ID",
+		help: "Runs a request and prints its outcome.",
+		register: func(fs *flag.FlagSet) {
+			fs.StringVar(&id, "id", "", "request ID; made when empty")
+			fs.StringVar(&in.Ticket, "ticket", "", "ticket, needed unless the kind is idempotent")
+			fs.StringVar(&in.Kind, "kind", "", "request kind")
+			fs.StringVar(&org, "organisation", "", "organisation")
+			fs.StringVar(&caller, "caller", "cli", "caller inside the organisation")
+			fs.StringVar(&body, "body", "", "request body; - for standard input")
+			fs.DurationVar(&deadline, "deadline", 0, "deadline from now; the kind's when 0")
+		},
+		exec: func(ctx context.Context, c *call) error {
+			if err := c.needArgs(0, "no arguments"); err != nil {
+				return err
+			}
+			data, err := c.readBody(body)
+			if err != nil {
+				return err
+			}
+			in.ID = model.RequestID(id)
+			in.Organisation = model.OrganisationID(org)
+			in.Caller = model.CallerID(caller)
+			in.Body = data
+			in.DeadlineMS = deadline.Milliseconds()
+			reply, err := c.client.Run(ctx, in)
+			if err != nil {
+				return err
+			}
+			return c.printOutcome(reply)
+		},
+	})
+}
+
+func (c *call) readBody(body string) ([]byte, error) {
+	if body == "-" {
+		return io.ReadAll(c.In)
+	}
+	return []byte(body), nil
+}
+
+func (a *app) requestStatus() *ffcli.Command {
+	var ticket string
+	return a.clientCommand(clientSpec{
+		group: "request", name: "status", argsHelp: "REQUEST-ID",
+		help: "Shows the outcome of a request.",
+		register: func(fs *flag.FlagSet) {
+			fs.StringVar(&ticket, "ticket", "", "the ticket that the request ran under")
+		},
+		exec: func(ctx context.Context, c *call) error {
+			if err := c.needArgs(1, "one request ID"); err != nil {
+				return err
+			}
+			reply, err := c.client.Outcome(ctx, model.RequestID(c.args[0]), ticket)
+			if err != nil {
+				return err
+			}
+			return c.printOutcome(reply)
+		},
+	})
+}
+
+func (c *call) printOutcome(r api.OutcomeReply) error {
+	err := c.print(r, func(w *tabwriter.Writer) {
+		row(w, "request", r.ID)
+		row(w, "outcome", r.Outcome)
+		if r.Reason != "" {
+			row(w, "reason", r.Reason)
+		}
+		if r.RetryAfterMS > 0 {
+			row(w, "retry after", time.Duration(r.RetryAfterMS)*time.Millisecond)
+		}
+		if len(r.Body) > 0 {
+			row(w, "answer", string(r.Body))
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return exit(outcomeCode(r.Outcome))
+}
+
+func outcomeCode(o model.Outcome) ExitCode {
+	switch o {
+	case model.OutcomeDone:
+		return ExitOK
+	case model.OutcomeFailed:
+		return ExitFailed
+	case model.OutcomeNotRun:
+		return ExitRefused
+	default:
+		return ExitUnknown
+	}
+}
+
+func (a *app) ticketCommand() *ffcli.Command {
+	var ttl string
+	newTicket := a.clientCommand(clientSpec{
+		group: "ticket", name: "new",
+		help: "Mints a ticket for one request that may not be repeated.",
+		register: func(fs *flag.FlagSet) {
+			fs.StringVar(&ttl, "ttl", "", "lifetime, such as 10m; the VM's default when empty")
+		},
+		exec: func(ctx context.Context, c *call) error {
+			reply, err := c.client.NewTicket(ctx, api.TicketRequest{TTL: ttl})
+			if err != nil {
+				return err
+			}
+			return c.print(reply, func(w *tabwriter.Writer) { row(w, reply.Ticket) })
+		},
+	})
+	return a.group("ticket", "Mints tickets.", newTicket)
+}
--- a/internal/journal/outbox.go
+++ b/internal/journal/outbox.go
@@ -185,13 +185,24 @@
 	}
 }
 
+// lookedUp is the answer to a look-up of an entry's decision.
+type lookedUp struct {
+	decision Decision
+	ok       bool
+}
+
 // jumped settles entries in doubt after reading went on from a snapshot. An entry
-// whose decision the snapshot may have forgotten stays in doubt and is dropped.
-func (o *outbox) jumped(offset int64, lookup func(entryID string) (Decision, bool)) {
+// whose decision the snapshot may have forgotten stays in doubt and is dropped;
+// one that was not asked for stays in doubt.
+func (o *outbox) jumped(offset int64, asked map[string]lookedUp) {
 	o.read = max(o.read, offset+1)
 	o.known = max(o.known, offset+1)
 	for _, p := range o.unsettled() {
-		decision, ok := lookup(p.entry.ID)
+		found, wasAsked := asked[p.entry.ID]
+		if !wasAsked {
+			continue
+		}
+		decision, ok := found.decision, found.ok
 		switch {
 		case ok && decision.Verdict == VerdictExpired:
 			o.settle(p, AppendResult{State: AppendNotSent, Err: ErrExpired})
--- a/internal/journal/publisher.go
+++ b/internal/journal/publisher.go
@@ -99,14 +99,31 @@
 }
 
 // ObserveSnapshot tells the publisher that the reader went on from a snapshot of
-// the given offset. The lookup returns the snapshot's decision on an entry ID.
+// the given offset. The lookup returns the snapshot's decision on an entry ID; it
+// may wait for a goroutine that calls Submit.
 func (p *Publisher) ObserveSnapshot(offset int64, lookup func(entryID string) (Decision, bool)) {
+	asked := make(map[string]lookedUp)
+	for _, id := range p.unsettledIDs() {
+		decision, ok := lookup(id)
+		asked[id] = lookedUp{decision, ok}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.outbox.jumped(offset, lookup)
+	p.outbox.jumped(offset, asked)
 	p.signal()
 }
 
+// unsettledIDs returns the IDs of the entries in doubt.
+func (p *Publisher) unsettledIDs() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []string
+	for _, held := range p.outbox.unsettled() {
+		ids = append(ids, held.entry.ID)
+	}
+	return ids
+}
+
 // Flush waits until nothing is queued or being sent, or ctx ends. Entries in
 // doubt may remain.
 func (p *Publisher) Flush(ctx context.Context) error {
--- /dev/null
+++ b/internal/peer/control.go
@@ -0,0 +1,224 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/control"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/membership"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/peer/peerpb"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+)
+
+// Heartbeat sends a heartbeat and returns the peer's own.
+func (c *Clients) Heartbeat(ctx context.Context, address string, h membership.Heartbeat) (membership.Heartbeat, error) {
+	reply, err := call(ctx, func(ctx context.Context) (*peerpb.HeartbeatMessage, error) {
+		return c.at(address).control.Heartbeat(ctx, heartbeatTo(h))
+	})
+	if err != nil {
+		return membership.Heartbeat{}, err
+	}
+	return heartbeatFrom(reply), nil
+}
+
+// OfferJob offers a job that is not in the log to a term holder.
+func (c *Clients) OfferJob(ctx context.Context, address string, o control.JobOffer) (control.OfferAnswer, error) {
+	job, err := json.Marshal(o.Job)
+	if err != nil {
+		return control.OfferAnswer{}, fmt.Errorf("%w: encode job: %w", platform.ErrUnavailable, err)
+	}
+	in := &peerpb.OfferJobRequest{Job: job, Acceptor: string(o.Acceptor), Attempt: string(o.Attempt)}
+	reply, err := call(ctx, func(ctx context.Context) (*peerpb.OfferJobReply, error) {
+		return c.at(address).control.OfferJob(ctx, in)
+	})
+	if err != nil {
+		return control.OfferAnswer{}, err
+	}
+	return control.OfferAnswer{Accepted: reply.Accepted, Reason: model.Reason(reply.Reason)}, nil
+}
+
+// HandOverTerm offers a term to its successor.
+func (c *Clients) HandOverTerm(ctx context.Context, address string, o control.TermOffer) (bool, error) {
+	in := &peerpb.HandOverTermRequest{
+		Az:              string(o.AZ),
+		TermOffset:      o.Token.Offset,
+		TermRank:        int32(o.Token.Rank),
+		FromIncarnation: string(o.From),
+	}
+	reply, err := call(ctx, func(ctx context.Context) (*peerpb.HandOverTermReply, error) {
+		return c.at(address).control.HandOverTerm(ctx, in)
+	})
+	if err != nil {
+		return false, err
+	}
+	return reply.Accepted, nil
+}
+
+// fetch asks one VM for log records.
+func (c *Clients) fetch(ctx context.Context, address string, from int64, limit int) (journal.Fetched, error) {
+	in := &peerpb.FetchRequest{From: from, Limit: int32(limit)}
+	reply, err := call(ctx, func(ctx context.Context) (*peerpb.FetchReply, error) {
+		return c.at(address).control.FetchRecords(ctx, in)
+	})
+	if err != nil {
+		return journal.Fetched{}, err
+	}
+	return fetchedFrom(reply), nil
+}
+
+// Fetcher fetches log records from the VM that has applied the most.
+type Fetcher struct {
+	Clients *Clients
+	// Peers returns the addresses to try, the best first.
+	Peers func() []string
+}
+
+// Fetch asks the peers in turn. The error wraps platform.ErrUnavailable when none answered.
+func (f *Fetcher) Fetch(ctx context.Context, from int64, limit int) (journal.Fetched, error) {
+	err := fmt.Errorf("%w: no peer is known", platform.ErrUnavailable)
+	for _, address := range f.Peers() {
+		fetched, failure := f.Clients.fetch(ctx, address, from, limit)
+		if failure == nil && (fetched.Next > from || fetched.Snapshot != nil) {
+			return fetched, nil
+		}
+		if failure == nil {
+			err = nil
+			continue
+		}
+		if err != nil {
+			err = fmt.Errorf("%w: %s: %w", platform.ErrUnavailable, address, failure)
+		}
+	}
+	return journal.Fetched{Next: from}, err
+}
+
+// ControlServer serves the Control service.
+type ControlServer struct {
+	Loop *control.Loop
+	// Serve returns the log records that this VM keeps.
+	Serve func(from int64, limit int) journal.Fetched
+}
+
+// Heartbeat takes a heartbeat and answers with this VM's own.
+func (s *ControlServer) Heartbeat(ctx context.Context, in *peerpb.HeartbeatMessage) (*peerpb.HeartbeatMessage, error) {
+	return heartbeatTo(s.Loop.HandleHeartbeat(ctx, heartbeatFrom(in))), nil
+}
+
+// FetchRecords returns kept log records.
+func (s *ControlServer) FetchRecords(_ context.Context, in *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	return fetchedTo(s.Serve(in.From, int(in.Limit))), nil
+}
+
+// HandOverTerm takes over a term.
+func (s *ControlServer) HandOverTerm(ctx context.Context, in *peerpb.HandOverTermRequest) (*peerpb.HandOverTermReply, error) {
+	accepted, err := s.Loop.HandleTermOffer(ctx, control.TermOffer{
+		AZ:    model.AZ(in.Az),
+		Token: model.Token{Offset: in.TermOffset, Rank: int(in.TermRank)},
+		From:  model.Incarnation(in.FromIncarnation),
+	})
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &peerpb.HandOverTermReply{Accepted: accepted}, nil
+}
+
+// OfferJob takes a job that is not in the log.
+func (s *ControlServer) OfferJob(ctx context.Context, in *peerpb.OfferJobRequest) (*peerpb.OfferJobReply, error) {
+	var job model.Job
+	if err := json.Unmarshal(in.Job, &job); err != nil {
+		return nil, twirp.InvalidArgumentError("job", err.Error())
+	}
+	answer, err := s.Loop.HandleOffer(ctx, control.JobOffer{
+		Job:      job,
+		Acceptor: model.Incarnation(in.Acceptor),
+		Attempt:  model.AttemptID(in.Attempt),
+	})
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &peerpb.OfferJobReply{Accepted: answer.Accepted, Reason: string(answer.Reason)}, nil
+}
+
+func heartbeatTo(h membership.Heartbeat) *peerpb.HeartbeatMessage {
+	out := &peerpb.HeartbeatMessage{
+		Incarnation:       string(h.Incarnation),
+		Address:           h.Address,
+		Az:                string(h.AZ),
+		AppliedOffset:     h.Applied,
+		PlatformReachable: h.LogReachable,
+		Leaving:           h.Leaving,
+		TermOffset:        h.Token.Offset,
+		TermRank:          int32(h.Token.Rank),
+		FreeSlots:         make(map[string]int32, len(h.FreeSlots)),
+	}
+	for _, id := range h.LeavingServers {
+		out.LeavingBackendServers = append(out.LeavingBackendServers, string(id))
+	}
+	for id, n := range h.FreeSlots {
+		out.FreeSlots[string(id)] = int32(n)
+	}
+	for _, id := range h.Cancelled {
+		out.CancelledJobs = append(out.CancelledJobs, string(id))
+	}
+	return out
+}
+
+func heartbeatFrom(m *peerpb.HeartbeatMessage) membership.Heartbeat {
+	h := membership.Heartbeat{
+		Incarnation:  model.Incarnation(m.Incarnation),
+		Address:      m.Address,
+		AZ:           model.AZ(m.Az),
+		Applied:      m.AppliedOffset,
+		LogReachable: m.PlatformReachable,
+		Leaving:      m.Leaving,
+		Token:        model.Token{Offset: m.TermOffset, Rank: int(m.TermRank)},
+		FreeSlots:    make(map[model.BackendServerID]int, len(m.FreeSlots)),
+	}
+	for _, id := range m.LeavingBackendServers {
+		h.LeavingServers = append(h.LeavingServers, model.BackendServerID(id))
+	}
+	for id, n := range m.FreeSlots {
+		h.FreeSlots[model.BackendServerID(id)] = int(n)
+	}
+	for _, id := range m.CancelledJobs {
+		h.Cancelled = append(h.Cancelled, model.JobID(id))
+	}
+	return h
+}
+
+func fetchedTo(f journal.Fetched) *peerpb.FetchReply {
+	out := &peerpb.FetchReply{Next: f.Next}
+	for _, r := range f.Records {
+		out.Records = append(out.Records, &peerpb.LogRecord{
+			Offset:     r.Offset,
+			TimeUnixMs: r.Time.UnixMilli(),
+			Data:       r.Data,
+		})
+	}
+	if f.Snapshot != nil {
+		out.SnapshotOffset = f.Snapshot.Offset
+		out.Snapshot = f.Snapshot.State
+	}
+	return out
+}
+
+func fetchedFrom(r *peerpb.FetchReply) journal.Fetched {
+	f := journal.Fetched{Next: r.Next}
+	for _, record := range r.Records {
+		f.Records = append(f.Records, platform.Record{
+			Offset: record.Offset,
+			Time:   time.UnixMilli(record.TimeUnixMs).UTC(),
+			Data:   record.Data,
+		})
+	}
+	if len(r.Snapshot) > 0 {
+		f.Snapshot = &journal.Snapshot{Offset: r.SnapshotOffset, State: r.Snapshot}
+	}
+	return f
+}
--- /dev/null
+++ b/internal/peer/dispatch.go
@@ -0,0 +1,174 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/dispatch"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/peer/peerpb"
+)
+
+// Forward runs a request at another VM.
+func (c *Clients) Forward(ctx context.Context, address string, r dispatch.Request) (dispatch.Result, error) {
+	in := &peerpb.ForwardRequest{
+		RequestId:    string(r.ID),
+		Ticket:       r.Ticket,
+		Kind:         r.Kind,
+		Organisation: string(r.Organisation),
+		Caller:       string(r.Caller),
+		Body:         r.Body,
+		Hops:         int32(r.Hops),
+	}
+	if !r.Deadline.IsZero() {
+		in.DeadlineUnixMs = r.Deadline.UnixMilli()
+	}
+	reply, err := call(ctx, func(ctx context.Context) (*peerpb.OutcomeReply, error) {
+		return c.at(address).dispatch.Forward(ctx, in)
+	})
+	if err != nil {
+		return dispatch.Result{}, err
+	}
+	return resultFrom(reply), nil
+}
+
+// Lookup asks another VM for the outcome of a request.
+func (c *Clients) Lookup(ctx context.Context, address string, id model.RequestID, ticket string) (dispatch.Result, error) {
+	in := &peerpb.LookupRequest{RequestId: string(id), Ticket: ticket}
+	reply, err := call(ctx, func(ctx context.Context) (*peerpb.OutcomeReply, error) {
+		return c.at(address).dispatch.Lookup(ctx, in)
+	})
+	if err != nil {
+		return dispatch.Result{}, err
+	}
+	return resultFrom(reply), nil
+}
+
+// HandOver moves the arbitration of tickets to another VM.
+func (c *Clients) HandOver(ctx context.Context, address string, from model.Incarnation, tickets []dispatch.TicketState) error {
+	in := &peerpb.HandOverTicketsRequest{FromIncarnation: string(from)}
+	for _, t := range tickets {
+		in.Tickets = append(in.Tickets, ticketTo(t))
+	}
+	reply, err := call(ctx, func(ctx context.Context) (*peerpb.HandOverTicketsReply, error) {
+		return c.at(address).dispatch.HandOverTickets(ctx, in)
+	})
+	if err != nil {
+		return err
+	}
+	if !reply.Accepted {
+		return fmt.Errorf("%s did not accept the tickets", address)
+	}
+	return nil
+}
+
+// DispatchServer serves the Dispatch service from a dispatcher.
+type DispatchServer struct {
+	Service dispatch.Service
+}
+
+// Forward runs a request for another VM.
+func (s *DispatchServer) Forward(ctx context.Context, in *peerpb.ForwardRequest) (*peerpb.OutcomeReply, error) {
+	r := dispatch.Request{
+		ID:           model.RequestID(in.RequestId),
+		Ticket:       in.Ticket,
+		Kind:         in.Kind,
+		Organisation: model.OrganisationID(in.Organisation),
+		Caller:       model.CallerID(in.Caller),
+		Body:         in.Body,
+		Hops:         int(in.Hops),
+	}
+	if in.DeadlineUnixMs != 0 {
+		r.Deadline = time.UnixMilli(in.DeadlineUnixMs)
+	}
+	return replyFrom(s.Service.Do(ctx, r)), nil
+}
+
+// Lookup returns the outcome known here. The error is NotFound for a request
+// that this VM does not know.
+func (s *DispatchServer) Lookup(ctx context.Context, in *peerpb.LookupRequest) (*peerpb.OutcomeReply, error) {
+	result, ok := s.Service.Known(ctx, model.RequestID(in.RequestId), in.Ticket)
+	if !ok {
+		return nil, twirp.NotFoundError("request is not known here")
+	}
+	return replyFrom(result), nil
+}
+
+// HandOverTickets takes over the arbitration of tickets.
+func (s *DispatchServer) HandOverTickets(_ context.Context, in *peerpb.HandOverTicketsRequest) (*peerpb.HandOverTicketsReply, error) {
+	tickets := make([]dispatch.TicketState, 0, len(in.Tickets))
+	for _, t := range in.Tickets {
+		tickets = append(tickets, ticketFrom(t))
+	}
+	err := s.Service.Accept(model.Incarnation(in.FromIncarnation), tickets)
+	return &peerpb.HandOverTicketsReply{Accepted: err == nil}, nil
+}
+
+func resultFrom(r *peerpb.OutcomeReply) dispatch.Result {
+	return dispatch.Result{
+		Request:    model.RequestID(r.RequestId),
+		Outcome:    model.Outcome(r.Outcome),
+		Reason:     model.Reason(r.Reason),
+		Body:       r.Body,
+		Digest:     r.Digest,
+		RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond,
+	}
+}
+
+func replyFrom(r dispatch.Result) *peerpb.OutcomeReply {
+	return &peerpb.OutcomeReply{
+		RequestId:    string(r.Request),
+		Outcome:      string(r.Outcome),
+		Reason:       string(r.Reason),
+		Body:         r.Body,
+		Length:       int64(len(r.Body)),
+		Digest:       r.Digest,
+		RetryAfterMs: r.RetryAfter.Milliseconds(),
+	}
+}
+
+func ticketTo(t dispatch.TicketState) *peerpb.TicketState {
+	out := &peerpb.TicketState{
+		Ticket:        t.Ticket,
+		RequestId:     string(t.Request),
+		BackendServer: t.Backend,
+		InFlight:      t.InFlight,
+		Binding:       t.Binding,
+		BodyDropped:   t.BodyDropped,
+	}
+	if t.Result != nil {
+		out.Outcome = string(t.Result.Outcome)
+		out.Reason = string(t.Result.Reason)
+		out.Body = t.Result.Body
+		out.Digest = t.Result.Digest
+		out.RetryAfterMs = t.Result.RetryAfter.Milliseconds()
+	}
+	return out
+}
+
+func ticketFrom(t *peerpb.TicketState) dispatch.TicketState {
+	out := dispatch.TicketState{
+		Ticket:   t.Ticket,
+		Request:  model.RequestID(t.RequestId),
+		InFlight: t.InFlight,
+		Backend:  t.BackendServer,
+		Binding:  t.Binding,
+
+		BodyDropped: t.BodyDropped,
+	}
+	if t.Outcome != "" {
+		out.Result = &dispatch.Result{
+			Request: out.Request,
+			Outcome: model.Outcome(t.Outcome),
+			Reason:  model.Reason(t.Reason),
+			Body:    t.Body,
+			Digest:  t.Digest,
+
+			RetryAfter: time.Duration(t.RetryAfterMs) * time.Millisecond,
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/vm/node.go
@@ -0,0 +1,144 @@
+// Package vm assembles a VM from its parts and runs it until a planned stop.
+package vm
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/command"
+	"github.com/eelgrassreach/eelgrassreach/internal/config"
+	"github.com/eelgrassreach/eelgrassreach/internal/control"
+	"github.com/eelgrassreach/eelgrassreach/internal/dispatch"
+	"github.com/eelgrassreach/eelgrassreach/internal/httpapi"
+	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/peer"
+	"github.com/eelgrassreach/eelgrassreach/internal/peer/peerpb"
+	"github.com/eelgrassreach/eelgrassreach/internal/placement"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/query"
+	"github.com/eelgrassreach/eelgrassreach/internal/replica"
+	"github.com/eelgrassreach/eelgrassreach/internal/settings"
+	"github.com/eelgrassreach/eelgrassreach/internal/telemetry"
+)
+
+// logConnections bounds the connections to the platform: a long poll, an append,
+// the VM list, and one to spare.
+const logConnections = 4
+
+// node is a VM's parts.
+type node struct {
+	identity  control.Identity
+	logger    *zap.Logger
+	control   *control.Loop
+	dispatch  *dispatch.Dispatcher
+	publisher *journal.Publisher
+	follower  *journal.Follower
+	gate      *command.Gate
+	draining  atomic.Bool
+	handler   http.Handler
+}
+
+// assemble connects the parts. Nothing runs yet.
+func assemble(s settings.Serve, logger *zap.Logger, metrics *telemetry.Metrics) *node {
+	n := &node{
+		identity: control.Identity{
+			Incarnation: model.Incarnation(model.RandomID()),
+			Address:     s.Advertise,
+			AZ:          s.AZ,
+			Region:      s.Region,
+		},
+		logger: logger,
+		gate:   command.NewGate(),
+	}
+	reporter := invariant.NewCounter(metrics.Scope, logger)
+	client := platform.NewHTTPClient(logConnections, false)
+	log := platform.NewLogClient(s.Platform, client)
+	dialer := platform.NewHTTPDialer(platform.DialerOptions{ConnectionsPerServer: s.MaxConns})
+	peers := peer.NewClients()
+
+	n.publisher = journal.NewPublisher(log, journal.PublisherOptions{AppendsPerSecond: s.AppendRate})
+	n.control = control.New(control.Options{
+		Identity: n.identity,
+		Replica:  replica.New(config.NewState()),
+		Policy:   placement.Reclaiming{},
+		Appender: &appender{publisher: n.publisher, appended: n.appended},
+		Dialer:   dialer,
+		VMs:      platform.NewVMListClient(s.Platform, client),
+		Peers:    peers,
+		Reporter: reporter,
+	})
+	n.follower = journal.NewFollower(log, &peer.Fetcher{Clients: peers, Peers: n.freshestPeers}, &logSink{Loop: n.control, publisher: n.publisher}, journal.FollowerOptions{})
+	n.dispatch = dispatch.New(dispatch.Options{
+		Address:     s.Advertise,
+		Incarnation: n.identity.Incarnation,
+		Ports:       dispatch.Ports{View: n.trafficView(), Dialer: dialer, Peers: peers},
+		Reporter:    reporter,
+		Metrics:     metrics.Scope,
+	})
+	n.handler = n.router(s, metrics, peers)
+	return n
+}
+
+// router builds the HTTP handler over commands, queries and peer services.
+func (n *node) router(s settings.Serve, metrics *telemetry.Metrics, peers *peer.Clients) http.Handler {
+	return httpapi.NewRouter(httpapi.Options{
+		Commands: &command.Handler{
+			Control:   n.control,
+			Dispatch:  n.dispatch,
+			Check:     checkRecords,
+			TicketTTL: s.TicketTTL,
+			Gate:      n.gate,
+		},
+		Queries: &query.Handler{
+			Control:  n.control,
+			Dispatch: n.dispatch,
+			Render:   func(v *control.View) []json.RawMessage { return config.Render(v.Config) },
+			Draining: n.draining.Load,
+		},
+		Metrics: metrics.Handler,
+		Peers: []httpapi.PeerService{
+			peerpb.NewControlServer(&peer.ControlServer{Loop: n.control, Serve: n.follower.Serve}),
+			peerpb.NewDispatchServer(&peer.DispatchServer{Service: n.dispatch}),
+		},
+		Logger:  n.logger,
+		MaxBody: s.MaxBody,
+		Now:     time.Now,
+	})
+}
+
+// start runs the parts until ctx ends; the returned channel closes when all have ended.
+func (n *node) start(ctx context.Context) <-chan struct{} {
+	var group sync.WaitGroup
+	for _, run := range []func(context.Context){n.publisher.Run, n.control.Run, n.follower.Run, n.dispatch.Run} {
+		group.Go(func() { run(ctx) })
+	}
+	finished := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(finished)
+	}()
+	return finished
+}
+
+// freshestPeers returns the addresses of live peers, the one that applied most first.
+func (n *node) freshestPeers() []string {
+	peers := slices.Clone(n.control.View().Peers)
+	slices.SortStableFunc(peers, func(a, b control.PeerState) int { return cmp.Compare(b.Applied, a.Applied) })
+	addresses := make([]string, 0, len(peers))
+	for _, p := range peers {
+		if p.Alive {
+			addresses = append(addresses, p.Address)
+		}
+	}
+	return addresses
+}
