--- a/internal/control/action.go
+++ b/internal/control/action.go
@@ -52,6 +52,9 @@
 	Offer   TermOffer
 }
 
+// Restored tells the publisher that the replica went on from a snapshot.
+type Restored struct{ Offset int64 }
+
 // Report passes a violated promise to the invariant reporter.
 type Report struct{ Violation invariant.Violation }
 
@@ -103,6 +106,7 @@
 func (SendHeartbeat) action()  {}
 func (SendOffer) action()      {}
 func (SendTermOffer) action()  {}
+func (Restored) action()       {}
 func (Report) action()         {}
 func (SubmitReply) action()    {}
 func (CancelReply) action()    {}
--- a/internal/control/check.go
+++ b/internal/control/check.go
@@ -11,7 +11,7 @@
 	for _, id := range sortedKeys(s.gangs) {
 		s.checkWhole(s.gangs[id])
 	}
-	s.checkAccelerators()
+	s.checkSingle()
 }
 
 // checkWhole reports a gang that is kept going although a member has ended early.
@@ -34,21 +34,20 @@
 	}
 }
 
-// checkAccelerators reports a backend server with more accelerators promised than it has.
-func (s *State) checkAccelerators() {
-	for _, id := range sortedKeys(s.servers) {
-		v := s.servers[id]
-		promised := 0
-		for _, ref := range s.tasks[id] {
-			if !ref.member.ended() && ref.gang.phase != JobStopping {
-				promised += ref.member.accelerators
-			}
+// checkSingle reports a job that runs here although replay gave the permit for
+// another attempt.
+func (s *State) checkSingle() {
+	for _, id := range sortedKeys(s.gangs) {
+		g := s.gangs[id]
+		j := s.replica.Job(id)
+		if j == nil || j.Job.Idempotent || !g.startSent || g.phase == JobStopping {
+			continue
 		}
-		if promised > v.info.Accelerators {
+		if !j.Attempt.Open || j.Attempt.ID != g.attempt {
 			s.violated(invariant.Violation{
-				Promise: invariant.NoDoublePromise,
-				Server:  id,
-				Detail:  fmt.Sprintf("%d accelerators promised of %d", promised, v.info.Accelerators),
+				Promise: invariant.NoDoubleAttempt,
+				Job:     id,
+				Detail:  fmt.Sprintf("attempt %s runs, replay names %s", g.attempt, j.Attempt.ID),
 			})
 		}
 	}
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -12,6 +12,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/placement"
 	"github.com/eelgrassreach/eelgrassreach/internal/platform"
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
 )
@@ -144,7 +145,7 @@
 	name := fmt.Sprintf("vm%d", len(c.nodes))
 	id := Identity{Incarnation: model.Incarnation("i-" + name), Address: name, AZ: testZone}
 	n := &node{name: name, next: 1}
-	n.state = NewState(id, c.settings, replica.New(fixedConfig{c.config}), firstFit{}, c.newID)
+	n.state = NewState(id, c.settings, replica.New(fixedConfig{c.config}), placement.Reclaiming{}, c.newID)
 	c.nodes = append(c.nodes, n)
 	c.vms = append(c.vms, platform.VMEntry{Address: name, Role: platform.RoleEntry, AZ: testZone, State: platform.VMLive})
 	return n
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
@@ -27,8 +28,17 @@
 	sent  time.Time
 }
 
-// submitEntry gives an entry to the log under the ID and follows it up. A body
-// that cannot be encoded is a programming error.
+// resubmitMark separates the key of an entry from the offset at which an earlier
+// copy came too late. Every entry with such copies is idempotent by its content.
+const resubmitMark = "~"
+
+func entryKey(id string) string {
+	key, _, _ := strings.Cut(id, resubmitMark)
+	return key
+}
+
+// submitEntry gives an entry to the log under the key as ID and follows it up. A
+// body that cannot be encoded is a programming error.
 func (s *State) submitEntry(id string, kind journal.Kind, body any, retry bool) {
 	if s.entries[id] != nil {
 		return
@@ -56,8 +66,8 @@
 }
 
 func (s *State) entryAppended(a EntryAppended) {
-	e := s.entries[a.Result.EntryID]
-	if e == nil {
+	e := s.entries[entryKey(a.Result.EntryID)]
+	if e == nil || e.entry.ID != a.Result.EntryID {
 		return
 	}
 	switch a.Result.State {
@@ -69,7 +79,7 @@
 	case journal.AppendNotSent:
 		e.state = appendNotSent
 		if !e.retry {
-			delete(s.entries, e.entry.ID)
+			delete(s.entries, entryKey(e.entry.ID))
 		}
 		s.appendFailed(e.entry)
 	}
@@ -90,6 +100,12 @@
 
 // resolve ends the wait for an entry.
 func (s *State) resolve(id string, d journal.Decision) {
+	id = entryKey(id)
+	if e := s.entries[id]; e != nil && e.retry && d.Verdict == journal.VerdictExpired {
+		e.entry.ID = fmt.Sprintf("%s%s%d", id, resubmitMark, d.Offset)
+		e.state = appendNotSent
+		return
+	}
 	delete(s.entries, id)
 	for _, w := range s.takeWaiters(id) {
 		w.decided(s, d)
@@ -114,7 +130,7 @@
 	case journal.KindTerm:
 		s.term.claim = ""
 	}
-	for _, w := range s.takeWaiters(e.ID) {
+	for _, w := range s.takeWaiters(entryKey(e.ID)) {
 		w.notSent(s)
 	}
 }
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -8,7 +8,6 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/config"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/placement"
 	"github.com/eelgrassreach/eelgrassreach/internal/platform"
 )
 
@@ -18,55 +17,11 @@
 func (c fixedConfig) Apply(journal.Located) journal.Decision {
 	return journal.Decision{Verdict: journal.VerdictAccepted}
 }
-func (c fixedConfig) Current() *config.Current { return c.current }
-func (c fixedConfig) Stalled() string          { return "" }
-func (c fixedConfig) Encode() ([]byte, error)  { return json.Marshal("fixed") }
-func (c fixedConfig) Restore([]byte) error     { return nil }
-
-// firstFit places gangs on the first usable servers, whatever the adjacency.
-type firstFit struct{}
-
-func (firstFit) Decide(z placement.Zone, pending []placement.Gang) placement.Plan {
-	free := make(map[model.BackendServerID]int)
-	for _, v := range z.Servers {
-		if v.Usable {
-			free[v.ID] = v.Accelerators
-		}
-	}
-	for _, p := range z.Placed {
-		for _, m := range p.Members {
-			free[m.Server] -= m.Accelerators
-		}
-	}
-	var plan placement.Plan
-	for _, g := range pending {
-		members := firstFitMembers(z, free, g)
-		if members == nil {
-			plan.Waiting = append(plan.Waiting, placement.Waiting{Job: g.Job, Reason: placement.WaitCapacity})
-			continue
-		}
-		for _, m := range members {
-			free[m.Server] -= m.Accelerators
-		}
-		plan.Starts = append(plan.Starts, placement.Start{Job: g.Job, Members: members})
-	}
-	return plan
-}
-
-func firstFitMembers(z placement.Zone, free map[model.BackendServerID]int, g placement.Gang) []placement.Member {
-	var members []placement.Member
-	used := make(map[model.BackendServerID]int)
-	for _, v := range z.Servers {
-		for len(members) < g.Shape.Tasks && free[v.ID]-used[v.ID] >= g.Shape.Accelerators {
-			used[v.ID] += g.Shape.Accelerators
-			members = append(members, placement.Member{Server: v.ID, Accelerators: g.Shape.Accelerators})
-		}
-	}
-	if len(members) < g.Shape.Tasks {
-		return nil
-	}
-	return members
-}
+func (c fixedConfig) Current() *config.Current       { return c.current }
+func (c fixedConfig) Stalled() string                { return "" }
+func (c fixedConfig) History(int) []journal.Decision { return nil }
+func (c fixedConfig) Encode() ([]byte, error)        { return json.Marshal("fixed") }
+func (c fixedConfig) Restore([]byte) error           { return nil }
 
 // fakeTask is a task on a fakeServer.
 type fakeTask struct {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -141,6 +141,7 @@
 // Records implements journal.Sink.
 func (l *Loop) Records(entries []journal.Located, next int64) {
 	l.post(context.Background(), EntriesRead{Entries: entries, Next: next})
+	l.options.Log.Observe(entries, next)
 }
 
 // Snapshot implements journal.Sink.
@@ -151,11 +152,6 @@
 // Reachable implements journal.Sink.
 func (l *Loop) Reachable(ok bool) { l.post(context.Background(), LogReachable{OK: ok}) }
 
-// Appended takes the result of an append.
-func (l *Loop) Appended(r journal.AppendResult) {
-	l.post(context.Background(), EntryAppended{Result: r})
-}
-
 // HandleHeartbeat takes a peer's heartbeat and returns the own one.
 func (l *Loop) HandleHeartbeat(ctx context.Context, h membership.Heartbeat) membership.Heartbeat {
 	l.post(ctx, HeartbeatReceived{Heartbeat: h})
@@ -169,7 +165,9 @@
 func (l *Loop) carryOut(ctx context.Context, a Action) {
 	switch a := a.(type) {
 	case Append:
-		l.options.Appender.Submit(a.Entry)
+		l.append(ctx, a.Entry)
+	case Restored:
+		l.options.Log.ObserveSnapshot(a.Offset, l.options.Replica.Decision)
 	case Command:
 		l.work.Go(func() { l.post(ctx, l.command(ctx, a)) })
 	case PollStatus:
@@ -187,6 +185,16 @@
 	}
 }
 
+// append gives an entry to the publisher and posts what becomes of it.
+func (l *Loop) append(ctx context.Context, e journal.Entry) {
+	err := l.options.Log.Submit(e, func(r journal.AppendResult) { l.post(ctx, EntryAppended{Result: r}) })
+	if err == nil {
+		return
+	}
+	result := journal.AppendResult{EntryID: e.ID, State: journal.AppendNotSent, Err: err}
+	l.work.Go(func() { l.post(ctx, EntryAppended{Result: result}) })
+}
+
 // command sends a batch unless this VM was paused past the time for it.
 func (l *Loop) command(ctx context.Context, a Command) Event {
 	answered := CommandAnswered{Server: a.Server, Batch: a.Batch}
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/placement"
@@ -16,6 +17,7 @@
 	dirty         bool
 	decided       time.Time
 	waiting       map[model.JobID]model.Reason
+	noCellSince   map[model.JobID]time.Time // when a job was first found to fit no healthy cell
 	risks         []placement.Risk
 	fragmentation float64
 }
@@ -25,19 +27,34 @@
 // place decides on all pending jobs when something has changed.
 func (s *State) place() {
 	s.wakeDelayed()
+	s.wakeWaiting()
 	if !s.placement.dirty || !s.settled() {
 		return
 	}
 	s.placement.dirty = false
 	s.placement.decided = s.now
-	pending := s.pending()
-	plan := s.policy.Decide(s.zone(), pending)
+	plan := s.policy.Decide(s.zone(), s.pending())
+	s.keepWaiting(plan)
+	s.applyPlan(plan)
+	s.checkPlan(plan)
+}
+
+// keepWaiting records why gangs wait and what the decision measured.
+func (s *State) keepWaiting(plan placement.Plan) {
 	s.placement.waiting = make(map[model.JobID]model.Reason, len(plan.Waiting))
 	for _, w := range plan.Waiting {
 		s.placement.waiting[w.Job] = model.Reason(w.Reason)
+		if w.Reason == placement.WaitNoHealthyCell {
+			s.noteNoCell(w.Job)
+		}
 	}
 	s.placement.risks = plan.Risks
 	s.placement.fragmentation = plan.Fragmentation
+}
+
+func (s *State) applyPlan(plan placement.Plan) {
+	s.setBorrowed(plan.Promotions, false)
+	s.setBorrowed(plan.Demotions, true)
 	for _, e := range plan.Evictions {
 		if g := s.gangs[e.Job]; g != nil && g.phase != JobStopping && g.phase != JobCheckpointing {
 			s.evict(g, ReasonPreempted)
@@ -48,6 +65,35 @@
 	}
 }
 
+func (s *State) setBorrowed(jobs []model.JobID, borrowed bool) {
+	for _, id := range jobs {
+		if g := s.gangs[id]; g != nil {
+			g.borrowed = borrowed
+		}
+	}
+}
+
+// checkPlan checks the promises on the zone as the plan left it.
+func (s *State) checkPlan(plan placement.Plan) {
+	zone := s.zone()
+	found := invariant.CheckReclaimable(zone, plan)
+	found = append(found, invariant.CheckNoDoublePromise(zone)...)
+	found = append(found, invariant.CheckWholeGangs(zone)...)
+	for _, v := range found {
+		s.violated(v)
+	}
+}
+
+// ageInterval is the time between decisions on gangs that only grow older.
+const ageInterval = time.Second
+
+// wakeWaiting has waiting gangs decided again, since reservations go by age.
+func (s *State) wakeWaiting() {
+	if len(s.placement.waiting) > 0 && s.now.Sub(s.placement.decided) >= ageInterval {
+		s.placement.dirty = true
+	}
+}
+
 // wakeDelayed lets refused gangs be placed again when their delay is over.
 func (s *State) wakeDelayed() {
 	for id, t := range s.delayed {
@@ -216,7 +262,7 @@
 func (s *State) claimNotSent(e journal.Entry) {
 	for _, id := range sortedKeys(s.gangs) {
 		g := s.gangs[id]
-		if g.claim == e.ID && g.permit == permitClaimed {
+		if g.claim == entryKey(e.ID) && g.permit == permitClaimed {
 			s.stop(g, ending{result: replica.ResultRetry, reason: ReasonLogDown})
 		}
 	}
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -12,10 +12,16 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
 )
 
-// Appender gives entries to the log. It does not block; results come back through
-// Loop.Appended.
-type Appender interface {
-	Submit(e journal.Entry)
+// Publisher gives entries to the log and follows what was read back.
+// journal.Publisher is one.
+type Publisher interface {
+	// Submit queues an entry without blocking; done is called with each state of the
+	// append. On an error the entry was not taken and done is not called.
+	Submit(e journal.Entry, done func(journal.AppendResult)) error
+	// Observe tells which entries were read back.
+	Observe(entries []journal.Located, next int64)
+	// ObserveSnapshot tells that reading went on from a snapshot.
+	ObserveSnapshot(offset int64, lookup func(entryID string) (journal.Decision, bool))
 }
 
 // Peers calls other VMs. Errors wrap platform.ErrUnavailable when the peer
@@ -32,7 +38,7 @@
 	Settings Settings // zero: DefaultSettings
 	Replica  *replica.State
 	Policy   placement.Policy
-	Appender Appender
+	Log      Publisher
 	Dialer   platform.Dialer
 	VMs      platform.VMList
 	Peers    Peers
--- a/internal/control/reason.go
+++ b/internal/control/reason.go
@@ -11,7 +11,6 @@
 	ReasonNotReady         model.Reason = "not ready"
 	ReasonLeaving          model.Reason = "this VM is leaving"
 	ReasonUnknownTenant    model.Reason = "unknown organisation"
-	ReasonInvalidShape     model.Reason = "invalid shape"
 	ReasonNeverFits        model.Reason = "no availability zone can ever hold the shape"
 	ReasonNoHolder         model.Reason = "the home availability zone has no reachable term holder"
 	ReasonPermitElsewhere  model.Reason = "the start permit was given to another VM"
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
@@ -35,8 +36,8 @@
 	SubmitWait        time.Duration // for read-back before a submission is answered
 	RetryDelay        time.Duration // before a refused gang is placed again
 	DrainWait         time.Duration // for a successor to take over
-	SnapshotOffsets   int64         // log offsets between snapshots
 	FailedServers     int           // healthy backend servers that fail a job before it is ended
+	Snapshot          journal.SnapshotRule
 }
 
 // DefaultSettings returns the settings used in production.
@@ -58,7 +59,6 @@
 		SubmitWait:        time.Second,
 		RetryDelay:        500 * time.Millisecond,
 		DrainWait:         3 * time.Second,
-		SnapshotOffsets:   2_000,
 		FailedServers:     3,
 	}
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -11,7 +11,13 @@
 // Only the term holder of the lowest-named availability zone does.
 func (s *State) snapshot() {
 	applied := s.replica.Applied()
-	if !s.log.reachable || applied-s.replica.SnapshotOffset() < s.settings.SnapshotOffsets {
+	due := s.settings.Snapshot.SnapshotDue(journal.SnapshotState{
+		Applied:    applied,
+		Snapshot:   s.replica.SnapshotOffset(),
+		SnapshotAt: s.replica.SnapshotTime(),
+		Now:        s.now,
+	})
+	if !s.log.reachable || !due {
 		return
 	}
 	if !s.lowestZone() || s.snapshotPending() {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -160,6 +160,7 @@
 	s.recordOutcomes()
 	s.expireWaiters()
 	if s.acting() {
+		s.probeQuarantined()
 		s.superviseGangs()
 		s.place()
 		s.renew()
--- a/internal/control/submit.go
+++ b/internal/control/submit.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"time"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/config"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
@@ -64,17 +63,15 @@
 		return &Refusal{Reason: ReasonLeaving, Message: "this VM is leaving", RetryAfter: time.Second}
 	case job.ID == "":
 		return &Refusal{Reason: ReasonMalformed, Message: "job without ID"}
-	case !job.Shape.Adjacency.Valid() || job.Shape.Tasks < 1 || job.Shape.Accelerators < 1:
-		return &Refusal{Reason: ReasonInvalidShape, Message: "tasks and accelerators must be at least 1 and the adjacency known"}
 	}
 	cfg := s.replica.Config().Current()
 	org, ok := cfg.Organisations[job.Organisation]
 	if !ok {
 		return &Refusal{Reason: ReasonUnknownTenant, Message: "unknown organisation " + string(job.Organisation)}
 	}
-	home, ok := s.chooseHome(cfg, org, *job)
-	if !ok {
-		return &Refusal{Reason: ReasonNeverFits, Message: "no availability zone can ever hold the shape"}
+	home, err := s.chooseHome(cfg, org, job.Shape)
+	if err != nil {
+		return shapeRefusal(err)
 	}
 	job.HomeAZ = home
 	return nil
@@ -108,7 +105,7 @@
 
 // acceptInDoubt answers a submission that counts as recorded from now on.
 func (s *State) acceptInDoubt(e journal.Entry) {
-	for _, w := range s.takeWaiters(e.ID) {
+	for _, w := range s.takeWaiters(entryKey(e.ID)) {
 		w.notSent(s)
 	}
 }
@@ -175,22 +172,3 @@
 	l.returnedAt = s.now
 	delete(s.outcomes, g.job.ID)
 }
-
-// chooseHome picks the availability zone whose term holder schedules the job: the
-// own one when it can hold the shape, then one in which the organisation has a
-// guarantee, then any.
-func (s *State) chooseHome(cfg *config.Current, org model.Organisation, job model.Job) (model.AZ, bool) {
-	fits := zonesThatFit(cfg, job.Shape)
-	if fits[s.self.AZ] {
-		return s.self.AZ, true
-	}
-	for _, g := range org.Guarantees {
-		if fits[g.AZ] {
-			return g.AZ, true
-		}
-	}
-	for _, az := range sortedKeys(fits) {
-		return az, true
-	}
-	return "", false
-}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -8,6 +8,9 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
 )
 
+// viewHistory is the number of decisions on configuration changes in a view.
+const viewHistory = 64
+
 // View returns an immutable picture of the state.
 func (s *State) View() *View {
 	v := &View{
@@ -23,13 +26,12 @@
 		Terms:         s.viewTerms(),
 		Backends:      s.viewBackends(),
 		Peers:         s.viewPeers(),
+		ConfigHistory: s.replica.Config().History(viewHistory),
 		Fragmentation: s.placement.fragmentation,
 		Violations:    s.violations,
 	}
 	v.VMs, _ = s.peers.VMs()
-	for _, r := range s.placement.risks {
-		v.AtRisk = append(v.AtRisk, GuaranteeState{Organisation: r.Organisation, Guarantee: r.Guarantee, Honoured: r.Honoured})
-	}
+	v.AtRisk = s.viewRisks()
 	if !s.log.reachable {
 		v.PartialBecause = string(ReasonLogDown)
 	}
@@ -37,6 +39,43 @@
 	return v
 }
 
+// viewRisks lists the guarantees that the own zone cannot honour, when this VM
+// schedules it, and all those of zones from which no VM is heard any more.
+func (s *State) viewRisks() []GuaranteeState {
+	var list []GuaranteeState
+	if s.acting() {
+		for _, r := range s.placement.risks {
+			list = append(list, GuaranteeState{Organisation: r.Organisation, Guarantee: r.Guarantee, Honoured: r.Honoured})
+		}
+	}
+	silent := s.silentZones()
+	orgs := s.replica.Config().Current().Organisations
+	for _, id := range sortedKeys(orgs) {
+		for _, g := range orgs[id].Guarantees {
+			if silent[g.AZ] {
+				list = append(list, GuaranteeState{Organisation: id, Guarantee: g})
+			}
+		}
+	}
+	return list
+}
+
+// silentZones returns the other availability zones that have a term and no VM that
+// is heard from.
+func (s *State) silentZones() map[model.AZ]bool {
+	silent := make(map[model.AZ]bool)
+	if s.now.Sub(s.started) < remoteTimeoutFactor*s.settings.HolderTimeout {
+		return silent
+	}
+	s.replica.Terms(func(az model.AZ, _ replica.Term) { silent[az] = az != s.self.AZ })
+	for _, p := range s.peers.Peers() {
+		if s.peers.Alive(p, s.now) {
+			delete(silent, p.AZ)
+		}
+	}
+	return silent
+}
+
 func (s *State) viewTerms() map[model.AZ]TermState {
 	terms := make(map[model.AZ]TermState)
 	s.replica.Terms(func(az model.AZ, t replica.Term) {
--- a/internal/replica/encode.go
+++ b/internal/replica/encode.go
@@ -13,13 +13,13 @@
 // encoding is the serialized State. Lists are ordered, so that equal states have
 // equal encodings.
 type encoding struct {
-	Applied  int64              `json:"applied"`
-	Snapshot int64              `json:"snapshot"`
-	Config   json.RawMessage    `json:"config"`
-	Terms    map[model.AZ]Term  `json:"terms"`
-	Jobs     []*Job             `json:"jobs"`
-	Verdicts []journal.Decision `json:"verdicts"`
-	Ended    []endedJob         `json:"ended"`
+	Applied  int64             `json:"applied"`
+	Snapshot snapshotMark      `json:"snapshot"`
+	Config   json.RawMessage   `json:"config"`
+	Terms    map[model.AZ]Term `json:"terms"`
+	Jobs     []*Job            `json:"jobs"`
+	Verdicts json.RawMessage   `json:"verdicts"`
+	Ended    []endedJob        `json:"ended"`
 }
 
 // Encode returns the state in a deterministic form that Restore reads.
@@ -39,8 +39,8 @@
 		e.Jobs = append(e.Jobs, j)
 	}
 	slices.SortFunc(e.Jobs, func(a, b *Job) int { return cmp.Compare(a.Job.ID, b.Job.ID) })
-	for _, id := range s.verdicts.order {
-		e.Verdicts = append(e.Verdicts, s.verdicts.byID[id])
+	if e.Verdicts, err = s.verdicts.Encode(); err != nil {
+		return nil, fmt.Errorf("encode verdicts: %w", err)
 	}
 	return json.Marshal(e)
 }
@@ -51,6 +51,10 @@
 	if err := json.Unmarshal(data, &e); err != nil {
 		return fmt.Errorf("decode snapshot: %w", err)
 	}
+	verdicts, err := journal.RestoreDecided(e.Verdicts)
+	if err != nil {
+		return fmt.Errorf("restore verdicts: %w", err)
+	}
 	if err := s.config.Restore(e.Config); err != nil {
 		return fmt.Errorf("restore configuration: %w", err)
 	}
@@ -65,9 +69,6 @@
 	for _, j := range e.Jobs {
 		s.jobs[j.Job.ID] = j
 	}
-	s.verdicts = newVerdictLog()
-	for _, d := range e.Verdicts {
-		s.verdicts.add(d)
-	}
+	s.verdicts = verdicts
 	return nil
 }
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -4,6 +4,8 @@
 package replica
 
 import (
+	"time"
+
 	"github.com/eelgrassreach/eelgrassreach/internal/config"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
@@ -17,6 +19,8 @@
 	Current() *config.Current
 	// Stalled explains why newer records cannot be read; empty when they can.
 	Stalled() string
+	// History returns the newest decisions on changes, newest first.
+	History(limit int) []journal.Decision
 	// Encode returns the state in a deterministic form that Restore reads.
 	Encode() ([]byte, error)
 	// Restore replaces the state.
@@ -26,11 +30,11 @@
 // State is the replicated state. It is owned by one goroutine.
 type State struct {
 	applied  int64
-	snapshot int64
+	snapshot snapshotMark
 	config   Config
 	terms    map[model.AZ]Term
 	jobs     map[model.JobID]*Job
-	verdicts verdictLog
+	verdicts *journal.Decided
 	ended    endedQueue
 }
 
@@ -40,7 +44,7 @@
 		config:   cfg,
 		terms:    make(map[model.AZ]Term),
 		jobs:     make(map[model.JobID]*Job),
-		verdicts: newVerdictLog(),
+		verdicts: journal.NewDecided(),
 	}
 }
 
@@ -48,7 +52,17 @@
 func (s *State) Applied() int64 { return s.applied }
 
 // SnapshotOffset returns the offset of the newest snapshot record seen; 0 for none.
-func (s *State) SnapshotOffset() int64 { return s.snapshot }
+func (s *State) SnapshotOffset() int64 { return s.snapshot.Offset }
+
+// SnapshotTime returns when the log stored that snapshot or, for none, the first
+// record seen; zero before any.
+func (s *State) SnapshotTime() time.Time { return s.snapshot.Time }
+
+// snapshotMark is the place of the newest snapshot record.
+type snapshotMark struct {
+	Offset int64     `json:"offset"`
+	Time   time.Time `json:"time"`
+}
 
 // Config returns the replicated configuration.
 func (s *State) Config() Config { return s.config }
@@ -65,19 +79,22 @@
 
 // Apply decides on one entry and applies it when it wins.
 func (s *State) Apply(l journal.Located) journal.Decision {
-	if _, seen := s.verdicts.get(l.Entry.ID); seen {
-		return journal.Decision{EntryID: l.Entry.ID, Offset: l.Offset, Verdict: journal.VerdictDuplicate}
+	if s.snapshot.Time.IsZero() {
+		s.snapshot.Time = l.Time
+	}
+	if d, screened := s.verdicts.Screen(l); screened {
+		return d
 	}
 	d := s.decide(l)
 	d.EntryID = l.Entry.ID
 	d.Offset = l.Offset
-	s.verdicts.add(d)
+	s.verdicts.Record(d)
 	return d
 }
 
 // Decision returns the verdict on an entry within the retention window.
 func (s *State) Decision(entryID string) (journal.Decision, bool) {
-	return s.verdicts.get(entryID)
+	return s.verdicts.Lookup(entryID)
 }
 
 func (s *State) decide(l journal.Located) journal.Decision {
@@ -97,7 +114,7 @@
 	case journal.KindTerm:
 		return applyBody(l, s.applyTerm)
 	case journal.KindSnapshot:
-		s.snapshot = l.Offset
+		s.snapshot = snapshotMark{Offset: l.Offset, Time: l.Time}
 		return accepted()
 	default:
 		return malformed("unknown kind " + string(l.Entry.Kind))
@@ -106,7 +123,7 @@
 
 func (s *State) prune() {
 	horizon := s.applied - RetentionOffsets
-	s.verdicts.forget(horizon)
+	s.verdicts.Advance(s.applied)
 	for _, id := range s.ended.takeBefore(horizon) {
 		delete(s.jobs, id)
 	}
--- a/internal/replica/verdict.go
+++ b/internal/replica/verdict.go
@@ -7,8 +7,8 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
-// RetentionOffsets is how many log offsets a verdict and an ended job are kept for.
-const RetentionOffsets = 20_000
+// RetentionOffsets is how many log offsets an ended job is kept for.
+const RetentionOffsets = journal.DecidedWindow
 
 func accepted() journal.Decision {
 	return journal.Decision{Verdict: journal.VerdictAccepted}
@@ -31,36 +31,6 @@
 	return apply(l, body)
 }
 
-// verdictLog keeps the verdicts of the retention window by entry ID and in order
-// of offset.
-type verdictLog struct {
-	byID  map[string]journal.Decision
-	order []string
-}
-
-func newVerdictLog() verdictLog {
-	return verdictLog{byID: make(map[string]journal.Decision)}
-}
-
-func (v *verdictLog) get(id string) (journal.Decision, bool) {
-	d, ok := v.byID[id]
-	return d, ok
-}
-
-func (v *verdictLog) add(d journal.Decision) {
-	v.byID[d.EntryID] = d
-	v.order = append(v.order, d.EntryID)
-}
-
-func (v *verdictLog) forget(horizon int64) {
-	n := 0
-	for n < len(v.order) && v.byID[v.order[n]].Offset < horizon {
-		delete(v.byID, v.order[n])
-		n++
-	}
-	v.order = v.order[n:]
-}
-
 // endedJob is an ended job with the offset at which it ended.
 type endedJob struct {
 	Job    model.JobID `json:"job"`
