--- /dev/null
+++ b/internal/control/ports.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/membership"
+	"github.com/eelgrassreach/eelgrassreach/internal/placement"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/replica"
+)
+
+// Publisher gives entries to the log and follows what was read back.
+// journal.Publisher is one.
+type Publisher interface {
+	// Submit queues an entry without blocking; done is called with each state of the
+	// append. On an error the entry was not taken and done is not called.
+	Submit(e journal.Entry, done func(journal.AppendResult)) error
+	// Observe tells which entries were read back.
+	Observe(entries []journal.Located, next int64)
+	// ObserveSnapshot tells that reading went on from a snapshot.
+	ObserveSnapshot(offset int64, lookup func(entryID string) (journal.Decision, bool))
+}
+
+// Peers calls other VMs. Errors wrap platform.ErrUnavailable when the peer
+// certainly did nothing and platform.ErrInDoubt otherwise.
+type Peers interface {
+	Heartbeat(ctx context.Context, address string, h membership.Heartbeat) (membership.Heartbeat, error)
+	OfferJob(ctx context.Context, address string, o JobOffer) (OfferAnswer, error)
+	HandOverTerm(ctx context.Context, address string, o TermOffer) (accepted bool, err error)
+}
+
+// Options are the parts of a Loop. All are required but those with a default.
+type Options struct {
+	Identity Identity
+	Settings Settings // zero: DefaultSettings
+	Replica  *replica.State
+	Policy   placement.Policy
+	Log      Publisher
+	Dialer   platform.Dialer
+	VMs      platform.VMList
+	Peers    Peers
+	Reporter invariant.Reporter
+	Now      func() time.Time // nil: time.Now
+	NewID    func() string    // nil: model.RandomID
+}
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,132 @@
+package journal_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal/journaltest"
+)
+
+// run runs a test of a cluster in virtual time.
+func run(t *testing.T, f func(t *testing.T, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{t: t, log: journaltest.NewLog()}
+		defer c.stop()
+		f(t, c)
+	})
+}
+
+// appendMany submits plain entries, one record each.
+func appendMany(v *vm, prefix string, count int) {
+	for i := range count {
+		v.submit(plain(fmt.Sprintf("%s-%02d", prefix, i)))
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+}
+
+func TestBurstIsCoalescedWithinBudget(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		v := c.start(journaltest.Faults{Latency: 2 * time.Millisecond})
+		time.Sleep(time.Second)
+		for i := range 2000 {
+			v.submit(plain(fmt.Sprintf("e%04d", i)))
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, v.replica.size(), 2000)
+		stats := v.publisher.Stats()
+		assert.Assert(t, stats.Appends <= journal.DefaultAppendsPerSecond, "%d appends in a second", stats.Appends)
+		assert.Equal(t, stats.Pending, 0)
+	})
+}
+
+func TestBackpressureIsTold(t *testing.T) {
+	p := journal.NewPublisher(journaltest.NewLog().Port(), journal.PublisherOptions{QueueEntries: 2, EntryBytes: 500})
+	entry := func(id string, size int) journal.Entry {
+		return journal.Entry{ID: id, Body: make(json.RawMessage, size)}
+	}
+	assert.NilError(t, p.Submit(entry("a", 1), nil))
+	assert.NilError(t, p.Submit(entry("b", 1), nil))
+	assert.ErrorIs(t, p.Submit(entry("c", 1), nil), journal.ErrBackpressure)
+	assert.ErrorIs(t, p.Submit(entry("d", 500), nil), journal.ErrTooLarge)
+	assert.Equal(t, p.Stats().Rejected, int64(1))
+}
+
+func TestStartFromSnapshotOrPeer(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		a := c.start(journaltest.Faults{})
+		time.Sleep(time.Second)
+		appendMany(a, "first", 40)
+		a.snapshot()
+		time.Sleep(time.Second)
+		appendMany(a, "second", 60)
+		c.log.Trim(c.log.Next() - 62)
+
+		b := c.start(journaltest.Faults{})
+		b.setCut(true)
+		time.Sleep(time.Second)
+		snapshots, _ := b.replica.status()
+		assert.Equal(t, snapshots, 1)
+		<-b.follower.CaughtUp()
+
+		// With the platform down a third VM takes the same from a peer.
+		d := c.start(journaltest.Faults{Read: journaltest.FaultDown})
+		time.Sleep(3 * time.Second)
+		_, reachable := d.replica.status()
+		assert.DeepEqual(t, reachable, []bool{false})
+		<-d.follower.CaughtUp()
+		c.agree()
+	})
+}
+
+// An entry that the log passed without is void in every later copy, and its
+// submitter is told so.
+func TestEntryInDoubtExpires(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		a, b := c.start(journaltest.Faults{}), c.start(journaltest.Faults{})
+		time.Sleep(time.Second)
+		a.port.Set(journaltest.Faults{Append: journaltest.FaultCutBefore})
+		a.submit(plain("late"))
+		time.Sleep(time.Second)
+		for range journal.SendWindow + 1 {
+			c.log.Append(nil)
+		}
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, a.told("late"), []journal.AppendState{journal.AppendInDoubt, journal.AppendNotSent})
+
+		late := plain("late")
+		late.NotAfter = 1 + journal.SendWindow
+		data, err := journal.EncodePacket([]journal.Entry{late})
+		assert.NilError(t, err)
+		c.log.Append(data)
+		time.Sleep(time.Second)
+		decision, ok := b.replica.decision("late")
+		assert.Assert(t, ok)
+		assert.Equal(t, decision.Verdict, journal.VerdictExpired)
+		c.agree()
+	})
+}
+
+func TestSnapshotRule(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	rule := journal.SnapshotRule{Records: 100, Age: time.Hour}
+	for name, tc := range map[string]struct {
+		state journal.SnapshotState
+		due   bool
+	}{
+		"empty":              {journal.SnapshotState{Now: now}, false},
+		"fresh":              {journal.SnapshotState{Applied: 150, Snapshot: 100, SnapshotAt: now, First: 1, Now: now}, false},
+		"many records":       {journal.SnapshotState{Applied: 200, Snapshot: 100, SnapshotAt: now, First: 1, Now: now}, true},
+		"old without change": {journal.SnapshotState{Applied: 101, Snapshot: 100, SnapshotAt: now.Add(-time.Hour), First: 1, Now: now}, true},
+		"near the horizon":   {journal.SnapshotState{Applied: 150, Snapshot: 100, SnapshotAt: now, First: 90, Now: now}, true},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, rule.SnapshotDue(tc.state), tc.due) })
+	}
+}
--- /dev/null
+++ b/internal/replica/verdict.go
@@ -0,0 +1,56 @@
+package replica
+
+import (
+	"encoding/json"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// RetentionOffsets is how many log offsets an ended job is kept for.
+const RetentionOffsets = journal.DecidedWindow
+
+func accepted() journal.Decision {
+	return journal.Decision{Verdict: journal.VerdictAccepted}
+}
+
+func conflict(winner int64, detail string) journal.Decision {
+	return journal.Decision{Verdict: journal.VerdictConflict, Winner: winner, Detail: detail}
+}
+
+func malformed(detail string) journal.Decision {
+	return journal.Decision{Verdict: journal.VerdictMalformed, Detail: detail}
+}
+
+// applyBody decodes the body of an entry and passes it on.
+func applyBody[T any](l journal.Located, apply func(journal.Located, T) journal.Decision) journal.Decision {
+	var body T
+	if err := json.Unmarshal(l.Entry.Body, &body); err != nil {
+		return malformed(err.Error())
+	}
+	return apply(l, body)
+}
+
+// endedJob is an ended job with the offset at which it ended.
+type endedJob struct {
+	Job    model.JobID `json:"job"`
+	Offset int64       `json:"offset"`
+}
+
+// endedQueue lists ended jobs in order of offset.
+type endedQueue []endedJob
+
+func (q *endedQueue) add(id model.JobID, offset int64) {
+	*q = append(*q, endedJob{Job: id, Offset: offset})
+}
+
+func (q *endedQueue) takeBefore(horizon int64) []model.JobID {
+	var taken []model.JobID
+	n := 0
+	for n < len(*q) && (*q)[n].Offset < horizon {
+		taken = append(taken, (*q)[n].Job)
+		n++
+	}
+	*q = (*q)[n:]
+	return taken
+}
