--- /dev/null
+++ b/cmd/standin/list.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"context"
+	"flag"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/standin"
+)
+
+// listCommand puts an entry VM into the stand-in platform's list, as the platform
+// itself would.
+func listCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("standin list", flag.ContinueOnError)
+	url := fs.String("platform", "", "`URL` of the stand-in platform")
+	address := fs.String("address", "", "`IP:port` of the VM")
+	az := fs.String("az", "", "availability `zone` of the VM")
+	state := fs.String("state", string(platform.VMLive), "live or leaving")
+	return &ffcli.Command{
+		Name:       "list",
+		ShortUsage: "standin list -platform URL -address IP:PORT -az ZONE",
+		FlagSet:    fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			return standin.PutVM(ctx, *url, platform.VMEntry{
+				Address: *address,
+				Role:    platform.RoleEntry,
+				AZ:      model.AZ(*az),
+				State:   platform.VMState(*state),
+			})
+		},
+	}
+}
--- /dev/null
+++ b/internal/vm/check.go
@@ -0,0 +1,23 @@
+package vm
+
+import (
+	"encoding/json"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/config"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/placement"
+)
+
+// checkRecords checks a change, the fit of guarantees included.
+func checkRecords(current *config.Current, records []json.RawMessage) config.Findings {
+	return config.Check(current, records, fitGuarantees)
+}
+
+// fitGuarantees returns the guarantees that the servers cannot hold together.
+func fitGuarantees(servers []model.BackendServer, organisations []model.Organisation) []config.Misfit {
+	var misfits []config.Misfit
+	for _, u := range placement.FitGuarantees(servers, organisations) {
+		misfits = append(misfits, config.Misfit(u))
+	}
+	return misfits
+}
--- a/internal/vm/node.go
+++ b/internal/vm/node.go
@@ -71,13 +71,13 @@
 		Identity: n.identity,
 		Replica:  replica.New(config.NewState()),
 		Policy:   placement.Reclaiming{},
-		Appender: &appender{publisher: n.publisher, appended: n.appended},
+		Log:      n.publisher,
 		Dialer:   dialer,
 		VMs:      platform.NewVMListClient(s.Platform, client),
 		Peers:    peers,
 		Reporter: reporter,
 	})
-	n.follower = journal.NewFollower(log, &peer.Fetcher{Clients: peers, Peers: n.freshestPeers}, &logSink{Loop: n.control, publisher: n.publisher}, journal.FollowerOptions{})
+	n.follower = journal.NewFollower(log, &peer.Fetcher{Clients: peers, Peers: n.freshestPeers}, n.control, journal.FollowerOptions{})
 	n.dispatch = dispatch.New(dispatch.Options{
 		Address:     s.Advertise,
 		Incarnation: n.identity.Incarnation,
