--- a/internal/vm/drain.go
+++ b/internal/vm/drain.go
@@ -12,7 +12,7 @@
 )
 
 // drain stops the VM gracefully: not ready for the balancer first, then no more
-// admission, then every request finished or handed over and the term handed over.
+// admission, then every request finished or handed over while the term is handed over.
 // A non-nil error means that the bound ran out.
 func (n *node) drain(ctx context.Context, s settings.Serve) error {
 	n.draining.Store(true)
@@ -22,15 +22,13 @@
 	ctx, cancel := context.WithTimeout(ctx, s.DrainTimeout)
 	defer cancel()
 	n.gate.Close()
-	requests := n.dispatch.Drain(ctx)
-	inside := n.gate.Wait(ctx)
-	term := n.control.Drain(ctx)
-	appends := n.publisher.Flush(ctx)
+	term := make(chan error, 1)
+	go func() { term <- n.control.Drain(ctx) }()
 	return errors.Join(
-		wrap("requests", requests),
-		wrap("commands in progress", inside),
-		wrap("term", term),
-		wrap("appends", appends),
+		wrap("requests", n.dispatch.Drain(ctx)),
+		wrap("commands in progress", n.gate.Wait(ctx)),
+		wrap("term", <-term),
+		wrap("appends", n.publisher.Flush(ctx)),
 	)
 }
 
