Spans for every hop of a request, the caller's included

Cause: a request could not be followed from its caller, since the command line made no span, and StartTracing was tied to the settings of serve.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"go.opentelemetry.io/otel"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/api"
+	"github.com/eelgrassreach/eelgrassreach/internal/telemetry"
 )
 
 const defaultTimeout = 30 * time.Second
@@ -24,15 +26,19 @@
 
 // clientFlags are the flags of every client subcommand.
 type clientFlags struct {
-	server  string
-	format  string
-	timeout time.Duration
+	server        string
+	format        string
+	timeout       time.Duration
+	trace         string
+	traceEndpoint string
 }
 
 func (c *clientFlags) register(fs *flag.FlagSet) {
 	fs.StringVar(&c.server, "server", "127.0.0.1:7300", "IP:port of any VM")
 	fs.StringVar(&c.format, "o", formatTable, "output: table or json")
 	fs.DurationVar(&c.timeout, "timeout", defaultTimeout, "bound on the whole call")
+	fs.StringVar(&c.trace, "trace", telemetry.TraceOff, "off, stdout (spans go to standard error) or otlp")
+	fs.StringVar(&c.traceEndpoint, "trace-endpoint", "127.0.0.1:4318", "IP:port of the OTLP/HTTP collector")
 }
 
 // call is a client subcommand in progress.
@@ -73,11 +79,32 @@
 			}
 			ctx, cancel := context.WithTimeout(ctx, flags.timeout)
 			defer cancel()
-			return spec.exec(ctx, &call{app: a, flags: flags, client: api.NewClient(flags.server), args: args})
+			c := &call{app: a, flags: flags, client: api.NewClient(flags.server), args: args}
+			return c.traced(ctx, full, spec.exec)
 		},
 	}
 }
 
+// traced runs a subcommand in the caller's span.
+func (c *call) traced(ctx context.Context, name string, exec func(context.Context, *call) error) error {
+	stop, err := telemetry.StartTracing(ctx, telemetry.TraceOptions{
+		Exporter: c.flags.trace,
+		Endpoint: c.flags.traceEndpoint,
+		Output:   c.Err,
+		Service:  "eelgrassreach-cli",
+	})
+	if err != nil {
+		return err
+	}
+	ctx, span := otel.Tracer("eelgrassreach/cli").Start(ctx, name)
+	err = exec(ctx, c)
+	span.End()
+	if failure := stop(context.WithoutCancel(ctx)); failure != nil {
+		_, _ = fmt.Fprintln(c.Err, "eelgrassreach: export spans:", failure)
+	}
+	return err
+}
+
 // needArgs fails unless exactly n arguments were given.
 func (c *call) needArgs(n int, what string) error {
 	if len(c.args) != n {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/telemetry"
 )
 
 // checker collects findings while it converts values.
@@ -112,7 +113,7 @@
 		MaxBody:       c.number("max-body", r.maxBody, 1, 1<<30),
 		MaxConns:      int(c.number("max-conns", r.maxConns, 2, 64)),
 		LogLevel:      c.oneOf("log-level", r.logLevel, "debug", "info", "warn", "error"),
-		Trace:         c.oneOf("trace", r.trace, TraceOff, TraceStdout, TraceOTLP),
+		Trace:         c.oneOf("trace", r.trace, telemetry.TraceOff, telemetry.TraceStdout, telemetry.TraceOTLP),
 		TraceEndpoint: c.address("trace-endpoint", r.traceEndpoint),
 	}
 	if r.advertise != "" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,18 +12,12 @@
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/telemetry"
 )
 
 // EnvPrefix opens the name of every environment variable that the program reads.
 const EnvPrefix = "EELGRASSREACH"
 
-// Trace exporters.
-const (
-	TraceOff    = "off"
-	TraceStdout = "stdout"
-	TraceOTLP   = "otlp"
-)
-
 // Serve holds the checked settings of a VM.
 type Serve struct {
 	AZ            model.AZ
@@ -94,7 +88,7 @@
 	fs.StringVar(&r.maxBody, "max-body", "1048576", "largest request body in bytes")
 	fs.StringVar(&r.maxConns, "max-conns", "16", "connections to one backend server, at most")
 	fs.StringVar(&r.logLevel, "log-level", "info", "debug, info, warn or error")
-	fs.StringVar(&r.trace, "trace", TraceOff, "off, stdout or otlp")
+	fs.StringVar(&r.trace, "trace", telemetry.TraceOff, "off, stdout or otlp")
 	fs.StringVar(&r.traceEndpoint, "trace-endpoint", "127.0.0.1:4318", "IP:port of the OTLP/HTTP collector")
 	return r
 }
--- a/internal/vm/run.go
+++ b/internal/vm/run.go
@@ -33,7 +33,13 @@
 		return fmt.Errorf("metrics: %w", err)
 	}
 	defer func() { err = errors.Join(err, metrics.Close()) }()
-	stopTracing, err := telemetry.StartTracing(ctx, s, stdout)
+	stopTracing, err := telemetry.StartTracing(ctx, telemetry.TraceOptions{
+		Exporter: s.Trace,
+		Endpoint: s.TraceEndpoint,
+		Output:   stdout,
+		Service:  "eelgrassreach",
+		Instance: s.Advertise,
+	})
 	if err != nil {
 		return err
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -42,7 +42,8 @@
   out=$("$@" 2>&1)
   got=$?
   echo "--- $name"
-  echo "$out"
+  echo "$out" | grep -v '^{"Name":'
+  last=$out
   if [ "$got" -ne "$code" ] || ! grep -q -- "$text" <<<"$out"; then
     echo "STEP FAILED: exit code $got, wanted $code with \"$text\""
     failures=$((failures + 1))
@@ -93,7 +94,7 @@
   for _ in $(seq 5); do
     address=127.0.0.1:$((20000 + RANDOM % 20000))
     $cli serve -az "zone-$2" -region "region-$2" -platform "$platform" -listen "$address" \
-      -drain-notice 200ms 2>"$dir/$1.log" &
+      -drain-notice 200ms -trace stdout >"$dir/$1.spans" 2>"$dir/$1.log" &
     vm_pid[$1]=$!
     for _ in $(seq 100); do
       if grep -q msg=serving "$dir/$1.log"; then
@@ -134,8 +135,11 @@
 check "request that may not repeat, without a ticket" 3 "outcome  not run" \
   $cli request run -server "${vm[two]}" -kind order -organisation palvehelmed -body ferrules
 ticket=$($cli ticket new -server "${vm[one]}")
-check "ticketed request through VM two" 0 "outcome  done" \
-  $cli request run -server "${vm[two]}" -kind order -organisation palvehelmed -body ferrules -ticket "$ticket" -id order-1
+check "ticketed request through VM two" 0 '"outcome": "done"' \
+  $cli request run -server "${vm[two]}" -kind order -organisation palvehelmed -body ferrules -ticket "$ticket" -id order-1 \
+  -trace stdout -o json
+trace=$(grep -o '"TraceID":"[0-9a-f]*"' <<<"$last" | head -1)
+[ -n "$trace" ] || { echo "STEP FAILED: the caller's span is missing"; failures=$((failures + 1)); }
 first=$($cli request status -server "${vm[one]}" -ticket "$ticket" order-1)
 check "the same ticket again through VM three" 0 "outcome  done" \
   $cli request run -server "${vm[three]}" -kind order -organisation palvehelmed -body ferrules -ticket "$ticket" -id order-1
@@ -164,6 +168,8 @@
 code=$?
 echo "exit code $code"
 [ "$code" -eq 0 ] || failures=$((failures + 1))
+eventually "the trace of the ticketed request has spans of VM two" "$trace" cat "$dir/two.spans"
+eventually "and of VM one, which decided on the ticket" "$trace" cat "$dir/one.spans"
 check "request after the stop" 0 "outcome  done" \
   $cli request run -server "${vm[two]}" -kind quote -organisation palvehelmed -body chaplet
 
