--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -139,12 +139,17 @@
 // server before time t: every VM that may hold a token which the server would
 // accept was heard from after t without a newer token, or is gone.
 func (s *State) vouched(v *server, t time.Time) bool {
-	for i, offset := range s.term.named {
-		if i == s.self.Incarnation || offset < v.fenced.Offset {
+	for i, n := range s.term.named {
+		if i == s.self.Incarnation || n.offset < v.fenced.Offset {
 			continue
 		}
-		p := s.peers.ByIncarnation(i)
-		if p != nil && p.LastSeen.Before(t) {
+		p := s.peers.ByAddress(n.address)
+		if p == nil || s.peers.Gone(p, s.now) {
+			continue
+		}
+		// Another incarnation at the address has replaced the named one.
+		same := p.Incarnation == i || p.LastSeen.IsZero()
+		if same && p.LastSeen.Before(t) {
 			return false
 		}
 	}
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -78,6 +78,9 @@
 	zone := s.zone()
 	found := invariant.CheckReclaimable(zone, plan)
 	found = append(found, invariant.CheckNoDoublePromise(zone)...)
+	zone.Placed = slices.DeleteFunc(zone.Placed, func(p placement.Placed) bool {
+		return p.Evicting || s.gangs[p.Job].gathering
+	})
 	found = append(found, invariant.CheckWholeGangs(zone)...)
 	for _, v := range found {
 		s.violated(v)
--- /dev/null
+++ b/internal/control/random_test.go
@@ -0,0 +1,249 @@
+package control
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+const actionsPerRun = 100
+
+// TestMain fixes the seed and the number of random actions; SEED and N choose others.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seed, n := "1", 10_000
+	if v := os.Getenv("SEED"); v != "" {
+		seed = v
+	}
+	if v := os.Getenv("N"); v != "" {
+		_, _ = fmt.Sscan(v, &n)
+	}
+	setDefaultFlag("rapid.seed", seed)
+	setDefaultFlag("rapid.steps", fmt.Sprint(actionsPerRun))
+	setDefaultFlag("rapid.checks", fmt.Sprint(max(1, n/actionsPerRun)))
+	os.Exit(m.Run())
+}
+
+// setDefaultFlag sets a flag that the command line left out.
+func setDefaultFlag(name, value string) {
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
+	if !given {
+		_ = flag.Set(name, value)
+	}
+}
+
+// machine is the randomised run of one cluster.
+type machine struct {
+	*cluster
+	t *rapid.T
+}
+
+func (m *machine) node() *node {
+	return m.nodes[rapid.IntRange(0, len(m.nodes)-1).Draw(m.t, "vm")]
+}
+
+func (m *machine) server() *fakeServer {
+	ids := sortedKeys(m.servers)
+	return m.servers[ids[rapid.IntRange(0, len(ids)-1).Draw(m.t, "server")]]
+}
+
+// chance is true in one of n draws.
+func (m *machine) chance(n int) bool { return rapid.IntRange(1, n).Draw(m.t, "chance") == 1 }
+
+func (m *machine) submitJob(*rapid.T) {
+	shape := model.GangShape{
+		Tasks:        rapid.IntRange(1, 5).Draw(m.t, "tasks"),
+		Accelerators: rapid.IntRange(1, 4).Draw(m.t, "accelerators"),
+		Adjacency:    model.AdjacentAny,
+	}
+	runtime := time.Duration(rapid.IntRange(1, 30).Draw(m.t, "seconds")) * time.Second
+	m.submit(m.node(), shape, rapid.Bool().Draw(m.t, "idempotent"), runtime)
+}
+
+func (m *machine) cancelJob(*rapid.T) {
+	ids := sortedKeys(m.jobs)
+	if len(ids) == 0 || !m.chance(3) {
+		return
+	}
+	id := ids[rapid.IntRange(0, len(ids)-1).Draw(m.t, "job")]
+	m.deliver(m.node(), JobsCancelled{Reply: 2, Jobs: []model.JobID{id}})
+}
+
+// killVM replaces a VM by a new one.
+func (m *machine) killVM(*rapid.T) {
+	if !m.chance(3) {
+		return
+	}
+	n := m.node()
+	if n.dead {
+		return
+	}
+	n.dead = true
+	m.addNode()
+}
+
+func (m *machine) freezeVM(*rapid.T) {
+	n := m.node()
+	if n.frozen {
+		m.thaw(n)
+		return
+	}
+	n.frozen = true
+}
+
+func (m *machine) cutLink(*rapid.T) {
+	a := m.node().name
+	b := []string{m.node().name, m.server().info.Address, "log"}[rapid.IntRange(0, 2).Draw(m.t, "to")]
+	if a != b {
+		m.sever(a, b, m.connected(a, b))
+	}
+}
+
+func (m *machine) muteLink(*rapid.T) {
+	l := link(m.node().name, m.server().info.Address)
+	m.mute[l] = !m.mute[l]
+}
+
+func (m *machine) turnLog(*rapid.T) {
+	switch rapid.IntRange(0, 2).Draw(m.t, "log") {
+	case 0:
+		m.log.down = !m.log.down
+	case 1:
+		m.log.lose = !m.log.lose
+	case 2:
+		m.log.delay = time.Duration(rapid.IntRange(0, 3000).Draw(m.t, "ms")) * time.Millisecond
+	}
+}
+
+func (m *machine) killServer(*rapid.T) {
+	f := m.server()
+	if f.dead || !m.chance(3) {
+		return
+	}
+	f.die(m.now)
+	m.addServer(len(m.servers))
+}
+
+func (m *machine) breakServer(*rapid.T) {
+	if m.chance(3) {
+		f := m.server()
+		f.failAll = !f.failAll
+	}
+}
+
+func (m *machine) drainVM(*rapid.T) {
+	if m.chance(5) {
+		m.deliver(m.node(), DrainRequested{Reply: 3})
+	}
+}
+
+func (m *machine) pass(*rapid.T) {
+	m.run(time.Duration(rapid.IntRange(1, 2000).Draw(m.t, "ms")) * time.Millisecond)
+}
+
+func (m *machine) check(*rapid.T) {
+	m.run(50 * time.Millisecond)
+	if len(m.breaches) > 0 {
+		m.t.Fatalf("promise broken: %s", m.breaches[0])
+	}
+	if len(m.reported) > 0 {
+		m.t.Fatalf("violation reported: %+v", m.reported[0])
+	}
+}
+
+// heal ends every fault but the deaths.
+func (m *machine) heal() {
+	clear(m.cut)
+	clear(m.mute)
+	m.log.down, m.log.lose, m.log.delay = false, false, 0
+	m.addNode()
+	for _, n := range m.nodes {
+		if n.frozen {
+			m.thaw(n)
+		}
+	}
+	for _, f := range m.servers {
+		f.failAll = false
+	}
+}
+
+// unended returns a job that the log knows and that has not ended.
+func (m *machine) unended() (model.JobID, JobStatus) {
+	n := m.nodes[len(m.nodes)-1]
+	for _, id := range sortedKeys(m.jobs) {
+		if n.state.replica.Job(id) == nil {
+			continue
+		}
+		if st, _ := n.state.status(id); !st.State.Ended() {
+			return id, st
+		}
+	}
+	return "", JobStatus{}
+}
+
+// describe tells how every live VM sees a job, for a failed run.
+func (m *machine) describe(id model.JobID) string {
+	var b strings.Builder
+	for _, n := range m.nodes {
+		if n.dead {
+			continue
+		}
+		st, _ := n.state.status(id)
+		fmt.Fprintf(&b, "%s token %v newest %v log %v: %s, %s, attempt %s\n",
+			n.name, n.state.term.token, n.state.term.newest, n.state.log.reachable, st.State, st.Reason, st.Attempt)
+		if g := n.state.gangs[id]; g != nil {
+			fmt.Fprintf(&b, "  gang %s permit %d gathering %v size %d\n", g.phase, g.permit, g.gathering, g.size)
+			for _, x := range g.members {
+				fmt.Fprintf(&b, "    %s on %s: %q pending %q until %v\n", x.task, x.server, x.state, x.pending, x.until.Sub(m.now))
+			}
+		}
+		for _, v := range sortedKeys(n.state.servers) {
+			s := n.state.servers[v]
+			fmt.Fprintf(&b, "  %s live %v gone %v leaving %v surveyed %v fenced %v quarantined %v\n",
+				v, n.state.live(s), s.gone, s.leaving, s.surveyed, s.fenced, s.health.quarantined)
+		}
+	}
+	return b.String()
+}
+
+func TestRandomFaults(t *testing.T) {
+	total, steps := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{cluster: newCluster(t, 3, 4), t: t}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": m.submitJob,
+			"cancel": m.cancelJob,
+			"kill":   m.killVM,
+			"freeze": m.freezeVM,
+			"cut":    m.cutLink,
+			"mute":   m.muteLink,
+			"log":    m.turnLog,
+			"die":    m.killServer,
+			"break":  m.breakServer,
+			"drain":  m.drainVM,
+			"pass":   m.pass,
+			"":       m.check,
+		})
+		m.heal()
+		m.run(10 * time.Second)
+		m.runUntil(10*time.Minute, func() bool {
+			id, _ := m.unended()
+			return id == ""
+		})
+		m.check(nil)
+		id, st := m.unended()
+		assert.Assert(t, id == "", "job %s never ended: %s, %s\n%s", id, st.State, st.Reason, m.describe(id))
+		total++
+		steps += m.steps
+	})
+	t.Logf("%d clusters, %d transitions", total, steps)
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -14,9 +14,11 @@
 	lastSeen time.Time
 	free     int
 	leaving  bool
-	// listed is set once the VM list has shown the server; gone once it then vanished.
-	listed bool
-	gone   bool
+	// listed is set once the VM list has shown the server, missing is since when it
+	// does not, and gone tells that the server certainly does not run.
+	listed  bool
+	missing time.Time
+	gone    bool
 	// fenced is the newest own token that the server has confirmed.
 	fenced model.Token
 	// fencedAt is when it did; reports sent before say nothing about older commands.
@@ -134,18 +136,33 @@
 	}
 	for _, v := range s.servers {
 		state, listed := states[v.info.Address]
-		gone := v.listed && !listed && !s.live(v)
-		if gone != v.gone {
-			v.gone = gone
-			s.placement.dirty = true
-		}
-		v.listed = v.listed || listed
+		s.noteListed(v, listed)
 		if state == platform.VMLeaving {
 			s.setLeaving(v, true)
 		}
 	}
 }
 
+// unlistedGrace is how long a silent server that was never listed may still appear.
+const unlistedGrace = 30 * time.Second
+
+// noteListed decides whether a server is gone: it is silent, and vanished from the
+// list or was never in it.
+func (s *State) noteListed(v *server, listed bool) {
+	switch {
+	case listed:
+		v.listed = true
+		v.missing = time.Time{}
+	case v.missing.IsZero():
+		v.missing = s.now
+	}
+	gone := !listed && !s.live(v) && (v.listed || s.now.Sub(v.missing) >= unlistedGrace)
+	if gone != v.gone {
+		v.gone = gone
+		s.placement.dirty = true
+	}
+}
+
 func (s *State) heartbeatReceived(h membership.Heartbeat) {
 	s.peers.Observe(h, s.now)
 	if h.AZ != s.self.AZ {
