--- a/internal/dispatch/schedule/pool.go
+++ b/internal/dispatch/schedule/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
@@ -151,15 +152,17 @@
 	if !b.accepts(now) || now.Before(b.fullUntil) {
 		return 0
 	}
-	limit := min(b.slots(), max(b.connections()/p.vms-reservedConnections, 1)) - b.inflight
 	free := b.free
-	if free <= 0 && now.Sub(b.reported) > reportStale {
-		free = 1
-	}
 	if b.fullStreak > 0 {
 		free = min(free, 1)
 	}
-	return min(limit, free)
+	return min(p.limit(b), free)
+}
+
+// limit returns how many more requests of this VM fit on b at all.
+func (p *pool) limit(b *Server) int {
+	connections := max(b.connections()/p.vms-reservedConnections, 1)
+	return min(b.slots(), connections) - b.inflight
 }
 
 // pick chooses a server of a tier by the power of two choices and counts the
@@ -182,6 +185,22 @@
 	return b
 }
 
+// stale returns a near server whose report of no free slot is old; nil when there
+// is none.
+func (p *pool) stale(except *Server, now time.Time) *Server {
+	var old []*Server
+	for _, b := range slices.Concat(p.tiers[TierZone], p.tiers[TierRegion]) {
+		unknown := b.free <= 0 && now.Sub(b.reported) > reportStale
+		if unknown && b != except && b.accepts(now) && p.limit(b) > 0 && !now.Before(b.fullUntil) {
+			old = append(old, b)
+		}
+	}
+	if len(old) == 0 {
+		return nil
+	}
+	return old[p.rand.IntN(len(old))]
+}
+
 // headroom is the number of free slots that are left to the other VMs of the
 // availability zone. A VM that runs more than its share of the zone leaves the last
 // one of each server, so that the others find a slot without asking for it.
--- a/internal/dispatch/schedule/scheduler.go
+++ b/internal/dispatch/schedule/scheduler.go
@@ -73,7 +73,6 @@
 	times    map[string]*serviceTimes // by kind
 	retries  retryBudget
 	crossing tokenBucket
-	parked   []*Request // wait for the retry budget
 }
 
 // New returns a Scheduler without backend servers.
@@ -142,22 +141,12 @@
 
 // Withdraw takes a request out of the queue; false when it is not in it.
 func (s *Scheduler) Withdraw(x *Request) bool {
-	return s.queue.remove(x) || s.unpark(x)
-}
-
-func (s *Scheduler) unpark(x *Request) bool {
-	i := indexOf(s.parked, x)
-	if i < 0 {
-		return false
-	}
-	s.parked = append(s.parked[:i], s.parked[i+1:]...)
-	return true
+	return s.queue.remove(x)
 }
 
 // Next chooses a request and a backend server for it and counts it as running
 // there; nil when there is none. Requests that ran out of time are taken out.
 func (s *Scheduler) Next(now time.Time) (*Request, *Server, []Rejected) {
-	s.resumeParked(now)
 	var late []Rejected
 	for _, c := range s.queue.order(s.running, s.limits.MinSharePercent) {
 		late = append(late, s.dropLate(c, now)...)
@@ -180,14 +169,6 @@
 	return nil, nil, late
 }
 
-func (s *Scheduler) resumeParked(now time.Time) {
-	for len(s.parked) > 0 && s.retries.take(now) {
-		x := s.parked[0]
-		s.parked = s.parked[1:]
-		s.queue.pushFront(x)
-	}
-}
-
 // dropLate drops the requests at the head of a class that cannot be answered in time.
 func (s *Scheduler) dropLate(c model.Class, now time.Time) []Rejected {
 	var late []Rejected
@@ -211,20 +192,29 @@
 
 // choose picks a backend server: own availability zone, own region, and others
 // under the byte budget when the near ones serve nobody or kept the request waiting.
-// except, which may be nil, is not chosen.
+// A near server whose last report shows no free slot is tried now and then, within
+// the retry budget. except, which may be nil, is not chosen.
 func (s *Scheduler) choose(x *Request, except *Server, now time.Time) *Server {
 	for _, t := range []Tier{TierZone, TierRegion} {
 		if b := s.pool.pick(t, except, now); b != nil {
 			return b
 		}
 	}
-	if !s.mayCross(x, now) {
-		return nil
+	if s.mayCross(x, now) {
+		if b := s.pool.pick(TierFar, except, now); b != nil {
+			s.charge(x.Size, now)
+			return b
+		}
 	}
-	b := s.pool.pick(TierFar, except, now)
-	if b != nil {
-		s.charge(x.Size, now)
+	return s.probe(except, now)
+}
+
+func (s *Scheduler) probe(except *Server, now time.Time) *Server {
+	b := s.pool.stale(except, now)
+	if b == nil || !s.retries.take(now) {
+		return nil
 	}
+	s.pool.start(b)
 	return b
 }
 
@@ -249,15 +239,13 @@
 // Stopped counts a request out of the running ones.
 func (s *Scheduler) Stopped(x *Request) { s.running[x.Class]-- }
 
-// Again queues a request that was running and not executed. It waits for the retry
-// budget when that is spent.
+// Again queues a request that was running and not executed. The next send counts
+// against the retry budget, which bounds the sends that are likely to be refused
+// (see choose); it does not hold up a send to a server with a free slot.
 func (s *Scheduler) Again(x *Request, now time.Time) {
 	s.Stopped(x)
-	if s.retries.take(now) {
-		s.queue.pushFront(x)
-		return
-	}
-	s.parked = append(s.parked, x)
+	s.retries.take(now)
+	s.queue.pushFront(x)
 }
 
 // Hedge chooses a backend server other than first for a running request within the
@@ -270,7 +258,7 @@
 }
 
 // Waiting returns the number of requests that are not running.
-func (s *Scheduler) Waiting() int { return s.queue.requests + len(s.parked) }
+func (s *Scheduler) Waiting() int { return s.queue.requests }
 
 // Queued returns the number of requests of a class that wait.
 func (s *Scheduler) Queued(c model.Class) int { return s.queue.classes[c].requests }
