--- a/internal/platform/transport_test.go
+++ b/internal/platform/transport_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http/httptrace"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -14,6 +15,7 @@
 	near, far := net.Pipe()
 	defer near.Close()
 	defer far.Close()
+	assert.NilError(t, near.SetDeadline(time.Now())) // a write that gets through fails at once
 	conn := &guardedConn{Conn: near}
 	x := &exchange{}
 	x.gotConn(httptrace.GotConnInfo{Conn: conn})
--- a/internal/standin/backend_test.go
+++ b/internal/standin/backend_test.go
@@ -82,7 +82,7 @@
 	resumed.Checkpoint = saved
 	one(next, resumed, at(second))
 	one(next, verb(platform.VerbStart, "t2"), at(second))
-	assert.Equal(t, next.status(at(1600*time.Millisecond)).Tasks[0].State, platform.TaskDone)
+	assert.Equal(t, next.status(at(1600 * time.Millisecond)).Tasks[0].State, platform.TaskDone)
 }
 
 func TestLeavingRefusesNewWork(t *testing.T) {
