--- /dev/null
+++ b/internal/control/snapshot.go
@@ -0,0 +1,47 @@
+package control
+
+import (
+	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/replica"
+)
+
+// snapshot appends the replicated state when the newest snapshot is far behind.
+// Only the term holder of the lowest-named availability zone does.
+func (s *State) snapshot() {
+	applied := s.replica.Applied()
+	due := s.settings.Snapshot.SnapshotDue(journal.SnapshotState{
+		Applied:    applied,
+		Snapshot:   s.replica.SnapshotOffset(),
+		SnapshotAt: s.replica.SnapshotTime(),
+		Now:        s.now,
+	})
+	if !s.log.reachable || !due {
+		return
+	}
+	if !s.lowestZone() || s.snapshotPending() {
+		return
+	}
+	data, err := s.replica.Encode()
+	if err != nil {
+		s.violated(invariant.Violation{Promise: invariant.ConfigNeverReverts, Detail: err.Error()})
+		return
+	}
+	s.submitEntry("snapshot-"+s.newID(), journal.KindSnapshot, journal.Snapshot{Offset: applied, State: data}, false)
+}
+
+func (s *State) snapshotPending() bool {
+	for _, e := range s.entries {
+		if e.entry.Kind == journal.KindSnapshot {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) lowestZone() bool {
+	lowest := s.self.AZ
+	s.replica.Terms(func(az model.AZ, _ replica.Term) { lowest = min(lowest, az) })
+	return lowest == s.self.AZ
+}
