--- a/internal/journal/matrix_test.go
+++ b/internal/journal/matrix_test.go
@@ -313,6 +313,8 @@
 			a, b := c.start(journaltest.Faults{}), c.start(journaltest.Faults{})
 			time.Sleep(time.Second)
 			appendMany(a, "old", 30)
+			stale, err := journal.NewSnapshotEntry(a.replica.encode())
+			assert.NilError(t, err)
 			a.snapshot()
 			heal := in.inject(c, a)
 			for i := range 10 {
@@ -330,6 +332,10 @@
 			time.Sleep(settleTime)
 			b.snapshot()
 			time.Sleep(time.Second)
+			appendMany(b, "tail", 20)
+			stale.ID = "snapshot-copy" // a late copy of the first one ends the log
+			b.submit(stale)
+			time.Sleep(time.Second)
 			c.log.Trim(horizon)
 			late := c.start(journaltest.Faults{})
 			late.setCut(true) // it has the log alone
--- a/internal/journal/outbox.go
+++ b/internal/journal/outbox.go
@@ -191,32 +191,47 @@
 	ok       bool
 }
 
-// jumped settles entries in doubt after reading went on from a snapshot. An entry
-// whose decision the snapshot may have forgotten stays in doubt and is dropped;
-// one that was not asked for stays in doubt.
+// unasked returns the IDs of the entries that were sent and are not in asked.
+func (o *outbox) unasked(asked map[string]lookedUp) []string {
+	var ids []string
+	for id, p := range o.held {
+		if _, ok := asked[id]; !ok && p.stage != stageQueued {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// jumped settles entries after reading went on from a snapshot of the given offset.
+// It needs the snapshot's decision on each entry that was sent.
 func (o *outbox) jumped(offset int64, asked map[string]lookedUp) {
 	o.read = max(o.read, offset+1)
 	o.known = max(o.known, offset+1)
-	for _, p := range o.unsettled() {
-		found, wasAsked := asked[p.entry.ID]
-		if !wasAsked {
-			continue
-		}
-		decision, ok := found.decision, found.ok
-		switch {
-		case ok && decision.Verdict == VerdictExpired:
-			o.settle(p, AppendResult{State: AppendNotSent, Err: ErrExpired})
-		case ok:
-			o.settle(p, AppendResult{State: AppendStored, Offset: decision.Offset})
-		case offset < p.entry.NotAfter: // a copy may still take effect
-		case offset < p.entry.NotAfter+DecidedWindow-SendWindow:
-			o.settle(p, AppendResult{State: AppendNotSent, Err: ErrExpired})
-		default:
-			o.drop(p)
+	for id, found := range asked {
+		if p, ok := o.held[id]; ok && p.stage != stageQueued {
+			o.jumpedOver(p, offset, found)
 		}
 	}
 }
 
+// jumpedOver settles one entry. When the snapshot may have forgotten its decision,
+// it is left in doubt for good.
+func (o *outbox) jumpedOver(p *pending, offset int64, found lookedUp) {
+	switch {
+	case found.ok && found.decision.Verdict == VerdictExpired:
+		o.settle(p, AppendResult{State: AppendNotSent, Err: ErrExpired})
+	case found.ok:
+		o.settle(p, AppendResult{State: AppendStored, Offset: found.decision.Offset})
+	case offset < p.entry.NotAfter: // a copy may still take effect
+	case offset < p.entry.NotAfter+DecidedWindow-SendWindow:
+		o.settle(p, AppendResult{State: AppendNotSent, Err: ErrExpired})
+	case p.stage == stageDoubt:
+		o.drop(p)
+	default:
+		o.settle(p, AppendResult{State: AppendInDoubt, Err: ErrForgotten})
+	}
+}
+
 // close reports the queue as not sent.
 func (o *outbox) close() {
 	for _, p := range o.queue {
--- a/internal/journal/publisher.go
+++ b/internal/journal/publisher.go
@@ -20,6 +20,9 @@
 	ErrStopped = errors.New("journal publisher stopped")
 	// ErrExpired means that the log passed the entry's NotAfter offset without it.
 	ErrExpired = errors.New("journal entry was not stored before its last offset")
+	// ErrForgotten means that reading went on from a snapshot that is too new to
+	// tell what became of the entry.
+	ErrForgotten = errors.New("what became of the journal entry is no longer known")
 )
 
 const (
@@ -103,25 +106,32 @@
 // may wait for a goroutine that calls Submit.
 func (p *Publisher) ObserveSnapshot(offset int64, lookup func(entryID string) (Decision, bool)) {
 	asked := make(map[string]lookedUp)
-	for _, id := range p.unsettledIDs() {
-		decision, ok := lookup(id)
-		asked[id] = lookedUp{decision, ok}
+	for !p.jump(offset, asked) {
+		p.ask(asked, lookup)
 	}
+}
+
+// jump settles entries after a snapshot; ok is false when one was not asked for.
+func (p *Publisher) jump(offset int64, asked map[string]lookedUp) (ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.outbox.unasked(asked)) > 0 {
+		return false
+	}
 	p.outbox.jumped(offset, asked)
 	p.signal()
+	return true
 }
 
-// unsettledIDs returns the IDs of the entries in doubt.
-func (p *Publisher) unsettledIDs() []string {
+// ask looks up the entries that were not asked for, without holding the lock.
+func (p *Publisher) ask(asked map[string]lookedUp, lookup func(entryID string) (Decision, bool)) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	var ids []string
-	for _, held := range p.outbox.unsettled() {
-		ids = append(ids, held.entry.ID)
+	ids := p.outbox.unasked(asked)
+	p.mu.Unlock()
+	for _, id := range ids {
+		decision, ok := lookup(id)
+		asked[id] = lookedUp{decision, ok}
 	}
-	return ids
 }
 
 // Flush waits until nothing is queued or being sent, or ctx ends. Entries in
--- a/internal/journal/world_test.go
+++ b/internal/journal/world_test.go
@@ -159,11 +159,11 @@
 	return r.decided.Lookup(id)
 }
 
-// current returns the configuration in force.
-func (r *replica) current() *config.Current {
+// revisionInForce returns the revision of the configuration in force.
+func (r *replica) revisionInForce() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.config.Current()
+	return r.config.Current().Revision
 }
 
 // cluster is a set of VMs on one log.
@@ -254,6 +254,13 @@
 	return v.stale
 }
 
+// isGone reports whether the VM was killed.
+func (v *vm) isGone() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.gone
+}
+
 // unreachable reports whether no peer reaches the VM.
 func (v *vm) unreachable() bool {
 	v.mu.Lock()
@@ -362,7 +369,7 @@
 	c.t.Helper()
 	var first *vm
 	for _, v := range c.all() {
-		if v.gone {
+		if v.isGone() {
 			continue
 		}
 		if first == nil {
