--- /dev/null
+++ b/internal/measure/journal_vm.go
@@ -0,0 +1,231 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/config"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal/journaltest"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/replica"
+)
+
+const (
+	logHeartbeat   = 500 * time.Millisecond
+	logPeerLatency = 8 * time.Millisecond // one way between regions
+	logPollEvery   = 200 * time.Microsecond
+)
+
+// logVM is the part of a VM that follows and writes the log, with the replicated state.
+type logVM struct {
+	cluster   *logCluster
+	zone      int
+	port      *journaltest.Port
+	state     *replica.State // used by the follower's goroutine alone
+	publisher *journal.Publisher
+	follower  *journal.Follower
+	revision  atomic.Int64 // of the configuration in force
+	entries   atomic.Int64 // applied
+}
+
+// Records implements journal.Sink.
+func (v *logVM) Records(entries []journal.Located, next int64) {
+	for _, e := range entries {
+		v.state.Apply(e)
+	}
+	v.state.Advance(next)
+	v.publisher.Observe(entries, next)
+	v.entries.Add(int64(len(entries)))
+	v.revision.Store(v.state.Config().Current().Revision)
+}
+
+// Snapshot implements journal.Sink.
+func (v *logVM) Snapshot(s journal.Snapshot) {
+	if err := v.state.Restore(s.State); err != nil {
+		panic(fmt.Sprintf("measure: restore own snapshot: %v", err))
+	}
+	v.publisher.ObserveSnapshot(s.Offset, v.state.Decision)
+	v.revision.Store(v.state.Config().Current().Revision)
+}
+
+// Reachable implements journal.Sink.
+func (v *logVM) Reachable(bool) {}
+
+// Fetch implements journal.Peers.
+func (v *logVM) Fetch(_ context.Context, from int64, limit int) (journal.Fetched, error) {
+	peer := v.cluster.ahead(v)
+	if peer == nil {
+		return journal.Fetched{}, fmt.Errorf("no peer is ahead: %w", platform.ErrUnavailable)
+	}
+	time.Sleep(2 * logPeerLatency)
+	return peer.follower.Serve(from, limit), nil
+}
+
+// heartbeats kicks the follower while a peer is ahead.
+func (v *logVM) heartbeats(ctx context.Context) {
+	ticker := time.NewTicker(logHeartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if v.cluster.ahead(v) != nil {
+			v.follower.Kick()
+		}
+	}
+}
+
+// logCluster is a set of VMs on one log.
+type logCluster struct {
+	log  *journaltest.Log
+	vms  []*logVM
+	stop func()
+}
+
+// newLogCluster starts the VMs with equal links to the log.
+func newLogCluster(link journaltest.Faults) *logCluster {
+	c := &logCluster{log: journaltest.NewLog()}
+	for i := range logZones * logVMsPerZone {
+		c.vms = append(c.vms, c.newVM(i/logVMsPerZone, link))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, v := range c.vms {
+		running.Go(func() { v.publisher.Run(ctx) })
+		running.Go(func() { v.follower.Run(ctx) })
+		running.Go(func() { v.heartbeats(ctx) })
+	}
+	c.stop = func() {
+		cancel()
+		running.Wait()
+	}
+	return c
+}
+
+func (c *logCluster) newVM(zone int, link journaltest.Faults) *logVM {
+	v := &logVM{cluster: c, zone: zone, port: c.log.Port(), state: replica.New(config.NewState())}
+	v.port.Set(link)
+	v.publisher = journal.NewPublisher(v.port, journal.PublisherOptions{})
+	v.follower = journal.NewFollower(v.port, v, v, journal.FollowerOptions{})
+	return v
+}
+
+// ahead returns a VM that has applied more than v, the furthest first; nil for none.
+func (c *logCluster) ahead(v *logVM) *logVM {
+	var best *logVM
+	next := v.follower.Next()
+	for _, peer := range c.vms {
+		if n := peer.follower.Next(); n > next {
+			best, next = peer, n
+		}
+	}
+	return best
+}
+
+// cutZone cuts the platform off from the VMs of a zone.
+func (c *logCluster) cutZone(zone int) {
+	for _, v := range c.vms {
+		if v.zone == zone {
+			v.port.Set(journaltest.Faults{Append: journaltest.FaultSilent, Read: journaltest.FaultSilent})
+		}
+	}
+}
+
+// stats returns the sums over all publishers.
+func (c *logCluster) stats() journal.PublisherStats {
+	var sum journal.PublisherStats
+	for _, v := range c.vms {
+		stats := v.publisher.Stats()
+		sum.Appends += stats.Appends
+		sum.Entries += stats.Entries
+		sum.Bytes += stats.Bytes
+	}
+	return sum
+}
+
+// awaitStart waits until all VMs follow the log.
+func (c *logCluster) awaitStart() error {
+	return await(c.vms, func(v *logVM) bool { return v.follower.Next() > 0 })
+}
+
+var errTimeout = errors.New("the VMs did not get there in time")
+
+// await waits until reached holds on all the VMs.
+func await(vms []*logVM, reached func(*logVM) bool) error {
+	deadline := time.Now().Add(spreadTimeout)
+	for _, v := range vms {
+		for !reached(v) {
+			if time.Now().After(deadline) {
+				return errTimeout
+			}
+			time.Sleep(logPollEvery)
+		}
+	}
+	return nil
+}
+
+// published is the time a change took.
+type published struct {
+	accepted time.Duration // from submitted to read back on the VM that published it
+	inForce  time.Duration // from accepted to in force on the last VM
+}
+
+// publish publishes a change on the first VM and times it.
+func (c *logCluster) publish(i int) (published, error) {
+	first := c.vms[0]
+	revision := first.revision.Load()
+	change := journal.ConfigChange{ExpectedRevision: revision, Records: config.Render(sampleConfig(i))}
+	body, err := json.Marshal(change)
+	if err != nil {
+		return published{}, err
+	}
+	start := time.Now()
+	e := journal.Entry{ID: model.RandomID(), Kind: journal.KindConfig, Body: body}
+	if err := first.publisher.Submit(e, nil); err != nil {
+		return published{}, err
+	}
+	if err := await([]*logVM{first}, func(v *logVM) bool { return v.revision.Load() > revision }); err != nil {
+		return published{}, err
+	}
+	accepted := time.Now()
+	revision = first.revision.Load()
+	err = await(c.vms, func(v *logVM) bool { return v.revision.Load() >= revision })
+	return published{accepted: accepted.Sub(start), inForce: time.Since(accepted)}, err
+}
+
+// sampleConfig returns a configuration of one organisation and one request kind.
+func sampleConfig(i int) *config.Current {
+	shape := model.GangShape{Tasks: 4, Accelerators: 8, Adjacency: model.AdjacentRack}
+	organisation := model.Organisation{
+		ID:         "palvehelmed",
+		Guarantees: []model.Guarantee{{AZ: "harju-a", Shape: shape, Count: 1 + i%3}},
+		Weight:     1,
+	}
+	return &config.Current{Organisations: map[model.OrganisationID]model.Organisation{organisation.ID: organisation}}
+}
+
+// burst submits entries on each VM at once and returns the time until all VMs
+// applied all of them.
+func (c *logCluster) burst(count int) (time.Duration, error) {
+	start := time.Now()
+	for _, v := range c.vms {
+		for range count {
+			e := journal.Entry{ID: model.RandomID(), Kind: journal.KindJobCancelled, Body: json.RawMessage(`{"job":"none"}`)}
+			if err := v.publisher.Submit(e, nil); err != nil {
+				return 0, err
+			}
+		}
+	}
+	total := int64(count * len(c.vms))
+	err := await(c.vms, func(v *logVM) bool { return v.entries.Load() >= total })
+	return time.Since(start), err
+}
