--- a/internal/control/check.go
+++ b/internal/control/check.go
@@ -40,7 +40,7 @@
 	for _, id := range sortedKeys(s.gangs) {
 		g := s.gangs[id]
 		j := s.replica.Job(id)
-		if j == nil || j.Job.Idempotent || !g.startSent || g.phase == JobStopping {
+		if j == nil || j.Job.Idempotent || !g.startSent || g.gathering || g.phase == JobStopping {
 			continue
 		}
 		if !j.Attempt.Open || j.Attempt.ID != g.attempt {
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/config"
@@ -63,6 +64,7 @@
 	stale    bool                  // the list is not updated
 	breaches []string              // broken promises seen by the fakes
 	reported []invariant.Violation // reported by the program
+	dump     string                // of the VM that reported first
 	ids      int
 	partial  map[model.AttemptID]time.Time
 	runtimes map[model.JobID]time.Duration
@@ -297,6 +299,9 @@
 	case SendTermOffer:
 		c.termOffer(n, a)
 	case Report:
+		if len(c.reported) == 0 {
+			c.dump = c.describe(n)
+		}
 		c.reported = append(c.reported, a.Violation)
 	default:
 		n.replies = append(n.replies, a)
@@ -484,3 +489,26 @@
 	}
 	return n
 }
+
+// describe tells what a VM knows of its gangs and backend servers, for a failed run.
+func (c *cluster) describe(n *node) string {
+	if n == nil {
+		return "no term holder"
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s token %v newest %v\n", n.name, n.state.term.token, n.state.term.newest)
+	for _, j := range sortedKeys(n.state.gangs) {
+		g := n.state.gangs[j]
+		fmt.Fprintf(&b, "  %s: %s gathering %v since %v\n", j, g.phase, g.gathering, g.since.Sub(c.now))
+		for _, m := range g.members {
+			fmt.Fprintf(&b, "    %s on %s: %d %q pending %q until %v\n",
+				m.task, m.server, m.accelerators, m.state, m.pending, m.until.Sub(c.now))
+		}
+	}
+	for _, id := range sortedKeys(n.state.servers) {
+		v := n.state.servers[id]
+		fmt.Fprintf(&b, "  %s live %v gone %v leaving %v surveyed %v fenced %v quarantined %v\n",
+			id, n.state.live(v), v.gone, v.leaving, v.surveyed, v.fenced, v.health.quarantined)
+	}
+	return b.String()
+}
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/platform"
@@ -47,15 +48,15 @@
 	if v != nil {
 		v.inflight = false
 	}
-	if !s.acting() || e.Batch.Token != s.term.token {
+	if !s.acting() {
 		return
 	}
 	if e.Err != nil {
-		s.commandLost(e)
+		s.commandLost(e, !errors.Is(e.Err, platform.ErrUnavailable))
 		return
 	}
 	if fencedBatch(e) {
-		s.fencedBy(e.Server)
+		s.batchFenced(e)
 		return
 	}
 	if v != nil {
@@ -63,8 +64,9 @@
 		s.confirmFence(v, e.Batch.Token)
 	}
 	for i, c := range e.Batch.Commands {
-		if i < len(e.Results) {
-			s.taskAnswered(e.Server, c, e.Results[i])
+		g, m := s.answeredMember(e.Server, c)
+		if g != nil && i < len(e.Results) {
+			s.memberAnswered(g, m, c.Verb, e.Results[i])
 		}
 	}
 }
@@ -84,44 +86,50 @@
 
 // fencedBatch reports whether the server refused the batch for a newer token.
 func fencedBatch(e CommandAnswered) bool {
-	for _, r := range e.Results {
-		if r.Refused == platform.RefusedFenced {
-			return true
-		}
+	return slices.ContainsFunc(e.Results, func(r platform.TaskResult) bool {
+		return r.Refused == platform.RefusedFenced
+	})
+}
+
+// batchFenced follows up a batch that was refused whole: another VM has a newer
+// token, or this VM itself got one meanwhile and sends the commands again.
+func (s *State) batchFenced(e CommandAnswered) {
+	if e.Batch.Token == s.term.token {
+		s.fencedBy(e.Server)
+		return
 	}
-	return false
+	s.commandLost(e, false)
 }
 
 // commandLost follows up a batch without an answer.
-func (s *State) commandLost(e CommandAnswered) {
-	inDoubt := !errors.Is(e.Err, platform.ErrUnavailable)
+func (s *State) commandLost(e CommandAnswered, inDoubt bool) {
 	if v := s.servers[e.Server]; v != nil {
 		v.pollNow = true
 	}
 	for _, c := range e.Batch.Commands {
-		s.taskUnanswered(e.Server, c, inDoubt)
+		if g, m := s.answeredMember(e.Server, c); g != nil {
+			s.memberUnanswered(g, m, c.Verb, inDoubt)
+		}
 	}
 }
 
-// taskAnswered passes a result to the gang of the task.
-func (s *State) taskAnswered(id model.BackendServerID, c platform.TaskCommand, r platform.TaskResult) {
+// answeredMember returns the gang and member of an answered command; nil when the
+// task is not known any more.
+func (s *State) answeredMember(id model.BackendServerID, c platform.TaskCommand) (*gang, *member) {
 	g, m := s.findMember(id, c.Task)
 	if g == nil {
-		return
+		return nil, nil
 	}
 	if m.pending == c.Verb {
 		m.pending = ""
 	}
-	s.memberAnswered(g, m, c.Verb, r)
+	if extendsLease(c.Verb) {
+		m.leasing = max(0, m.leasing-1)
+	}
+	return g, m
 }
 
-func (s *State) taskUnanswered(id model.BackendServerID, c platform.TaskCommand, inDoubt bool) {
-	g, m := s.findMember(id, c.Task)
-	if g == nil {
-		return
-	}
-	if m.pending == c.Verb {
-		m.pending = ""
-	}
-	s.memberUnanswered(g, m, c.Verb, inDoubt)
+// extendsLease reports whether a command starts or extends a lease.
+func extendsLease(v platform.Verb) bool {
+	return v == platform.VerbHold || v == platform.VerbStart || v == platform.VerbRenew
 }
--- a/internal/control/gang.go
+++ b/internal/control/gang.go
@@ -62,6 +62,8 @@
 	// until is the time after which the task certainly does not run, whatever
 	// became of commands without an answer.
 	until time.Time
+	// leasing is the number of lease commands that are not answered yet.
+	leasing int
 	// doubted is when a lease command last went without an answer.
 	doubted time.Time
 	// proved is when the task was last known to be active.
@@ -170,6 +172,9 @@
 func (s *State) command(m *member, c platform.TaskCommand) {
 	m.pending = c.Verb
 	m.sent = s.now
+	if extendsLease(c.Verb) {
+		m.leasing++
+	}
 	s.queue(m.server, c)
 }
 
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -80,8 +80,7 @@
 
 // memberUnanswered follows up a command whose answer was lost or that was not sent.
 func (s *State) memberUnanswered(g *gang, m *member, verb platform.Verb, inDoubt bool) {
-	lease := verb == platform.VerbHold || verb == platform.VerbStart || verb == platform.VerbRenew
-	if lease && inDoubt {
+	if extendsLease(verb) && inDoubt {
 		s.doubtful(m)
 	}
 	switch verb {
@@ -125,7 +124,7 @@
 // lapsed reports whether a member certainly does not run although its backend
 // server does not answer.
 func (s *State) lapsed(g *gang, m *member) bool {
-	if s.now.Before(m.until) || m.pending != "" {
+	if s.now.Before(m.until) || m.leasing > 0 {
 		return false
 	}
 	v := s.servers[m.server]
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -79,7 +79,8 @@
 	found := invariant.CheckReclaimable(zone, plan)
 	found = append(found, invariant.CheckNoDoublePromise(zone)...)
 	zone.Placed = slices.DeleteFunc(zone.Placed, func(p placement.Placed) bool {
-		return p.Evicting || s.gangs[p.Job].gathering
+		g := s.gangs[p.Job]
+		return p.Evicting || g.gathering || len(p.Members) < len(g.members)
 	})
 	found = append(found, invariant.CheckWholeGangs(zone)...)
 	for _, v := range found {
@@ -119,11 +120,14 @@
 		z.Organisations = append(z.Organisations, cfg.Organisations[id])
 	}
 	for _, id := range sortedKeys(s.gangs) {
-		z.Placed = append(z.Placed, s.placed(s.gangs[id]))
+		if p := s.placed(s.gangs[id]); len(p.Members) > 0 {
+			z.Placed = append(z.Placed, p)
+		}
 	}
 	return z
 }
 
+// placed lists the members of a gang that still occupy accelerators.
 func (s *State) placed(g *gang) placement.Placed {
 	p := placement.Placed{
 		Gang:     s.candidate(g.job, g.started),
@@ -132,6 +136,9 @@
 		Started:  g.started,
 	}
 	for _, m := range g.members {
+		if m.ended() {
+			continue
+		}
 		p.Members = append(p.Members, placement.Member{Server: m.server, Accelerators: m.accelerators})
 	}
 	return p
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -62,3 +62,10 @@
 		FailedServers:     3,
 	}
 }
+
+// PartialBound is how long a part of a gang may run after another member ended
+// early: at most one renewal round follows, its commands wait for one answer and
+// are sent within the next timeout, and the lease then lapses.
+func (s Settings) PartialBound() time.Duration {
+	return s.Lease + s.RenewInterval + 2*s.CommandTimeout
+}
