--- a/internal/control/cancel.go
+++ b/internal/control/cancel.go
@@ -68,6 +68,12 @@
 	s.stopCancelled(id)
 }
 
+// cancelled reports whether the job was cancelled here or in the log.
+func (s *State) cancelled(id model.JobID) bool {
+	j := s.replica.Job(id)
+	return s.cancels[id] != "" || (j != nil && j.Cancelled)
+}
+
 func (s *State) stopCancelled(id model.JobID) {
 	s.placement.dirty = true
 	if g := s.gangs[id]; g != nil {
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -59,7 +59,9 @@
 	config   *config.Current
 	settings Settings
 	cut      map[[2]string]bool    // both ways, by name
-	mute     map[[2]string]bool    // answers from the second to the first are lost
+	mute     map[[2]string]bool    // answers are lost after the effect
+	silent   map[[2]string]bool    // calls vanish and get no answer
+	hook     func(*node, Action)   // called before each action is carried out
 	vms      []platform.VMEntry    // the platform's list
 	stale    bool                  // the list is not updated
 	breaches []string              // broken promises seen by the fakes
@@ -106,6 +108,7 @@
 		settings: DefaultSettings(),
 		cut:      make(map[[2]string]bool),
 		mute:     make(map[[2]string]bool),
+		silent:   make(map[[2]string]bool),
 		partial:  make(map[model.AttemptID]time.Time),
 		runtimes: make(map[model.JobID]time.Duration),
 		remote:   make(map[ReplyID]remoteReply),
@@ -197,10 +200,6 @@
 	}
 	c.steps++
 	for _, a := range n.state.Step(events, c.now) {
-		if n.frozen { // frozen between the decision and the sending
-			n.acts = append(n.acts, func() { c.carryOut(n, a) })
-			continue
-		}
 		c.carryOut(n, a)
 	}
 }
@@ -285,6 +284,16 @@
 func (c *cluster) sever(a, b string, cut bool) { c.cut[link(a, b)] = cut }
 
 func (c *cluster) carryOut(n *node, a Action) {
+	if c.hook != nil {
+		c.hook(n, a)
+	}
+	if n.dead {
+		return
+	}
+	if n.frozen {
+		n.acts = append(n.acts, func() { c.carryOut(n, a) })
+		return
+	}
 	switch a := a.(type) {
 	case Append:
 		c.append(n, a.Entry)
@@ -316,14 +325,15 @@
 		c.after(linkDelay, func() { c.deliver(n, EntryAppended{Result: result}) })
 		return
 	}
+	vanishes := c.silent[link(n.name, "log")]
 	c.after(linkDelay+c.log.delay, func() {
-		if c.log.down || n.dead && c.rng.IntN(2) == 0 {
+		if vanishes || c.log.down || n.dead && c.rng.IntN(2) == 0 {
 			n.doubts = append(n.doubts, e.ID)
 			result.State = journal.AppendInDoubt
 		} else {
 			result.Offset = c.log.append(e, c.now)
 			result.State = journal.AppendStored
-			if c.log.lose || !c.connected(n.name, "log") {
+			if c.log.lose || c.mute[link(n.name, "log")] || !c.connected(n.name, "log") {
 				result.State = journal.AppendInDoubt
 			}
 		}
@@ -346,8 +356,9 @@
 		c.after(a.Timeout, func() { c.deliver(n, answered) })
 		return
 	}
+	vanishes := c.silent[link(n.name, a.Address)]
 	c.after(linkDelay, func() {
-		if f.dead || n.dead {
+		if vanishes || f.dead || n.dead {
 			answered.Err = errors.Join(errLost, platform.ErrInDoubt)
 			c.after(a.Timeout, func() { c.deliver(n, answered) })
 			return
@@ -365,7 +376,7 @@
 func (c *cluster) poll(n *node, a PollStatus) {
 	answered := StatusAnswered{Server: a.Server, Sent: a.Sent}
 	f := c.servers[a.Server]
-	if f == nil || f.dead || !c.connected(n.name, a.Address) || c.mute[link(n.name, a.Address)] {
+	if f == nil || f.dead || !c.connected(n.name, a.Address) || c.mute[link(n.name, a.Address)] || c.silent[link(n.name, a.Address)] {
 		answered.Err = platform.ErrUnavailable
 		c.after(a.Timeout, func() { c.deliver(n, answered) })
 		return
@@ -387,12 +398,20 @@
 
 func (c *cluster) reaches(n *node, address string) *node {
 	p := c.byAddress(address)
-	if p == nil || p.dead || p.frozen || !c.connected(n.name, address) {
+	if p == nil || p.dead || p.frozen || c.cut[link(n.name, address)] || c.silent[link(n.name, address)] {
 		return nil
 	}
 	return p
 }
 
+// peerError is what a caller learns of a peer that it does not reach.
+func (c *cluster) peerError(n *node, address string) error {
+	if c.silent[link(n.name, address)] {
+		return errors.Join(errLost, platform.ErrInDoubt)
+	}
+	return platform.ErrUnavailable
+}
+
 func (c *cluster) heartbeat(n *node, a SendHeartbeat) {
 	c.after(linkDelay, func() {
 		p := c.reaches(n, a.Address)
@@ -408,13 +427,14 @@
 // remoteReply routes replies of a peer back to the VM that called.
 type remoteReply struct {
 	node *node
+	from *node
 	job  model.JobID
 }
 
-func (c *cluster) expect(n *node, job model.JobID) ReplyID {
+func (c *cluster) expect(n, p *node, job model.JobID) ReplyID {
 	c.ids++
 	id := ReplyID(1_000_000 + c.ids)
-	c.remote[id] = remoteReply{node: n, job: job}
+	c.remote[id] = remoteReply{node: n, from: p, job: job}
 	return id
 }
 
@@ -422,21 +442,35 @@
 	switch a := a.(type) {
 	case OfferReply:
 		r := c.remote[a.Reply]
-		c.after(linkDelay, func() { c.deliver(r.node, OfferAnswered{Job: r.job, Answer: a.Answer}) })
+		e := OfferAnswered{Job: r.job, Answer: a.Answer}
+		if c.loses(r) {
+			e = OfferAnswered{Job: r.job, Err: errors.Join(errLost, platform.ErrInDoubt)}
+		}
+		c.after(linkDelay, func() { c.deliver(r.node, e) })
 	case TermOfferReply:
 		r := c.remote[a.Reply]
-		c.after(linkDelay, func() { c.deliver(r.node, TermOfferAnswered{Accepted: a.Accepted}) })
+		e := TermOfferAnswered{Accepted: a.Accepted}
+		if c.loses(r) {
+			e = TermOfferAnswered{Err: errors.Join(errLost, platform.ErrInDoubt)}
+		}
+		c.after(linkDelay, func() { c.deliver(r.node, e) })
 	}
 }
 
+// loses reports whether the answer of a peer does not get back.
+func (c *cluster) loses(r remoteReply) bool {
+	l := link(r.node.name, r.from.name)
+	return c.mute[l] || c.cut[l]
+}
+
 func (c *cluster) offer(n *node, a SendOffer) {
 	c.after(linkDelay, func() {
 		p := c.reaches(n, a.Address)
 		if p == nil {
-			c.deliver(n, OfferAnswered{Job: a.Offer.Job.ID, Err: platform.ErrUnavailable})
+			c.deliver(n, OfferAnswered{Job: a.Offer.Job.ID, Err: c.peerError(n, a.Address)})
 			return
 		}
-		c.deliver(p, JobOffered{Reply: c.expect(n, a.Offer.Job.ID), Offer: a.Offer})
+		c.deliver(p, JobOffered{Reply: c.expect(n, p, a.Offer.Job.ID), Offer: a.Offer})
 	})
 }
 
@@ -444,10 +478,10 @@
 	c.after(linkDelay, func() {
 		p := c.reaches(n, a.Address)
 		if p == nil {
-			c.deliver(n, TermOfferAnswered{Err: platform.ErrUnavailable})
+			c.deliver(n, TermOfferAnswered{Err: c.peerError(n, a.Address)})
 			return
 		}
-		c.deliver(p, TermOffered{Reply: c.expect(n, ""), Offer: a.Offer})
+		c.deliver(p, TermOffered{Reply: c.expect(n, p, ""), Offer: a.Offer})
 	})
 }
 
--- a/internal/control/gang.go
+++ b/internal/control/gang.go
@@ -136,6 +136,9 @@
 		s.superviseGathering(g)
 		return
 	}
+	if g.phase != JobStopping && s.cancelled(g.job.ID) {
+		s.stopCancelled(g.job.ID)
+	}
 	switch g.phase {
 	case JobHolding:
 		s.superviseHolding(g)
--- a/internal/control/random_test.go
+++ b/internal/control/random_test.go
@@ -108,8 +108,13 @@
 }
 
 func (m *machine) muteLink(*rapid.T) {
-	l := link(m.node().name, m.server().info.Address)
-	m.mute[l] = !m.mute[l]
+	to := []string{m.node().name, m.server().info.Address, "log"}[rapid.IntRange(0, 2).Draw(m.t, "to")]
+	l := link(m.node().name, to)
+	if m.chance(2) {
+		m.mute[l] = !m.mute[l]
+		return
+	}
+	m.silent[l] = !m.silent[l]
 }
 
 func (m *machine) turnLog(*rapid.T) {
@@ -163,6 +168,7 @@
 func (m *machine) heal() {
 	clear(m.cut)
 	clear(m.mute)
+	clear(m.silent)
 	m.log.down, m.log.lose, m.log.delay = false, false, 0
 	m.addNode()
 	for _, n := range m.nodes {
