Control: outage, thaw, hand-over, reclaim, leaving and health proofs; weighed evidence

A failing job is ended on evidence weighed by what each backend server does for others; one that fails other jobs too does not count. VMs that do not hold the term poll backend servers every 5 s instead of every second and take the term holder's word meanwhile.

--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -61,6 +61,7 @@
 	cut      map[[2]string]bool    // both ways, by name
 	mute     map[[2]string]bool    // answers are lost after the effect
 	silent   map[[2]string]bool    // calls vanish and get no answer
+	bad      map[model.JobID]bool  // jobs that fail wherever they run
 	hook     func(*node, Action)   // called before each action is carried out
 	vms      []platform.VMEntry    // the platform's list
 	stale    bool                  // the list is not updated
@@ -134,8 +135,9 @@
 	info := model.BackendServer{ID: id, Address: string(id), AZ: testZone, Rack: "r0", Accelerators: 8, Slots: 8}
 	c.config.BackendServers[id] = info
 	c.servers[id] = &fakeServer{
-		info:  info,
-		tasks: make(map[model.TaskID]*fakeTask),
+		info:   info,
+		tasks:  make(map[model.TaskID]*fakeTask),
+		badJob: func(j model.JobID) bool { return c.bad[j] },
 		runtime: func(j model.JobID) time.Duration {
 			if d, ok := c.runtimes[j]; ok {
 				return d
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -41,6 +41,7 @@
 	dead    bool
 	failAll bool
 	noFence bool // mechanism switched off
+	badJob  func(model.JobID) bool
 	runtime func(model.JobID) time.Duration
 }
 
@@ -166,7 +167,7 @@
 		return
 	}
 	t.started = now
-	if f.failAll {
+	if f.failAll || f.badJob(t.Job) {
 		t.State, t.ended, t.Error = platform.TaskFailed, now, "fails everything"
 		return
 	}
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
 )
 
@@ -13,6 +14,8 @@
 	quarantineJobs      = 3                // distinct jobs that failed in a row
 	quarantineTime      = 30 * time.Second // before the first probe
 	quarantineTimeLimit = 10 * time.Minute
+	successMemory       = time.Hour        // for which a done task speaks for a backend server
+	provingTime         = 10 * time.Second // after which a running task does
 )
 
 // failure is one job's failure on a backend server.
@@ -27,6 +30,8 @@
 	quarantined bool
 	until       time.Time
 	period      time.Duration
+	success     time.Time // of the newest task that was done
+	successOf   model.JobID
 }
 
 // taskFailed records a failure and stops the gang. A job that failed on several
@@ -46,19 +51,52 @@
 	s.stop(g, why)
 }
 
+// failedOnMany reports whether the failures speak against the job: each on a backend
+// server that shows itself healthy with other work counts in full, one on a backend
+// server that nothing is known of counts half, and one on a backend server that
+// fails other jobs too does not count.
 func (s *State) failedOnMany(id model.JobID, latest model.BackendServerID) bool {
 	failed := []model.BackendServerID{latest}
 	if j := s.replica.Job(id); j != nil {
 		failed = append(failed, j.Failed...)
 	}
 	slices.Sort(failed)
-	healthy := 0
+	halves := 0
 	for _, f := range slices.Compact(failed) {
-		if v := s.servers[f]; v == nil || !v.health.quarantined {
-			healthy++
+		halves += s.witness(id, f)
+	}
+	return halves >= 2*s.settings.FailedServers
+}
+
+// witness weighs a backend server's evidence against a job, in halves.
+func (s *State) witness(id model.JobID, on model.BackendServerID) int {
+	v := s.servers[on]
+	if v == nil {
+		return 1
+	}
+	others := slices.ContainsFunc(v.health.failures, func(f failure) bool { return f.job != id })
+	switch {
+	case v.health.quarantined || others:
+		return 0
+	case s.worksForOthers(id, on, v):
+		return 2
+	default:
+		return 1
+	}
+}
+
+// worksForOthers reports whether another job's task runs on the server, or was done
+// there lately.
+func (s *State) worksForOthers(id model.JobID, on model.BackendServerID, v *server) bool {
+	if v.health.successOf != "" && v.health.successOf != id && s.now.Sub(v.health.success) < successMemory {
+		return true
+	}
+	for _, ref := range s.tasks[on] {
+		if ref.gang.job.ID != id && ref.member.state == platform.TaskRunning && s.now.Sub(ref.gang.started) >= provingTime {
+			return true
 		}
 	}
-	return healthy >= s.settings.FailedServers
+	return false
 }
 
 func (s *State) recordFailure(v *server, g *gang) {
@@ -79,9 +117,9 @@
 }
 
 // taskSucceeded clears the evidence against the backend server.
-func (s *State) taskSucceeded(m *member) {
+func (s *State) taskSucceeded(g *gang, m *member) {
 	if v := s.servers[m.server]; v != nil {
-		v.health = serverHealth{}
+		v.health = serverHealth{success: s.now, successOf: g.job.ID}
 	}
 }
 
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -104,7 +104,7 @@
 	case platform.TaskStopped, platform.TaskLapsed:
 		s.stop(g, ending{result: replica.ResultRetry, reason: ReasonMemberLost})
 	case platform.TaskDone:
-		s.taskSucceeded(m)
+		s.taskSucceeded(g, m)
 	}
 }
 
--- /dev/null
+++ b/internal/control/outage_test.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// newRunningCluster returns a cluster with a term holder.
+func newRunningCluster(t *testing.T, vms, servers int) *cluster {
+	t.Helper()
+	c := newCluster(t, vms, servers)
+	c.run(5 * time.Second)
+	assert.Assert(t, c.holder() != nil)
+	return c
+}
+
+// other returns a VM that is not the term holder.
+func (c *cluster) other() *node {
+	for _, n := range c.nodes {
+		if !n.dead && n != c.holder() {
+			return n
+		}
+	}
+	return nil
+}
+
+// With the log down, jobs that it has wait and say why unless they are idempotent;
+// jobs accepted meanwhile run under their acceptor's permit, through the term holder.
+func TestLogOutage(t *testing.T) {
+	c := newRunningCluster(t, 3, 2)
+	small := model.GangShape{Tasks: 2, Accelerators: 2, Adjacency: model.AdjacentAny}
+	whole := model.GangShape{Tasks: 4, Accelerators: 4, Adjacency: model.AdjacentAny}
+	blocker := c.submit(c.other(), whole, true, 8*time.Second)
+	recorded := c.submit(c.other(), small, false, time.Second)
+	idempotent := c.submit(c.other(), small, true, time.Second)
+	c.run(2 * time.Second)
+	assert.Equal(t, c.running(blocker), 4)
+
+	c.log.down = true
+	c.run(time.Second)
+	local := c.submit(c.other(), small, false, time.Second)
+	c.run(30 * time.Second)
+	h := c.holder()
+	assert.Equal(t, c.stateOf(h, blocker), JobDone)
+	assert.Equal(t, c.stateOf(h, idempotent), JobDone)
+	assert.Equal(t, c.stateOf(h, local), JobDone)
+	st, _ := h.state.status(recorded)
+	assert.Equal(t, st.State, JobWaiting)
+	assert.Equal(t, st.Reason, ReasonLogDown)
+	unsaved, _ := h.state.status(local)
+	assert.Assert(t, !unsaved.Durable)
+
+	c.log.down = false
+	c.run(10 * time.Second)
+	for _, id := range []model.JobID{blocker, recorded, idempotent, local} {
+		st, _ := c.other().state.status(id)
+		assert.Equal(t, st.State, JobDone, "job %s", id)
+		assert.Equal(t, st.Attempts, 1, "job %s", id)
+		assert.Assert(t, st.Durable)
+	}
+	c.assertClean()
+}
+
+// A job whose append is in doubt counts as recorded: its acceptor grants no permit.
+func TestAppendInDoubtIsNotStarted(t *testing.T) {
+	c := newRunningCluster(t, 3, 2)
+	n := c.other()
+	c.log.delay = 100 * time.Millisecond
+	id := c.submit(n, gangOfFour, false, time.Second)
+	c.run(50 * time.Millisecond)
+	c.log.down = true
+	c.run(20 * time.Second)
+	st, _ := n.state.status(id)
+	assert.Equal(t, st.State, JobWaiting)
+	assert.Equal(t, st.Reason, ReasonLogInDoubt)
+	assert.Equal(t, len(c.facts()), 0)
+	c.assertClean()
+}
+
+// A holder that was frozen while a successor took over sends nothing that its
+// lapsed authority covered.
+func TestThawedHolderSendsNothing(t *testing.T) {
+	c := newRunningCluster(t, 3, 4)
+	id := c.submit(c.other(), gangOfFour, false, time.Minute)
+	c.run(5 * time.Second)
+	old := c.holder()
+	old.frozen = true
+	c.run(8 * time.Second)
+	assert.Assert(t, c.holder() != nil)
+	sent := 0
+	c.hook = func(n *node, a Action) {
+		command, ok := a.(Command)
+		if n == old && ok && !c.now.After(command.NotAfter) {
+			sent++
+		}
+	}
+	c.thaw(old)
+	c.run(5 * time.Second)
+	assert.Equal(t, sent, 0)
+	assert.Equal(t, c.running(id), 4)
+	c.assertClean()
+}
+
+// A planned stop hands the term over at once, and running gangs go on.
+func TestDrainHandsTermOver(t *testing.T) {
+	c := newRunningCluster(t, 3, 4)
+	id := c.submit(c.other(), gangOfFour, false, time.Minute)
+	c.run(5 * time.Second)
+	old := c.holder()
+	c.deliver(old, DrainRequested{Reply: 7})
+	c.run(500 * time.Millisecond)
+	assert.Assert(t, c.holder() != nil && c.holder() != old)
+	assert.Equal(t, old.replies[len(old.replies)-1], Action(DrainReply{Reply: 7}))
+	c.run(15 * time.Second)
+	assert.Equal(t, c.running(id), 4)
+	c.assertClean()
+}
--- /dev/null
+++ b/internal/control/reclaim_test.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// urgentBound is the time in which urgent work must start.
+const urgentBound = 1100 * time.Millisecond
+
+// Borrowed gangs are checkpointed and stopped for a guarantee, and the urgent gang
+// runs within the bound with a log that takes 100 ms.
+func TestReclaimInTime(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	c.log.delay = 100 * time.Millisecond
+	shape := model.GangShape{Tasks: 2, Accelerators: 8, Adjacency: model.AdjacentAny}
+	c.config.Organisations["a"] = model.Organisation{ID: "a"}
+	c.config.Organisations["b"] = model.Organisation{ID: "b", Guarantees: []model.Guarantee{{AZ: testZone, Shape: shape, Count: 1}}}
+	c.run(5 * time.Second)
+	borrower := c.submit(c.other(), shape, false, time.Hour)
+	c.run(5 * time.Second)
+	assert.Equal(t, c.running(borrower), 2)
+	submitted := c.now
+	urgent := c.submit(c.other(), shape, false, time.Second)
+	assert.Assert(t, c.runUntil(5*time.Second, func() bool { return c.running(urgent) == 2 }))
+	took := c.now.Sub(submitted)
+	assert.Assert(t, took <= urgentBound, "took %v", took)
+	t.Logf("urgent gang ran after %v", took)
+
+	c.run(10 * time.Second)
+	assert.Equal(t, c.running(borrower), 2)
+	j := c.holder().state.replica.Job(borrower)
+	assert.Equal(t, j.Attempt.Number, 2)
+	assert.Assert(t, j.Checkpoint != "")
+	c.assertClean()
+}
+
+// A leaving backend server gets no hold once it says so, and its gangs run again
+// whole elsewhere from their checkpoint.
+func TestLeavingServer(t *testing.T) {
+	c := newRunningCluster(t, 3, 3)
+	id := c.submit(c.other(), model.GangShape{Tasks: 2, Accelerators: 4, Adjacency: model.AdjacentServer}, false, time.Hour)
+	c.run(5 * time.Second)
+	st, _ := c.holder().state.status(id)
+	assert.Equal(t, len(st.Servers), 1)
+	leaving := c.servers[st.Servers[0]]
+	leaving.leaving = true
+	c.run(3 * time.Second)
+	before := len(leaving.tasks)
+	for range 4 {
+		c.submit(c.other(), model.GangShape{Tasks: 1, Accelerators: 2, Adjacency: model.AdjacentAny}, false, time.Hour)
+	}
+	c.run(5 * time.Second)
+	assert.Equal(t, len(leaving.tasks), before)
+	assert.Equal(t, c.running(id), 2)
+	st, _ = c.holder().state.status(id)
+	assert.Assert(t, st.Servers[0] != leaving.info.ID)
+	assert.Assert(t, c.holder().state.replica.Job(id).Checkpoint != "")
+	c.assertClean()
+}
+
+// Backend servers that fail everything are told apart from a job that fails everywhere.
+func TestBadServerAndBadJob(t *testing.T) {
+	c := newRunningCluster(t, 3, 6)
+	one := model.GangShape{Tasks: 1, Accelerators: 8, Adjacency: model.AdjacentAny}
+	c.servers["s0"].failAll = true
+	c.bad = map[model.JobID]bool{"job000": true}
+	bad := c.submit(c.other(), one, false, 2*time.Second)
+	var good []model.JobID
+	for range 12 {
+		good = append(good, c.submit(c.other(), one, false, 2*time.Second))
+	}
+	c.run(2 * time.Minute)
+	for _, id := range good {
+		assert.Equal(t, c.stateOf(c.holder(), id), JobDone)
+	}
+	st, _ := c.holder().state.status(bad)
+	assert.Equal(t, st.State, JobFailed)
+	assert.Equal(t, st.Reason, ReasonFailedOnMany)
+	for id, v := range c.holder().state.servers {
+		assert.Equal(t, v.health.period > 0, id == "s0", "server %s", id)
+	}
+
+	c.servers["s0"].failAll = false
+	c.run(10 * time.Minute)
+	probe := c.submit(c.other(), model.GangShape{Tasks: 6, Accelerators: 8, Adjacency: model.AdjacentAny}, false, time.Second)
+	c.run(20 * time.Second)
+	assert.Equal(t, c.stateOf(c.holder(), probe), JobDone)
+	c.assertClean()
+}
+
+// Shapes that can never run are refused with a typed reason.
+func TestNeverFits(t *testing.T) {
+	c := newRunningCluster(t, 1, 2)
+	n := c.nodes[0]
+	c.submit(n, model.GangShape{Tasks: 2, Accelerators: 8, Adjacency: model.AdjacentServer}, false, time.Second)
+	reply := n.replies[len(n.replies)-1].(SubmitReply)
+	assert.Assert(t, reply.Refusal != nil)
+	assert.Equal(t, reply.Refusal.Reason, ReasonNeverFits)
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -12,6 +12,7 @@
 type server struct {
 	info     model.BackendServer
 	lastSeen time.Time
+	vouched  time.Time // when the term holder last called it live
 	free     int
 	leaving  bool
 	// listed is set once the VM list has shown the server, missing is since when it
@@ -40,6 +41,13 @@
 	return !v.lastSeen.IsZero() && s.now.Sub(v.lastSeen) <= s.settings.LiveTimeout
 }
 
+// shownLive also counts what the term holder says, for the view of other VMs, which
+// poll less often.
+func (s *State) shownLive(v *server) bool {
+	heard := !s.acting() && !v.vouched.IsZero() && s.now.Sub(v.vouched) <= s.settings.LiveTimeout
+	return (s.live(v) || heard) && !v.gone
+}
+
 // usable reports whether new work may be sent.
 func (s *State) usable(v *server) bool {
 	return s.live(v) && !v.leaving && !v.gone && !v.health.quarantined && v.surveyed && v.fenced == s.term.token
@@ -175,8 +183,9 @@
 		}
 	}
 	for id, free := range h.FreeSlots {
-		if v := s.servers[id]; v != nil && !s.live(v) {
+		if v := s.servers[id]; v != nil {
 			v.free = free
+			v.vouched = s.now
 		}
 	}
 	s.cancelsHeard(h.Cancelled)
@@ -212,7 +221,9 @@
 	h.FreeSlots = make(map[model.BackendServerID]int, len(s.servers))
 	for _, id := range sortedKeys(s.servers) {
 		v := s.servers[id]
-		h.FreeSlots[id] = v.free
+		if s.live(v) {
+			h.FreeSlots[id] = v.free
+		}
 		if v.leaving {
 			h.LeavingServers = append(h.LeavingServers, id)
 		}
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -53,7 +53,7 @@
 		CommandTimeout:    500 * time.Millisecond,
 		CheckpointTimeout: 500 * time.Millisecond,
 		PollInterval:      time.Second,
-		PollIdle:          time.Second,
+		PollIdle:          5 * time.Second,
 		LiveTimeout:       3 * time.Second,
 		ListInterval:      time.Second,
 		SubmitWait:        time.Second,
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
@@ -106,16 +107,23 @@
 	for id, v := range s.servers {
 		list[id] = BackendState{
 			Server:      v.info,
-			Live:        s.live(v) && !v.gone,
+			Live:        s.shownLive(v),
 			Leaving:     v.leaving,
 			Quarantined: v.health.quarantined,
 			FreeSlots:   v.free,
-			LastSeen:    v.lastSeen,
+			LastSeen:    later(v.lastSeen, v.vouched),
 		}
 	}
 	return list
 }
 
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 func (s *State) viewPeers() []PeerState {
 	var list []PeerState
 	for _, p := range s.peers.Peers() {
