Homes and moves across availability zones proved; views at intervals; open jobs indexed

Every step copied the status of every job and walked every job and backend server of the configuration. Views are now published with replies and at intervals of 50 ms, ended jobs are passed over, and the configuration is followed on change.

--- a/internal/control/adopt.go
+++ b/internal/control/adopt.go
@@ -159,7 +159,7 @@
 // closeLostAttempts closes attempts that are open in the log and certainly run
 // nowhere: every backend server that may run them has reported under the own token.
 func (s *State) closeLostAttempts() {
-	s.replica.Jobs(func(j *replica.Job) {
+	s.replica.OpenJobs(func(j *replica.Job) {
 		if !j.Attempt.Open || j.Job.HomeAZ != s.self.AZ || s.gangs[j.Job.ID] != nil {
 			return
 		}
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -35,7 +35,7 @@
 
 // deliver passes a reply on; one that nobody waits for is dropped.
 func (t *replyTable) deliver(a Action) {
-	r, ok := a.(interface{ replyTo() ReplyID })
+	r, ok := a.(replier)
 	if !ok {
 		return
 	}
@@ -47,6 +47,14 @@
 	}
 }
 
+// replier is an action that answers a caller.
+type replier interface{ replyTo() ReplyID }
+
+func isReply(a Action) bool {
+	_, ok := a.(replier)
+	return ok
+}
+
 func (a SubmitReply) replyTo() ReplyID    { return a.Reply }
 func (a CancelReply) replyTo() ReplyID    { return a.Reply }
 func (a PublishReply) replyTo() ReplyID   { return a.Reply }
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -130,10 +131,18 @@
 	return c
 }
 
-func (c *cluster) addServer(i int) {
+func (c *cluster) addServer(i int) { c.addServerIn(testZone, i) }
+
+func (c *cluster) addServerIn(az model.AZ, i int) {
 	id := model.BackendServerID(fmt.Sprintf(testAZServer, i))
-	info := model.BackendServer{ID: id, Address: string(id), AZ: testZone, Rack: "r0", Accelerators: 8, Slots: 8}
-	c.config.BackendServers[id] = info
+	info := model.BackendServer{ID: id, Address: string(id), AZ: az, Rack: "r0", Accelerators: 8, Slots: 8}
+	next := *c.config
+	next.BackendServers = maps.Clone(c.config.BackendServers)
+	next.BackendServers[id] = info
+	*c.config = next
+	for _, n := range c.nodes {
+		n.state.synced = nil
+	}
 	c.servers[id] = &fakeServer{
 		info:   info,
 		tasks:  make(map[model.TaskID]*fakeTask),
@@ -145,7 +154,7 @@
 			return 10 * time.Second
 		},
 	}
-	c.vms = append(c.vms, platform.VMEntry{Address: info.Address, Role: platform.RoleBackendServer, AZ: testZone, State: platform.VMLive})
+	c.vms = append(c.vms, platform.VMEntry{Address: info.Address, Role: platform.RoleBackendServer, AZ: az, State: platform.VMLive})
 }
 
 func (c *cluster) newID() string {
@@ -153,13 +162,15 @@
 	return fmt.Sprintf("id%04d", c.ids)
 }
 
-func (c *cluster) addNode() *node {
+func (c *cluster) addNode() *node { return c.addNodeIn(testZone) }
+
+func (c *cluster) addNodeIn(az model.AZ) *node {
 	name := fmt.Sprintf("vm%d", len(c.nodes))
-	id := Identity{Incarnation: model.Incarnation("i-" + name), Address: name, AZ: testZone}
+	id := Identity{Incarnation: model.Incarnation("i-" + name), Address: name, AZ: az}
 	n := &node{name: name, next: 1}
 	n.state = NewState(id, c.settings, replica.New(fixedConfig{c.config}), placement.Reclaiming{}, c.newID)
 	c.nodes = append(c.nodes, n)
-	c.vms = append(c.vms, platform.VMEntry{Address: name, Role: platform.RoleEntry, AZ: testZone, State: platform.VMLive})
+	c.vms = append(c.vms, platform.VMEntry{Address: name, Role: platform.RoleEntry, AZ: az, State: platform.VMLive})
 	return n
 }
 
--- /dev/null
+++ b/internal/control/home_test.go
@@ -0,0 +1,75 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+const farZone model.AZ = "tartu-a"
+
+// newTwoZones returns a cluster with a second availability zone, in which
+// organisation a has a guarantee.
+func newTwoZones(t *testing.T) *cluster {
+	t.Helper()
+	c := newCluster(t, 2, 2)
+	for i := range 2 {
+		c.addNodeIn(farZone)
+		c.addServerIn(farZone, 10+i)
+	}
+	guarantee := model.Guarantee{AZ: farZone, Shape: gangOfFour, Count: 1}
+	c.config.Organisations["a"] = model.Organisation{ID: "a", Guarantees: []model.Guarantee{guarantee}}
+	c.run(10 * time.Second)
+	return c
+}
+
+// A job goes home to where its organisation has a guarantee.
+func TestHomeByGuarantee(t *testing.T) {
+	c := newTwoZones(t)
+	id := c.submit(c.nodes[0], gangOfFour, false, 5*time.Second)
+	c.run(10 * time.Second)
+	st, _ := c.nodes[0].state.status(id)
+	assert.Equal(t, st.Job.HomeAZ, farZone)
+	assert.Equal(t, st.State, JobDone)
+	c.assertClean()
+}
+
+// With the log down, the acceptor passes a job and its permit to the term holder of
+// the home in another availability zone, and the job runs once.
+func TestOfferAcrossZones(t *testing.T) {
+	c := newTwoZones(t)
+	c.log.down = true
+	c.run(time.Second)
+	id := c.submit(c.nodes[0], gangOfFour, false, 5*time.Second)
+	assert.Assert(t, c.runUntil(5*time.Second, func() bool { return c.running(id) == 4 }))
+	c.run(30 * time.Second)
+	c.log.down = false
+	c.run(10 * time.Second)
+	st, _ := c.nodes[0].state.status(id)
+	assert.Equal(t, st.State, JobDone)
+	assert.Equal(t, st.Attempts, 1)
+	c.assertClean()
+}
+
+// A job that fits no healthy cell of its home is moved by the home's term holder.
+func TestMoveFromBrokenHome(t *testing.T) {
+	c := newTwoZones(t)
+	c.servers["s10"].die(c.now)
+	c.servers["s11"].die(c.now)
+	c.run(10 * time.Second)
+	id := c.submit(c.nodes[0], gangOfFour, false, 5*time.Second)
+	c.run(5 * time.Second)
+	st, _ := c.nodes[0].state.status(id)
+	assert.Equal(t, st.Job.HomeAZ, farZone)
+	far := c.nodes[2].state.View().AtRisk
+	assert.Equal(t, len(far), 1)
+	assert.Equal(t, far[0].Honoured, 0)
+	c.run(30 * time.Second)
+	st, _ = c.nodes[0].state.status(id)
+	assert.Equal(t, st.Job.HomeAZ, testZone)
+	assert.Equal(t, st.State, JobDone)
+	c.assertClean()
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,8 @@
 const (
 	eventQueue = 4096 // events
 	eventBatch = 1024 // events in one step
+
+	viewInterval = 50 * time.Millisecond // between views without a reply
 )
 
 // Loop runs the State in one goroutine and carries its actions out in others. It
@@ -26,6 +29,7 @@
 	stopped   chan struct{}
 	view      atomic.Pointer[View]
 	heartbeat atomic.Pointer[membership.Heartbeat]
+	published time.Time // when view was; used by Run only
 	nextReply atomic.Uint64
 	replies   replyTable
 	work      sync.WaitGroup
@@ -90,11 +94,15 @@
 	return events
 }
 
-// step publishes the view before the actions, so that a caller who got a reply
-// finds its effect in the view.
+// step publishes the view before a reply, so that a caller who got one finds its
+// effect in the view; otherwise at intervals.
 func (l *Loop) step(ctx context.Context, events []Event) {
-	actions := l.state.Step(events, l.options.Now())
-	l.publish()
+	now := l.options.Now()
+	actions := l.state.Step(events, now)
+	if slices.ContainsFunc(actions, isReply) || now.Sub(l.published) >= viewInterval {
+		l.published = now
+		l.publish()
+	}
 	for _, a := range actions {
 		l.carryOut(ctx, a)
 	}
--- /dev/null
+++ b/internal/control/loop_test.go
@@ -0,0 +1,122 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/config"
+	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/membership"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/placement"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/replica"
+)
+
+// bench is everything around one Loop.
+type bench struct {
+	platform.Backend
+	Peers
+	t      *testing.T
+	mu     sync.Mutex
+	server *fakeServer
+	log    fakeLog
+	loop   *Loop
+}
+
+func (b *bench) Submit(e journal.Entry, done func(journal.AppendResult)) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	offset := b.log.append(e, time.Now())
+	entries := []journal.Located{b.log.entries[offset-1]}
+	go func() {
+		b.loop.Records(entries, offset+1)
+		done(journal.AppendResult{EntryID: e.ID, State: journal.AppendStored, Offset: offset})
+	}()
+	return nil
+}
+
+func (b *bench) Observe([]journal.Located, int64)                             {}
+func (b *bench) ObserveSnapshot(int64, func(string) (journal.Decision, bool)) {}
+func (b *bench) List(context.Context) ([]platform.VMEntry, error)             { return nil, nil }
+func (b *bench) Violated(v invariant.Violation)                               { b.t.Errorf("violation: %+v", v) }
+
+func (b *bench) Status(context.Context) (platform.BackendStatus, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.server.status(time.Now()), nil
+}
+
+func (b *bench) Command(_ context.Context, batch platform.CommandBatch) ([]platform.TaskResult, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.server.command(batch, time.Now()), nil
+}
+
+func (b *bench) Heartbeat(context.Context, string, membership.Heartbeat) (membership.Heartbeat, error) {
+	return membership.Heartbeat{}, platform.ErrUnavailable
+}
+
+// dialer returns the bench's only backend server.
+type dialer struct{ b *bench }
+
+func (d dialer) Backend(string) platform.Backend { return d.b }
+
+// The loop carries a job from its submission to its end, and leaves no goroutine.
+func TestLoopRunsJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		info := model.BackendServer{ID: "s0", Address: "s0", AZ: testZone, Accelerators: 8}
+		b := &bench{t: t, server: &fakeServer{
+			info:    info,
+			tasks:   make(map[model.TaskID]*fakeTask),
+			runtime: func(model.JobID) time.Duration { return 10 * time.Second },
+			badJob:  func(model.JobID) bool { return false },
+		}}
+		current := &config.Current{
+			Organisations:  map[model.OrganisationID]model.Organisation{"a": {ID: "a"}},
+			BackendServers: map[model.BackendServerID]model.BackendServer{"s0": info},
+		}
+		b.loop = New(Options{
+			Identity: Identity{Incarnation: "i", Address: "vm", AZ: testZone},
+			Replica:  replica.New(fixedConfig{current}),
+			Policy:   placement.Reclaiming{},
+			Log:      b,
+			Dialer:   dialer{b},
+			VMs:      b,
+			Peers:    b,
+			Reporter: b,
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			b.loop.Run(ctx)
+			close(done)
+		}()
+		b.loop.Reachable(true)
+		b.loop.Records(nil, 1)
+		time.Sleep(5 * time.Second)
+
+		job := model.Job{ID: "j", Organisation: "a", Shape: model.GangShape{Tasks: 2, Accelerators: 4, Adjacency: model.AdjacentServer}}
+		receipt, err := b.loop.Submit(ctx, job)
+		assert.NilError(t, err)
+		assert.Assert(t, receipt.Durable)
+		time.Sleep(time.Second)
+		st, _ := b.loop.View().Job("j")
+		assert.Equal(t, st.State, JobRunning)
+		time.Sleep(15 * time.Second)
+		st, _ = b.loop.View().Job("j")
+		assert.Equal(t, st.State, JobDone)
+		receipts, err := b.loop.Cancel(ctx, []model.JobID{"j", "unknown"})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, receipts, []CancelReceipt{{Job: "j", State: JobDone, Durable: true}, {Job: "unknown"}})
+		assert.NilError(t, b.loop.Drain(ctx))
+		stop()
+		<-done
+	})
+}
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -163,7 +163,7 @@
 // pending lists the jobs that may be started here, ordered by submission.
 func (s *State) pending() []placement.Gang {
 	var list []placement.Gang
-	s.replica.Jobs(func(j *replica.Job) {
+	s.replica.OpenJobs(func(j *replica.Job) {
 		if s.waitsForPlacement(j) {
 			list = append(list, s.candidate(j.Job, j.AcceptedAt))
 		}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -56,6 +56,10 @@
 // syncServers follows the configuration.
 func (s *State) syncServers() {
 	cfg := s.replica.Config().Current()
+	if cfg == s.synced {
+		return
+	}
+	s.synced = cfg
 	for id, info := range cfg.BackendServers {
 		if info.AZ != s.self.AZ {
 			continue
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/config"
 	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
 	"github.com/eelgrassreach/eelgrassreach/internal/membership"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
@@ -34,6 +35,7 @@
 	placement placementState
 	drain     drainState
 
+	synced        *config.Current // the configuration that servers follows
 	now           time.Time
 	started       time.Time
 	lastHeartbeat time.Time
--- a/internal/replica/encode.go
+++ b/internal/replica/encode.go
@@ -66,8 +66,12 @@
 	}
 	s.ended = e.Ended
 	s.jobs = make(map[model.JobID]*Job, len(e.Jobs))
+	s.open = make(map[model.JobID]*Job)
 	for _, j := range e.Jobs {
 		s.jobs[j.Job.ID] = j
+		if !j.Ended() {
+			s.open[j.Job.ID] = j
+		}
 	}
 	s.verdicts = verdicts
 	return nil
--- a/internal/replica/job.go
+++ b/internal/replica/job.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// OpenJobs calls f for each job that has not ended, in no fixed order.
+func (s *State) OpenJobs(f func(*Job)) {
+	for _, j := range s.open {
+		f(j)
+	}
+}
+
 func (s *State) applyAccepted(l journal.Located, a journal.JobAccepted) journal.Decision {
 	if a.Job.ID == "" {
 		return malformed("job without ID")
@@ -77,6 +84,7 @@
 		j.Attempt = Attempt{ID: a.Attempt, Number: 1, Acceptor: a.Acceptor, Open: true}
 	}
 	s.jobs[a.Job.ID] = j
+	s.open[a.Job.ID] = j
 	return accepted()
 }
 
@@ -157,6 +165,7 @@
 	j.Reason = reason
 	j.Job.Payload = ""
 	s.ended.add(j.Job.ID, offset)
+	delete(s.open, j.Job.ID)
 }
 
 func union(have, more []model.BackendServerID) []model.BackendServerID {
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -34,6 +34,7 @@
 	config   Config
 	terms    map[model.AZ]Term
 	jobs     map[model.JobID]*Job
+	open     map[model.JobID]*Job // those that have not ended
 	verdicts *journal.Decided
 	ended    endedQueue
 }
@@ -44,6 +45,7 @@
 		config:   cfg,
 		terms:    make(map[model.AZ]Term),
 		jobs:     make(map[model.JobID]*Job),
+		open:     make(map[model.JobID]*Job),
 		verdicts: journal.NewDecided(),
 	}
 }
--- /dev/null
+++ b/internal/replica/state_test.go
@@ -0,0 +1,87 @@
+package replica
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/config"
+	"github.com/eelgrassreach/eelgrassreach/internal/journal"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// located wraps a body as the entry of a record.
+func located(offset int64, id string, kind journal.Kind, body any) journal.Located {
+	data, _ := json.Marshal(body)
+	return journal.Located{Offset: offset, Entry: journal.Entry{ID: id, Kind: kind, Body: data}}
+}
+
+// randomEntry draws an entry that may or may not win.
+func randomEntry(t *rapid.T, offset int64) journal.Located {
+	id := fmt.Sprintf("e%d", rapid.IntRange(0, 200).Draw(t, "id"))
+	job := model.JobID(fmt.Sprintf("j%d", rapid.IntRange(0, 4).Draw(t, "job")))
+	number := rapid.IntRange(1, 3).Draw(t, "number")
+	attempt := model.AttemptID(fmt.Sprintf("%s-%d", job, number))
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	case 0:
+		return located(offset, id, journal.KindJobAccepted, journal.JobAccepted{Job: model.Job{ID: job, HomeAZ: "a"}})
+	case 1:
+		return located(offset, id, journal.KindJobCancelled, journal.JobCancelled{Job: job})
+	case 2:
+		term := model.Token{Offset: rapid.Int64Range(0, offset).Draw(t, "term")}
+		return located(offset, id, journal.KindAttempt, journal.AttemptClaimed{Job: job, Attempt: attempt, Number: number, Term: term})
+	case 3:
+		final := rapid.Bool().Draw(t, "final")
+		return located(offset, id, journal.KindJobEnded, journal.JobEnded{Job: job, Attempt: attempt, Final: final, Result: "done"})
+	case 4:
+		previous := rapid.Int64Range(0, offset).Draw(t, "previous")
+		return located(offset, id, journal.KindTerm, journal.TermClaimed{AZ: "a", Holder: "h", Previous: previous})
+	default:
+		return located(offset, id, journal.KindJobMoved, journal.JobMoved{Job: job, Home: "b", ExpectedRevision: offset - 1})
+	}
+}
+
+// A VM that starts from a snapshot reaches the same verdicts and state as one that
+// replayed everything.
+func TestSnapshotEqualsReplay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.Int64Range(1, 80).Draw(t, "records")
+		cut := rapid.Int64Range(0, n).Draw(t, "snapshot")
+		whole, restored := New(config.NewState()), New(config.NewState())
+		for offset := int64(1); offset <= n; offset++ {
+			l := randomEntry(t, offset)
+			want := whole.Apply(l)
+			whole.Advance(offset + 1)
+			if offset > cut {
+				assert.DeepEqual(t, restored.Apply(l), want)
+				restored.Advance(offset + 1)
+			}
+			if offset == cut {
+				data, err := whole.Encode()
+				assert.NilError(t, err)
+				assert.NilError(t, restored.Restore(data))
+			}
+		}
+		if cut > 0 {
+			a, _ := whole.Encode()
+			b, _ := restored.Encode()
+			assert.Equal(t, string(a), string(b))
+		}
+	})
+}
+
+// Ended jobs and verdicts are forgotten after the retention window.
+func TestRetention(t *testing.T) {
+	s := New(config.NewState())
+	s.Apply(located(1, "accept", journal.KindJobAccepted, journal.JobAccepted{Job: model.Job{ID: "j"}}))
+	s.Apply(located(2, "cancel", journal.KindJobCancelled, journal.JobCancelled{Job: "j"}))
+	s.Advance(RetentionOffsets + 1)
+	assert.Assert(t, s.Job("j") != nil)
+	s.Advance(RetentionOffsets + 10)
+	assert.Assert(t, s.Job("j") == nil)
+	_, known := s.Decision("cancel")
+	assert.Assert(t, !known)
+}
