Pause sends to a backend server that refuses connections

Cause: since refused requests go straight back to their queue, a server that refused connections at once was sent to again at once; with the VM's own calls refused in no time (a killed VM in the matrix) the scheduler spun for good and the matrix test hung until its limit of 600 s. Change: a failed connection closes a server for 10 to 160 ms, growing, as a refusal for want of slots does. Matrix cells added: a drain shorter than the request in flight, and a second arbiter after a hand-over in doubt.

--- a/internal/dispatch/matrix_test.go
+++ b/internal/dispatch/matrix_test.go
@@ -531,6 +531,9 @@
 		s.drainArbiter(drainBound)
 		s.ask(s.other, s.request, done)
 		s.ask(s.third, s.request, done)
+		first := successors(s.arbiter.ports.View(), s.arbiter.address, s.arbiter.options.Incarnation)[0]
+		s.w.kill(s.w.vms[first.Address]) // nobody else may believe to be the arbiter
+		s.ask(s.w.vms[s.notOf(first.Address)], s.request, unclear)
 	}},
 	{faultmatrix.StepDrain, faultmatrix.FaultListStale, 1, func(s *scene) {
 		first := successors(s.arbiter.ports.View(), s.arbiter.address, s.arbiter.options.Incarnation)[0]
@@ -551,13 +554,31 @@
 		s.ask(s.other, s.request, unclear)
 		s.assertRuns(0)
 	}},
-	{faultmatrix.StepDrain, faultmatrix.FaultBackendBad, 1, func(s *scene) {
-		s.server.failAll = true
-		s.drainArbiter(drainBound)
+	{faultmatrix.StepDrain, faultmatrix.FaultBackendBad, 4, func(s *scene) {
+		for _, server := range s.w.servers { // slower than the drain, and fails at last
+			server.service, server.failAll = 15*time.Second, true
+		}
+		s.start(s.arbiter, s.request)
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		assert.ErrorContains(s.t, s.arbiter.Drain(ctx), "1 requests")
+		s.w.kill(s.arbiter)
+		s.ask(s.other, s.request, unclear)
+		time.Sleep(10 * time.Second)
 		s.ask(s.other, s.request, failed)
+		s.ask(s.third, s.request, failed)
+		s.assertRuns(1)
 	}},
 }
 
+// notOf returns the address of a live VM other than the given one and the arbiter.
+func (s *scene) notOf(address string) string {
+	if s.other.address == address {
+		return s.third.address
+	}
+	return s.other.address
+}
+
 func TestMatrixRequests(t *testing.T) {
 	cells := slices.Concat(mintCells, forwardCells, queueCells, sendCells, answerCells, lookupCells, drainCells)
 	for _, c := range cells {
--- a/internal/dispatch/schedule/feedback.go
+++ b/internal/dispatch/schedule/feedback.go
@@ -32,7 +32,7 @@
 	case EndFull:
 		s.pool.end(b, noReport, now)
 		b.health.reachable()
-		s.pool.full(b, now)
+		s.pool.close(b, now)
 		return false
 	case EndLeaving:
 		s.pool.end(b, noReport, now)
@@ -41,6 +41,7 @@
 		return false
 	case EndUnreachable:
 		s.pool.end(b, noReport, now)
+		s.pool.close(b, now)
 		return s.unreachable(b, now)
 	default:
 		s.pool.end(b, noReport, now)
--- a/internal/dispatch/schedule/pool.go
+++ b/internal/dispatch/schedule/pool.go
@@ -41,9 +41,9 @@
 	reservedConnections = 2
 	// reportStale is the age at which a report of no free slot is tried again.
 	reportStale = 250 * time.Millisecond
-	// fullBackoffMin and fullBackoffMax bound the pause after a refusal for want of slots.
-	fullBackoffMin = 10 * time.Millisecond
-	fullBackoffMax = 160 * time.Millisecond
+	// closedMin and closedMax bound the pause after a server had no free slot or no connection.
+	closedMin = 10 * time.Millisecond
+	closedMax = 160 * time.Millisecond
 	// leavingSticky is how long a server's own word that it leaves outlasts a view
 	// that does not know it yet.
 	leavingSticky = 30 * time.Second
@@ -58,8 +58,8 @@
 	inflight    int
 	free        int // estimate of the free slots
 	reported    time.Time
-	fullStreak  int
-	fullUntil   time.Time
+	closings    int
+	closedUntil time.Time
 	leavingTill time.Time
 	health      health
 }
@@ -126,7 +126,7 @@
 	b.server = fs.BackendServer
 	b.usable = fs.Usable
 	b.tier = fs.Tier
-	if now.Sub(b.reported) > reportStale && fs.FreeSlots > 0 && !now.Before(b.fullUntil) {
+	if now.Sub(b.reported) > reportStale && fs.FreeSlots > 0 && !now.Before(b.closedUntil) {
 		b.free = fs.FreeSlots
 	}
 	return b
@@ -149,11 +149,11 @@
 
 // room reports how many requests may be sent to b now.
 func (p *pool) room(b *Server, now time.Time) int {
-	if !b.accepts(now) || now.Before(b.fullUntil) {
+	if !b.accepts(now) || now.Before(b.closedUntil) {
 		return 0
 	}
 	free := b.free
-	if b.fullStreak > 0 {
+	if b.closings > 0 {
 		free = min(free, 1)
 	}
 	return min(p.limit(b), free)
@@ -191,7 +191,7 @@
 	var old []*Server
 	for _, b := range slices.Concat(p.tiers[TierZone], p.tiers[TierRegion]) {
 		unknown := b.free <= 0 && now.Sub(b.reported) > reportStale
-		if unknown && b != except && b.accepts(now) && p.limit(b) > 0 && !now.Before(b.fullUntil) {
+		if unknown && b != except && b.accepts(now) && p.limit(b) > 0 && !now.Before(b.closedUntil) {
 			old = append(old, b)
 		}
 	}
@@ -251,17 +251,18 @@
 	b.free = free
 	b.reported = now
 	if free > 0 {
-		b.fullStreak = 0
+		b.closings = 0
 	}
 }
 
-// full notes a refusal for want of slots.
-func (p *pool) full(b *Server, now time.Time) {
+// close keeps requests from a server that has no free slot or cannot be reached,
+// for a time that grows until it takes one again.
+func (p *pool) close(b *Server, now time.Time) {
 	b.free = 0
 	b.reported = now
-	backoff := min(fullBackoffMin<<min(b.fullStreak, 8), fullBackoffMax)
-	b.fullStreak++
-	b.fullUntil = now.Add(backoff/2 + time.Duration(p.rand.Int64N(int64(backoff))))
+	backoff := min(closedMin<<min(b.closings, 8), closedMax)
+	b.closings++
+	b.closedUntil = now.Add(backoff/2 + time.Duration(p.rand.Int64N(int64(backoff))))
 }
 
 // leaving notes a server's own word that it takes no new work.
