Keep standing queues of urgent classes short

Change: once a class other than the least urgent has had requests waiting for 1 s, admission bounds the wait to an eighth of the deadline or twice the 95th percentile of the service time, and what waited twice as long is dropped.

--- a/internal/dispatch/schedule/scheduler.go
+++ b/internal/dispatch/schedule/scheduler.go
@@ -61,6 +61,12 @@
 	// farWaitShare is the part of a request's time, as a divisor, that it waits for a
 	// near backend server before another region is tried.
 	farWaitShare = 4
+	// standingAfter is how long a class has to have requests waiting before its wait is
+	// bounded to the time left to the deadline over standingShare.
+	standingAfter = time.Second
+	standingShare = 8
+	// staleFactor times that bound is when a queued request of a standing queue is dropped.
+	staleFactor = 2
 )
 
 // Scheduler holds the queued requests of a VM and what it knows of the backend
@@ -73,6 +79,8 @@
 	times    map[string]*serviceTimes // by kind
 	retries  retryBudget
 	crossing tokenBucket
+	// standing is since when each class has had requests waiting; zero: none wait.
+	standing [model.ClassCount]time.Time
 }
 
 // New returns a Scheduler without backend servers.
@@ -100,20 +108,45 @@
 	if !ok {
 		return append(shed, Rejected{x, RejectedFull, s.retryAfter(x.Class)})
 	}
+	if s.queue.classes[x.Class].requests == 0 {
+		s.standing[x.Class] = now
+	}
 	s.queue.push(x)
 	return shed
 }
 
+// tooLate reports whether a request would wait too long to be queued at all. A short
+// burst may wait up to its deadline. Once a queue has stood for a while, waiting
+// serves nobody: what is admitted then is kept close to its service time, and the
+// rest is refused at once.
 func (s *Scheduler) tooLate(x *Request, now time.Time) bool {
 	times := s.serviceTimes(x.Kind)
-	if !times.known() {
-		return false
+	if !times.known() || s.queue.classes[x.Class].requests == 0 {
+		return times.known() && !now.Add(times.p50).Before(x.Deadline)
+	}
+	left := x.Deadline.Sub(now)
+	patience := left - times.p50
+	if s.stands(x.Class, now) {
+		patience = min(patience, max(left/standingShare, slowFactor*times.p95))
 	}
-	wait := time.Duration(0)
-	if s.queue.classes[x.Class].requests > 0 {
-		wait = s.queue.wait(x, s.load())
+	return s.queue.wait(x, s.load()) >= patience
+}
+
+// stands reports whether a class has a standing queue that is to be kept short. The
+// least urgent class may wait as long as its deadlines allow.
+func (s *Scheduler) stands(c model.Class, now time.Time) bool {
+	return c != model.ClassBatch && now.Sub(s.standing[c]) > standingAfter
+}
+
+// stale reports whether a queued request has waited far longer than a standing
+// queue lets new ones wait.
+func (s *Scheduler) stale(x *Request, now time.Time) bool {
+	times := s.serviceTimes(x.Kind)
+	if !times.known() || !s.stands(x.Class, now) {
+		return false
 	}
-	return !now.Add(wait + times.p50).Before(x.Deadline)
+	bound := max(x.Deadline.Sub(x.Since)/standingShare, slowFactor*times.p95)
+	return now.Sub(x.Since) > staleFactor*bound
 }
 
 func (s *Scheduler) load() load {
@@ -182,7 +215,7 @@
 		if times.known() {
 			need = times.p50 / 2
 		}
-		if now.Add(need).Before(x.Deadline) {
+		if now.Add(need).Before(x.Deadline) && !s.stale(x, now) {
 			return late
 		}
 		s.queue.remove(x)
