Placement measurements, and no more mutual evictions between urgent and old gangs

An urgent gang evicted a batch gang, which by its age went ahead of it and took back the room; a draining cell kept the room from the urgent gang that had freed it. Change: Gang.Queued gives the wait since the last stop, only an overdue gang or an urgent one may evict, each while it is ahead of all that could take the room, and a gang that started late is spared by urgent ones.

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,7 @@
 # uses the committed output.
 generate:
 	bash scripts/generate.sh
+
+# Prints the tables that docs/CAPACITY.md and the design notes quote.
+measure:
+	$(GO) run ./cmd/measure -seed $(SEED) all
--- /dev/null
+++ b/internal/measure/workload.go
@@ -0,0 +1,182 @@
+// Package measure prints tables of measurements. The placement tables replay seeded
+// workloads against the pure policies in virtual time; nothing models processes, a
+// network or the nodes of a cluster.
+package measure
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/placement"
+)
+
+// Sizes of the deployments.
+const (
+	serversPerZone        = 17
+	serversPerRack        = 8
+	acceleratorsPerServer = 8
+	workloadSpan          = 4 * 24 * time.Hour
+)
+
+// deployment is a set of availability zones with the mix of work that arrives.
+type deployment struct {
+	name          string
+	zones         []model.AZ
+	organisations []model.Organisation
+	// largeShare is the share of large gangs, 0 to 1, among all jobs.
+	largeShare float64
+	// load is the offered work as a share of all accelerators.
+	load float64
+}
+
+// deployments returns the two deployments. They have the same sizes; the second one
+// has more large jobs.
+func deployments() []deployment {
+	return []deployment{
+		newDeployment("Palvehelmed", []model.AZ{"harju-a", "tartu-a", "parnu-a"}, 0.06),
+		newDeployment("Swanbank", []model.AZ{"perth-a", "bunbury-a", "geraldton-a"}, 0.12),
+	}
+}
+
+func newDeployment(name string, zones []model.AZ, largeShare float64) deployment {
+	return deployment{
+		name:          name,
+		zones:         zones,
+		organisations: fourOrganisations(zones),
+		largeShare:    largeShare,
+		load:          0.85,
+	}
+}
+
+// fourOrganisations guarantees about six tenths of each zone, most of it to two
+// large organisations.
+func fourOrganisations(zones []model.AZ) []model.Organisation {
+	organisations := []model.Organisation{{ID: "org-1"}, {ID: "org-2"}, {ID: "org-3"}, {ID: "org-4"}}
+	for _, az := range zones {
+		add := func(i, count, tasks, accelerators int, adjacency model.Adjacency) {
+			shape := model.GangShape{Tasks: tasks, Accelerators: accelerators, Adjacency: adjacency}
+			guarantee := model.Guarantee{AZ: az, Shape: shape, Count: count}
+			organisations[i].Guarantees = append(organisations[i].Guarantees, guarantee)
+		}
+		add(0, 2, 2, 8, model.AdjacentRack)
+		add(1, 4, 1, 8, model.AdjacentServer)
+		add(2, 2, 1, 4, model.AdjacentServer)
+		add(3, 4, 1, 2, model.AdjacentServer)
+	}
+	return organisations
+}
+
+// job is a gang with its true run time, which policies do not see.
+type job struct {
+	gang    placement.Gang
+	runtime time.Duration
+}
+
+var workloadStart = time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)
+
+// jobsOf draws the jobs of one zone: a steady stream and bursts of small jobs with
+// large ones among them, until the offered load is reached.
+func (d deployment) jobsOf(random *rand.Rand) []job {
+	budget := d.load * serversPerZone * acceleratorsPerServer * workloadSpan.Hours()
+	var jobs []job
+	for budget > 0 {
+		at := time.Duration(random.Float64() * float64(workloadSpan))
+		size := 1
+		if random.Float64() < 0.1 {
+			size = 20 + random.IntN(40) // burst
+		}
+		for range size {
+			j := d.draw(random, at+time.Duration(random.IntN(60))*time.Second)
+			budget -= float64(j.gang.Shape.Total()) * j.runtime.Hours()
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortStableFunc(jobs, func(a, b job) int { return a.gang.Submitted.Compare(b.gang.Submitted) })
+	for i := range jobs {
+		jobs[i].gang.Job = model.JobID(fmt.Sprintf("job-%05d", i))
+	}
+	return jobs
+}
+
+func (d deployment) draw(random *rand.Rand, at time.Duration) job {
+	shapes, median := smallShapes, 40*time.Minute
+	if random.Float64() < d.largeShare {
+		shapes, median = largeShapes, 2*time.Hour
+	}
+	runtime := logNormal(random, median)
+	return job{
+		gang: placement.Gang{
+			Organisation:    d.organisations[random.IntN(len(d.organisations))].ID,
+			Shape:           shapes[random.IntN(len(shapes))],
+			Class:           drawClass(random),
+			Submitted:       workloadStart.Add(at),
+			DeclaredRuntime: declared(random, runtime),
+		},
+		runtime: runtime,
+	}
+}
+
+var smallShapes = []model.GangShape{
+	{Tasks: 1, Accelerators: 1, Adjacency: model.AdjacentServer},
+	{Tasks: 1, Accelerators: 2, Adjacency: model.AdjacentServer},
+	{Tasks: 1, Accelerators: 2, Adjacency: model.AdjacentServer},
+	{Tasks: 1, Accelerators: 4, Adjacency: model.AdjacentServer},
+	{Tasks: 1, Accelerators: 8, Adjacency: model.AdjacentServer},
+	{Tasks: 3, Accelerators: 1, Adjacency: model.AdjacentRack},
+}
+
+var largeShapes = []model.GangShape{
+	{Tasks: 2, Accelerators: 8, Adjacency: model.AdjacentRack},
+	{Tasks: 2, Accelerators: 8, Adjacency: model.AdjacentRack},
+	{Tasks: 4, Accelerators: 8, Adjacency: model.AdjacentRack},
+	{Tasks: 16, Accelerators: 2, Adjacency: model.AdjacentAny},
+	{Tasks: 8, Accelerators: 8, Adjacency: model.AdjacentRack},
+}
+
+func drawClass(random *rand.Rand) model.Class {
+	switch x := random.Float64(); {
+	case x < 0.1:
+		return model.ClassUrgent
+	case x < 0.6:
+		return model.ClassNormal
+	default:
+		return model.ClassBatch
+	}
+}
+
+// logNormal draws a run time with the given median and a heavy tail, of at most a day.
+func logNormal(random *rand.Rand, median time.Duration) time.Duration {
+	drawn := time.Duration(float64(median) * math.Exp(random.NormFloat64()))
+	return cmp.Or(min(drawn, 24*time.Hour), time.Minute)
+}
+
+// declared returns the run time, in half of the cases wrong by up to ten times.
+func declared(random *rand.Rand, runtime time.Duration) time.Duration {
+	if random.Float64() < 0.5 {
+		return runtime
+	}
+	factor := math.Pow(10, 2*random.Float64()-1)
+	return time.Duration(float64(runtime) * factor)
+}
+
+// zoneOf builds an empty zone.
+func zoneOf(az model.AZ, servers, perServer int, organisations []model.Organisation) placement.Zone {
+	zone := placement.Zone{AZ: az, Organisations: organisations, Now: workloadStart}
+	for i := range servers {
+		zone.Servers = append(zone.Servers, placement.Server{
+			BackendServer: model.BackendServer{
+				ID:           model.BackendServerID(fmt.Sprintf("%s-%04d", az, i)),
+				AZ:           az,
+				Rack:         model.RackID(fmt.Sprintf("%s-r%03d", az, i/serversPerRack)),
+				Accelerators: perServer,
+			},
+			Usable: true,
+		})
+	}
+	return zone
+}
--- a/internal/placement/borrowed.go
+++ b/internal/placement/borrowed.go
@@ -81,14 +81,14 @@
 }
 
 // preemptByClass evicts less urgent borrowed gangs for an urgent gang. It spares gangs
-// that were started only after a long wait, so that a flood of urgent work cannot
-// starve them.
+// that were started ReserveAfter or more after their submission, so that a flood of
+// urgent work cannot starve them and no gang is stopped for this over and over.
 func (d *decision) preemptByClass(g Gang) bool {
 	if d.unpreempting[g.Shape] {
 		return false
 	}
 	may := func(gang *Placed) bool {
-		return gang.Class > g.Class && gang.Started.Sub(gang.Submitted) < d.options.EvictAfter
+		return gang.Class > g.Class && gang.Started.Sub(gang.Submitted) < d.options.ReserveAfter
 	}
 	room := d.withoutHeld(d.preemptible(may))
 	c, victims, ok := d.cheapest(g, room, may)
@@ -96,18 +96,16 @@
 		d.unpreempting[g.Shape] = len(g.Avoid) == 0
 		return false
 	}
-	d.evict(victims, g)
-	d.give(c, g.Shape.Accelerators)
-	d.used[g.Organisation] += g.Shape.Total()
-	d.wait(g, WaitReclaim)
+	d.reclaimFor(g, c, victims)
 	return true
 }
 
-// reserve keeps a cell for the gang that has waited longest, once it has waited for
-// ReserveAfter, and returns its position in queue, or -1. After EvictAfter the cell is
-// cleared of gangs that were submitted later.
-func (d *decision) reserve(queue []Gang) int {
-	for _, i := range d.agedFirst(queue) {
+// startOverdue places the gang that waits longest past EvictAfter, by evicting
+// borrowed gangs that were submitted later. It goes before all other borrowers, so
+// that nobody else takes the room that it frees. It returns the gang's position in
+// queue, or -1.
+func (d *decision) startOverdue(queue []Gang) int {
+	for _, i := range d.waitingFor(queue, d.options.EvictAfter) {
 		g := queue[i]
 		if _, blocked := d.blocked(g); blocked {
 			continue
@@ -116,51 +114,78 @@
 			d.start(g, c, true)
 			return i
 		}
-		if d.reserveCell(g) {
+		if d.preemptLater(g) {
 			return i
 		}
 	}
 	return -1
 }
 
-// agedFirst returns the positions of the gangs past ReserveAfter, oldest first.
-func (d *decision) agedFirst(queue []Gang) []int {
-	var aged []int
-	for i, g := range queue {
-		if d.zone.Now.Sub(g.Submitted) >= d.options.ReserveAfter {
-			aged = append(aged, i)
-		}
+// preemptLater evicts borrowed gangs that were submitted later than g.
+func (d *decision) preemptLater(g Gang) bool {
+	later := func(gang *Placed) bool { return gang.Submitted.After(g.Submitted) }
+	c, victims, ok := d.cheapest(g, d.preemptible(later), later)
+	if ok {
+		d.reclaimFor(g, c, victims)
 	}
-	sortBySubmission(queue, aged)
-	return aged
+	return ok
 }
 
-func (d *decision) reserveCell(g Gang) bool {
-	later := func(gang *Placed) bool { return gang.Submitted.After(g.Submitted) }
-	due := g.Submitted.Add(d.options.EvictAfter)
-	if !d.zone.Now.Before(due) {
-		c, victims, ok := d.cheapest(g, d.preemptible(later), later)
-		if ok {
-			d.evict(victims, g)
-			d.give(c, g.Shape.Accelerators)
-			d.used[g.Organisation] += g.Shape.Total()
-			d.wait(g, WaitReclaim)
-			return true
+// reclaimFor evicts the victims and gives the cell to g, which waits for them.
+func (d *decision) reclaimFor(g Gang, c cell, victims []int) {
+	d.evict(victims, g)
+	d.give(c, g.Shape.Accelerators)
+	d.used[g.Organisation] += g.Shape.Total()
+	d.wait(g, WaitReclaim)
+}
+
+// reserve keeps a cell for the gang that waits longest past ReserveAfter. Until it is
+// overdue, the cell takes no new work but urgent gangs and those expected to end in
+// time. It returns the gang's position in queue, or -1.
+func (d *decision) reserve(queue []Gang) int {
+	for _, i := range d.waitingFor(queue, d.options.ReserveAfter) {
+		g := queue[i]
+		if _, blocked := d.blocked(g); blocked {
+			continue
+		}
+		if c, ok := d.freeCell(g); ok {
+			d.start(g, c, true)
+			return i
+		}
+		if d.holdCell(g) {
+			return i
 		}
-		due = d.zone.Now
 	}
+	return -1
+}
+
+// holdCell holds the cell that lacks the fewest accelerators when borrowed gangs end.
+func (d *decision) holdCell(g Gang) bool {
 	candidates := d.cheapCandidates(g, d.preemptible(anyBorrowed))
 	if len(candidates) == 0 {
 		return false
 	}
 	candidates[0].addTo(d.held, g.Shape.Accelerators, 1)
-	d.reservationDue = due
+	d.reservationDue = g.waitingSince().Add(d.options.EvictAfter)
 	d.wait(g, WaitReserved)
 	return true
 }
 
+// waitingFor returns the positions of the gangs that wait at least that long, those
+// submitted first in front.
+func (d *decision) waitingFor(queue []Gang, wait time.Duration) []int {
+	var positions []int
+	for i := range queue {
+		if d.zone.Now.Sub(queue[i].waitingSince()) >= wait {
+			positions = append(positions, i)
+		}
+	}
+	sortBySubmission(queue, positions)
+	return positions
+}
+
 // Default times of the draining reservation.
 const (
-	DefaultReserveAfter = 10 * time.Minute
-	DefaultEvictAfter   = 30 * time.Minute
+	DefaultReserveAfter = time.Hour
+	DefaultEvictAfter   = 4 * time.Hour
 )
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -23,12 +23,23 @@
 	Shape        model.GangShape
 	Class        model.Class
 	Submitted    time.Time
+	// Queued is when a gang that was stopped went back to the queue; zero for a gang
+	// that never ran.
+	Queued time.Time
 	// DeclaredRuntime is a hint and may be far off.
 	DeclaredRuntime time.Duration
 	// Avoid lists servers on which earlier attempts failed.
 	Avoid []model.BackendServerID
 }
 
+// waitingSince returns since when the gang waits.
+func (g *Gang) waitingSince() time.Time {
+	if g.Queued.After(g.Submitted) {
+		return g.Queued
+	}
+	return g.Submitted
+}
+
 // Member is one task of a placed gang. Members on one server are separate entries.
 type Member struct {
 	Server       model.BackendServerID
--- a/internal/placement/reclaiming.go
+++ b/internal/placement/reclaiming.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
 // Options tunes Reclaiming. Zero durations stand for the defaults.
@@ -23,23 +25,40 @@
 }
 
 // Decide implements Policy. Gangs inside a guarantee go first, by class and then by
-// submission; then the gang with the draining reservation; then all others by class
-// and submission.
+// submission. Then come the gang that is overdue, urgent gangs, the gang with the
+// draining reservation, and all others by class and submission. A gang may evict for
+// itself only while it is ahead of all that could take the room that this frees.
 func (p Reclaiming) Decide(zone Zone, pending []Gang) Plan {
 	d := newDecision(zone, p.Options.withDefaults())
 	d.demote()
-	queue := byClass(pending)
-	rest := d.startAllGuaranteed(queue)
-	reserved := d.reserve(rest)
-	for i, g := range rest {
-		if i != reserved {
-			d.startBorrowed(g)
-		}
-	}
+	rest := d.startAllGuaranteed(byClass(pending))
+	rest = without(rest, d.startOverdue(rest))
+	urgent := urgentGangs(rest)
+	d.startAllBorrowed(rest[:urgent])
+	rest = rest[urgent:]
+	rest = without(rest, d.reserve(rest))
+	d.startAllBorrowed(rest)
 	d.promote()
 	return d.finish()
 }
 
+// urgentGangs returns how many gangs at the head of the queue are urgent.
+func urgentGangs(queue []Gang) int {
+	other := slices.IndexFunc(queue, func(g Gang) bool { return g.Class != model.ClassUrgent })
+	if other < 0 {
+		return len(queue)
+	}
+	return other
+}
+
+// without drops the gang at the position; -1 stands for none.
+func without(queue []Gang, position int) []Gang {
+	if position < 0 {
+		return queue
+	}
+	return slices.Delete(queue, position, position+1)
+}
+
 func (o Options) withDefaults() Options {
 	o.ReserveAfter = cmp.Or(o.ReserveAfter, DefaultReserveAfter)
 	o.EvictAfter = cmp.Or(o.EvictAfter, DefaultEvictAfter)
@@ -58,6 +77,12 @@
 	return rest
 }
 
+func (d *decision) startAllBorrowed(queue []Gang) {
+	for _, g := range queue {
+		d.startBorrowed(g)
+	}
+}
+
 // demote reports gangs whose guarantee is no longer there. They count as borrowed.
 func (d *decision) demote() {
 	for i := range d.zone.Placed {
--- a/internal/placement/replay/replay.go
+++ b/internal/placement/replay/replay.go
@@ -88,6 +88,7 @@
 // Requeue takes a placed gang out and puts it back into the queue.
 func (s *State) Requeue(job model.JobID) {
 	if gang, ok := s.Remove(job); ok {
+		gang.Queued = s.Zone.Now
 		s.Submit(gang.Gang)
 	}
 }
