--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 
 # Prints the measurements that docs/ quotes.
 measure:
-	$(GO) run ./cmd/measure all
+	$(GO) run ./cmd/measure -seed $(SEED) all
 
 links:
 	bash scripts/check-links.sh
--- a/cmd/measure/placement.go
+++ b/cmd/measure/placement.go
@@ -1,5 +1,5 @@
 package main
 
-import "github.com/eelgrassreach/eelgrassreach/internal/measure"
+import "github.com/eelgrassreach/eelgrassreach/internal/measure/gangs"
 
-var _ = register("placement", measure.Placement)
+var _ = register("placement", gangs.Print)
--- a/internal/measure/placement.go
+++ b/internal/measure/gangs/placement.go
@@ -1,4 +1,4 @@
-package measure
+package gangs
 
 import (
 	"fmt"
@@ -36,8 +36,8 @@
 	return placement.Reclaiming{Options: options}
 }
 
-// Placement prints the placement tables of both deployments and the cost of a decision.
-func Placement(w io.Writer, seed uint64) error {
+// Print prints the placement tables of both deployments and the cost of a decision.
+func Print(w io.Writer, seed uint64) error {
 	for _, d := range deployments() {
 		if err := printDeployment(w, d, seed); err != nil {
 			return err
--- a/internal/measure/replay.go
+++ b/internal/measure/gangs/replay.go
@@ -1,4 +1,4 @@
-package measure
+package gangs
 
 import (
 	"container/heap"
--- a/internal/measure/workload.go
+++ b/internal/measure/gangs/workload.go
@@ -1,7 +1,7 @@
-// Package measure prints tables of measurements. The placement tables replay seeded
-// workloads against the pure policies in virtual time; nothing models processes, a
-// network or the nodes of a cluster.
-package measure
+// Package gangs measures the placement of gangs. It replays seeded workloads against
+// the pure policies in virtual time; nothing models processes, a network or the nodes
+// of a cluster.
+package gangs
 
 import (
 	"cmp"
