--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -43,6 +43,9 @@
 	room     []int // accelerators per server; may be negative
 	prefer   preference
 	avoid    map[int]bool // server positions to leave out; nil for none
+	// skip is a number of servers, or of racks for a shape bound to a rack, that are
+	// known not to hold the shape. A found first cell raises it.
+	skip int
 }
 
 // find returns a cell for the shape; ok is false when there is none.
@@ -62,7 +65,8 @@
 func (f *finder) onServer(shape model.GangShape) (cell, bool) {
 	total := shape.Total()
 	best := -1
-	for s, room := range f.room {
+	for s := f.skip; s < len(f.room); s++ {
+		room := f.room[s]
 		if room < total || f.avoid[s] {
 			continue
 		}
@@ -77,13 +81,15 @@
 	if best < 0 {
 		return nil, false
 	}
+	f.skipTo(best)
 	return cell{{server: best, tasks: shape.Tasks}}, true
 }
 
 func (f *finder) inRack(shape model.GangShape) (cell, bool) {
 	best := -1
 	bestRoom := 0
-	for r, rack := range f.topology.racks {
+	for r := f.skip; r < len(f.topology.racks); r++ {
+		rack := f.topology.racks[r]
 		tasks, room := f.count(rack, shape.Accelerators)
 		if tasks < shape.Tasks {
 			continue
@@ -98,9 +104,17 @@
 	if best < 0 {
 		return nil, false
 	}
+	f.skipTo(best)
 	return f.fill(f.topology.racks[best], shape)
 }
 
+// skipTo notes that nothing before the position holds the shape.
+func (f *finder) skipTo(position int) {
+	if f.prefer == preferFirst {
+		f.skip = position
+	}
+}
+
 // count returns how many tasks fit on the servers and their total room.
 func (f *finder) count(servers []int, perTask int) (tasks, room int) {
 	for _, s := range servers {
--- a/internal/placement/firstfit.go
+++ b/internal/placement/firstfit.go
@@ -38,6 +38,7 @@
 			continue
 		}
 		f.avoid = avoided(t, g)
+		f.skip = 0
 		c, ok := f.find(g.Shape)
 		if !ok {
 			plan.Waiting = append(plan.Waiting, Waiting{Job: g.Job, Reason: WaitCapacity})
--- a/internal/placement/guarantee.go
+++ b/internal/placement/guarantee.go
@@ -205,8 +205,10 @@
 	f := finder{topology: t, room: slices.Clone(room), prefer: preferFirst}
 	sorted := slices.Clone(demands)
 	slices.SortStableFunc(sorted, order)
+	skips := make(map[model.GangShape]int) // room only shrinks, so what is skipped stays full
 	for _, d := range sorted {
 		d.cells = nil
+		f.skip = skips[d.shape()]
 		for len(d.cells) < d.wanted() {
 			c, ok := f.find(d.shape())
 			if !ok {
@@ -216,6 +218,7 @@
 			c.addTo(a.guarded, d.shape().Accelerators, 1)
 			d.cells = append(d.cells, c)
 		}
+		skips[d.shape()] = f.skip
 	}
 	return a
 }
--- a/internal/placement/helpers_test.go
+++ /dev/null
@@ -1,9 +0,0 @@
-package placement_test
-
-import (
-	"errors"
-
-	"github.com/eelgrassreach/eelgrassreach/internal/placement"
-)
-
-func asShapeError(err error, target **placement.ShapeError) bool { return errors.As(err, target) }
--- a/internal/placement/reclaiming.go
+++ b/internal/placement/reclaiming.go
@@ -98,11 +98,11 @@
 func (d *decision) promote() {
 	for i := range d.zone.Placed {
 		gang := &d.zone.Placed[i]
-		if !gang.Borrowed || d.evicting[i] || touchesUnusable(d.topology, gang.Members) {
+		if !gang.Borrowed || d.evicting[i] {
 			continue
 		}
 		own := covering(d.demands[gang.Organisation], gang.Shape)
-		if own == nil || len(own.cells) == 0 {
+		if own == nil || len(own.cells) == 0 || touchesUnusable(d.topology, gang.Members) {
 			continue
 		}
 		if d.promoteInto(gang, own) {
--- a/internal/placement/replay/replay.go
+++ b/internal/placement/replay/replay.go
@@ -106,8 +106,7 @@
 	return slices.IndexFunc(s.Zone.Placed, func(g placement.Placed) bool { return g.Job == job })
 }
 
-// SetUsable changes whether a server takes work. The gangs that run on a server that
-// became unusable are restarted whole: they go back to the queue.
+// SetUsable changes whether a server takes work. What runs on it goes on.
 func (s *State) SetUsable(id model.BackendServerID, usable bool) {
 	servers := slices.Clone(s.Zone.Servers)
 	for i := range servers {
@@ -116,9 +115,12 @@
 		}
 	}
 	s.Zone.Servers = servers
-	if usable {
-		return
-	}
+}
+
+// Lose makes a server unusable. The gangs with members on it are restarted whole: they
+// go back to the queue.
+func (s *State) Lose(id model.BackendServerID) {
+	s.SetUsable(id, false)
 	for _, gang := range slices.Clone(s.Zone.Placed) {
 		if slices.ContainsFunc(gang.Members, func(m placement.Member) bool { return m.Server == id }) {
 			s.Requeue(gang.Job)
--- /dev/null
+++ b/internal/placement/soak_test.go
@@ -0,0 +1,251 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/placement"
+	"github.com/eelgrassreach/eelgrassreach/internal/placement/replay"
+)
+
+var testShapes = []model.GangShape{
+	shapeOf(1, 1, model.AdjacentServer),
+	shapeOf(1, 3, model.AdjacentServer),
+	shapeOf(1, 4, model.AdjacentServer),
+	shapeOf(1, 8, model.AdjacentServer),
+	shapeOf(2, 4, model.AdjacentRack),
+	shapeOf(2, 8, model.AdjacentRack),
+	shapeOf(6, 2, model.AdjacentRack),
+	shapeOf(5, 4, model.AdjacentAny),
+	shapeOf(12, 1, model.AdjacentAny),
+}
+
+// TestSoakZone drives a zone through submissions, ends, evictions, losses and
+// returns of servers, and checks the promises after each decision.
+func TestSoakZone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit":  m.submit,
+			"end":     m.end,
+			"evicted": m.evicted,
+			"lose":    m.lose,
+			"leave":   m.leave,
+			"return":  m.comeBack,
+			"advance": m.advance,
+			"reclaim": m.reclaim,
+			"":        func(*rapid.T) {},
+		})
+	})
+}
+
+type machine struct {
+	state *replay.State
+	jobs  int
+	lost  []model.BackendServerID
+	// disturbed is set once a server was lost: from then on risks are legitimate.
+	disturbed bool
+}
+
+func newMachine(t *rapid.T) *machine {
+	servers := serversOf(rapid.IntRange(1, 4).Draw(t, "racks"), rapid.IntRange(1, 4).Draw(t, "perRack"), 8)
+	organisations := drawOrganisations(t, servers)
+	return &machine{state: stateOf(servers, organisations...)}
+}
+
+// drawOrganisations draws guarantees that fit together.
+func drawOrganisations(t *rapid.T, servers []model.BackendServer) []model.Organisation {
+	organisations := []model.Organisation{organisationOf("a"), organisationOf("b"), organisationOf("c")}
+	organisations[2].MaxAccelerators = rapid.SampledFrom([]int{0, 40}).Draw(t, "bound")
+	for range rapid.IntRange(0, 6).Draw(t, "guarantees") {
+		i := rapid.IntRange(0, len(organisations)-1).Draw(t, "organisation")
+		shape := rapid.SampledFrom(testShapes).Draw(t, "guaranteed")
+		count := rapid.IntRange(1, 3).Draw(t, "count")
+		before := organisations[i].Guarantees
+		guarantee := model.Guarantee{AZ: testAZ, Shape: shape, Count: count}
+		organisations[i].Guarantees = append(before[:len(before):len(before)], guarantee)
+		if len(placement.FitGuarantees(servers, organisations)) > 0 {
+			organisations[i].Guarantees = before
+		}
+	}
+	return organisations
+}
+
+func (m *machine) decide(t *rapid.T) placement.Plan {
+	before := m.state.Zone
+	pending := len(m.state.Pending)
+	plan := m.state.Decide(placement.Reclaiming{})
+	check(t, m.state, plan)
+	expectUsable(t, before, plan)
+	assert.Equal(t, len(plan.Starts)+len(plan.Waiting), pending, "each gang starts or waits")
+	if !m.disturbed {
+		assert.Equal(t, len(plan.Risks), 0, "guarantees at risk without a lost server")
+	}
+	return plan
+}
+
+// expectUsable expects that no start uses a server that takes no new work.
+func expectUsable(t *rapid.T, zone placement.Zone, plan placement.Plan) {
+	usable := make(map[model.BackendServerID]bool)
+	for _, server := range zone.Servers {
+		usable[server.ID] = server.Usable
+	}
+	for _, start := range plan.Starts {
+		for _, member := range start.Members {
+			assert.Assert(t, usable[member.Server], "%s starts on unusable %s", start.Job, member.Server)
+		}
+	}
+}
+
+func (m *machine) nextJob() string {
+	m.jobs++
+	return fmt.Sprintf("j%04d", m.jobs)
+}
+
+func (m *machine) submit(t *rapid.T) {
+	organisation := rapid.SampledFrom([]model.OrganisationID{"a", "b", "c"}).Draw(t, "organisation")
+	shape := rapid.SampledFrom(testShapes).Draw(t, "shape")
+	class := model.Class(rapid.IntRange(0, int(model.ClassCount)-1).Draw(t, "class"))
+	g := gangOf(m.state, m.nextJob(), organisation, shape, class)
+	if rapid.IntRange(0, 9).Draw(t, "avoids") == 0 {
+		g.Avoid = []model.BackendServerID{rapid.SampledFrom(m.state.Zone.Servers).Draw(t, "avoided").ID}
+	}
+	m.state.Submit(g)
+	m.decide(t)
+}
+
+func (m *machine) end(t *rapid.T) {
+	if len(m.state.Zone.Placed) == 0 {
+		t.Skip("nothing runs")
+	}
+	m.state.Remove(rapid.SampledFrom(m.state.Zone.Placed).Draw(t, "ends").Job)
+	m.decide(t)
+}
+
+func (m *machine) evicted(t *rapid.T) {
+	m.finishEvictions()
+	m.decide(t)
+}
+
+func (m *machine) finishEvictions() {
+	for _, gang := range m.state.Zone.Placed {
+		if gang.Evicting {
+			m.state.Requeue(gang.Job)
+		}
+	}
+}
+
+// dropEvicted takes the evicted gangs out, so that they do not compete with others of
+// their organisation for its guarantees.
+func (m *machine) dropEvicted() {
+	for _, gang := range m.state.Zone.Placed {
+		if gang.Evicting {
+			m.state.Remove(gang.Job)
+		}
+	}
+}
+
+// lose loses a server; its gangs are restarted.
+func (m *machine) lose(t *rapid.T) {
+	m.state.Lose(m.drawUnusable(t))
+	m.decide(t)
+}
+
+// leave makes a server take no new work; its gangs run on.
+func (m *machine) leave(t *rapid.T) {
+	m.state.SetUsable(m.drawUnusable(t), false)
+	m.decide(t)
+}
+
+func (m *machine) drawUnusable(t *rapid.T) model.BackendServerID {
+	server := rapid.SampledFrom(m.state.Zone.Servers).Draw(t, "server")
+	if !server.Usable {
+		t.Skip("unusable already")
+	}
+	m.disturbed = true
+	m.lost = append(m.lost, server.ID)
+	return server.ID
+}
+
+func (m *machine) comeBack(t *rapid.T) {
+	if len(m.lost) == 0 {
+		t.Skip("nothing is lost")
+	}
+	m.state.SetUsable(m.lost[0], true)
+	m.lost = m.lost[1:]
+	m.decide(t)
+}
+
+func (m *machine) advance(t *rapid.T) {
+	m.state.Advance(time.Duration(rapid.IntRange(1, 150).Draw(t, "minutes")) * time.Minute)
+	m.decide(t)
+}
+
+// reclaim submits a gang for each guarantee that nobody takes up and expects that all
+// start once the borrowed gangs that the plan evicts are gone.
+func (m *machine) reclaim(t *rapid.T) {
+	risks := m.decide(t).Risks
+	if len(risks) > 0 {
+		t.Skip("guarantees are at risk")
+	}
+	before := guaranteedJobs(m.state)
+	wanted := m.submitIdle()
+	for range len(wanted) + 2 {
+		plan := m.decide(t)
+		m.expectOnlyBorrowedEvicted(t, plan, before)
+		m.dropEvicted()
+	}
+	for _, job := range wanted {
+		gang, placed := m.state.Find(job)
+		assert.Assert(t, placed, "guaranteed gang %s does not run", job)
+		assert.Assert(t, !gang.Borrowed, "guaranteed gang %s runs borrowed", job)
+	}
+}
+
+func (m *machine) expectOnlyBorrowedEvicted(t *rapid.T, plan placement.Plan, guaranteed map[model.JobID]bool) {
+	for _, e := range plan.Evictions {
+		assert.Assert(t, !guaranteed[e.Job], "evicted %s, which runs inside a guarantee", e.Job)
+	}
+}
+
+func guaranteedJobs(s *replay.State) map[model.JobID]bool {
+	jobs := make(map[model.JobID]bool)
+	for _, gang := range s.Zone.Placed {
+		if !gang.Borrowed {
+			jobs[gang.Job] = true
+		}
+	}
+	return jobs
+}
+
+// submitIdle submits one gang of the exact shape for each guarantee that has fewer
+// gangs of its shape running than its count, with the queue emptied first.
+func (m *machine) submitIdle() []model.JobID {
+	m.state.Pending = nil
+	var wanted []model.JobID
+	for _, organisation := range m.state.Zone.Organisations {
+		count := make(map[model.GangShape]int)
+		for _, guarantee := range organisation.Guarantees {
+			count[guarantee.Shape] += guarantee.Count
+		}
+		for _, gang := range m.state.Zone.Placed {
+			if gang.Organisation == organisation.ID && !gang.Borrowed {
+				count[gang.Shape]--
+			}
+		}
+		for _, shape := range testShapes {
+			if count[shape] < 1 {
+				continue
+			}
+			g := gangOf(m.state, m.nextJob(), organisation.ID, shape, model.ClassNormal)
+			m.state.Submit(g)
+			wanted = append(wanted, g.Job)
+		}
+	}
+	return wanted
+}
