--- /dev/null
+++ b/cmd/measure/placement.go
@@ -0,0 +1,5 @@
+package main
+
+import "github.com/eelgrassreach/eelgrassreach/internal/measure/gangs"
+
+var _ = register("placement", gangs.Print)
