Replay verdicts do not depend on how records were batched

Cause: ended jobs were forgotten at the end of a batch. Change: the replica forgets before each entry what its record puts past retention. Seen to fail: without it TestBatchesDoNotMatter reports a conflict where the VM that read record by record accepted. Conclusion: verdicts depend on the log alone.

--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -79,8 +79,11 @@
 	s.prune()
 }
 
-// Apply decides on one entry and applies it when it wins.
+// Apply decides on one entry and applies it when it wins. It first forgets what
+// was past retention at the entry's record, so that the verdict does not depend on
+// how records were batched.
 func (s *State) Apply(l journal.Located) journal.Decision {
+	s.Advance(l.Offset)
 	if s.snapshot.Time.IsZero() {
 		s.snapshot.Time = l.Time
 	}
--- a/internal/replica/state_test.go
+++ b/internal/replica/state_test.go
@@ -85,3 +85,25 @@
 	_, known := s.Decision("cancel")
 	assert.Assert(t, !known)
 }
+
+// A verdict does not depend on how records were batched: VMs read in different steps.
+func TestBatchesDoNotMatter(t *testing.T) {
+	entries := []journal.Located{
+		located(1, "accept", journal.KindJobAccepted, journal.JobAccepted{Job: model.Job{ID: "j"}}),
+		located(2, "cancel", journal.KindJobCancelled, journal.JobCancelled{Job: "j"}),
+		located(RetentionOffsets+3, "again", journal.KindJobCancelled, journal.JobCancelled{Job: "j"}),
+		located(RetentionOffsets+4, "accept", journal.KindJobAccepted, journal.JobAccepted{Job: model.Job{ID: "j"}}),
+	}
+	single, batch := New(config.NewState()), New(config.NewState())
+	for _, l := range entries {
+		want := single.Apply(l)
+		single.Advance(l.Offset + 1)
+		assert.DeepEqual(t, batch.Apply(l), want)
+	}
+	batch.Advance(RetentionOffsets + 5)
+	a, err := single.Encode()
+	assert.NilError(t, err)
+	b, err := batch.Encode()
+	assert.NilError(t, err)
+	assert.Equal(t, string(a), string(b))
+}
