--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -154,6 +154,7 @@
 
 // Snapshot implements journal.Sink.
 func (l *Loop) Snapshot(s journal.Snapshot) {
+	l.options.Log.Skip()
 	l.post(context.Background(), SnapshotRead{Snapshot: s})
 }
 
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -42,7 +42,9 @@
 	return nil
 }
 
-func (b *bench) Observe([]journal.Located, int64)                             {}
+func (b *bench) Observe([]journal.Located, int64) {}
+func (b *bench) Skip()                            {}
+
 func (b *bench) ObserveSnapshot(int64, func(string) (journal.Decision, bool)) {}
 func (b *bench) List(context.Context) ([]platform.VMEntry, error)             { return nil, nil }
 func (b *bench) Violated(v invariant.Violation)                               { b.t.Errorf("violation: %+v", v) }
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -18,6 +18,8 @@
 	// Submit queues an entry without blocking; done is called with each state of the
 	// append. On an error the entry was not taken and done is not called.
 	Submit(e journal.Entry, done func(journal.AppendResult)) error
+	// Skip tells that reading goes on from a snapshot, of which ObserveSnapshot will tell.
+	Skip()
 	// Observe tells which entries were read back.
 	Observe(entries []journal.Located, next int64)
 	// ObserveSnapshot tells that reading went on from a snapshot.
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -8,10 +8,11 @@
 )
 
 // snapshot appends the replicated state when the newest snapshot is far behind.
-// Only the term holder of the lowest-named availability zone does.
+// The term holder of the lowest-named availability zone does; the others follow by
+// name, each later, when those before them cannot.
 func (s *State) snapshot() {
 	applied := s.replica.Applied()
-	due := s.settings.Snapshot.SnapshotDue(journal.SnapshotState{
+	due := s.settings.Snapshot.ForRank(s.zoneRank()).SnapshotDue(journal.SnapshotState{
 		Applied:    applied,
 		Snapshot:   s.replica.SnapshotOffset(),
 		SnapshotAt: s.replica.SnapshotTime(),
@@ -20,7 +21,7 @@
 	if !s.log.reachable || !due {
 		return
 	}
-	if !s.lowestZone() || s.snapshotPending() {
+	if s.snapshotPending() {
 		return
 	}
 	data, err := s.replica.Encode()
@@ -40,8 +41,13 @@
 	return false
 }
 
-func (s *State) lowestZone() bool {
-	lowest := s.self.AZ
-	s.replica.Terms(func(az model.AZ, _ replica.Term) { lowest = min(lowest, az) })
-	return lowest == s.self.AZ
+// zoneRank returns the number of availability zones with terms and lower names.
+func (s *State) zoneRank() int {
+	rank := 0
+	s.replica.Terms(func(az model.AZ, _ replica.Term) {
+		if az < s.self.AZ {
+			rank++
+		}
+	})
+	return rank
 }
--- a/internal/journal/outbox.go
+++ b/internal/journal/outbox.go
@@ -43,6 +43,7 @@
 	bytes   int                 // of held
 	known   int64               // the highest known next offset of the log; 0 when not known
 	read    int64               // the offset up to which, not including it, all entries were read back
+	skipped bool                // reading skipped entries whose decisions were not looked up yet
 	reports []report
 }
 
@@ -167,7 +168,8 @@
 }
 
 // observed settles the entries that were read back and those in doubt that the
-// log passed without them. Reading is gap-free up to, not including, next.
+// log passed without them. Reading is gap-free up to, not including, next, but for
+// what was skipped.
 func (o *outbox) observed(entries []Located, next int64) {
 	for _, e := range entries {
 		p, ok := o.held[e.Entry.ID]
@@ -178,6 +180,13 @@
 	}
 	o.read = max(o.read, next)
 	o.known = max(o.known, next)
+	if !o.skipped {
+		o.expire()
+	}
+}
+
+// expire settles the entries in doubt that the log passed without them.
+func (o *outbox) expire() {
 	for _, p := range o.unsettled() {
 		if o.read > p.entry.NotAfter {
 			o.settle(p, AppendResult{State: AppendNotSent, Err: ErrExpired})
@@ -205,6 +214,7 @@
 // jumped settles entries after reading went on from a snapshot of the given offset.
 // It needs the snapshot's decision on each entry that was sent.
 func (o *outbox) jumped(offset int64, asked map[string]lookedUp) {
+	o.skipped = false
 	o.read = max(o.read, offset+1)
 	o.known = max(o.known, offset+1)
 	for id, found := range asked {
--- a/internal/journal/publisher.go
+++ b/internal/journal/publisher.go
@@ -92,8 +92,17 @@
 	return nil
 }
 
+// Skip tells the publisher that reading goes on from a snapshot. Until the call of
+// ObserveSnapshot no entry in doubt is taken as absent from the log.
+func (p *Publisher) Skip() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outbox.skipped = true
+}
+
 // Observe tells the publisher which entries were read back, without gaps, up to,
-// not including, offset next. After a gap, ObserveSnapshot must be called first.
+// not including, offset next. Before it is called for what follows a snapshot, Skip
+// or ObserveSnapshot must be.
 func (p *Publisher) Observe(entries []Located, next int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/journal/snapshot_rule.go
+++ b/internal/journal/snapshot_rule.go
@@ -23,12 +23,11 @@
 	Applied    int64     // the newest offset applied
 	Snapshot   int64     // the offset of the newest snapshot seen in the log; 0 for none
 	SnapshotAt time.Time // when the log stored that snapshot; without one, the first record seen
-	First      int64     // the oldest offset the log keeps; 0 when not known
 	Now        time.Time
 }
 
 // SnapshotDue reports whether a snapshot should be appended: enough records
-// follow the newest one, it is old, or it comes near the oldest record kept.
+// follow the newest one, or it is old.
 func (r SnapshotRule) SnapshotDue(s SnapshotState) bool {
 	setDefault(&r.Records, DefaultSnapshotRecords)
 	setDefault(&r.Age, DefaultSnapshotAge)
@@ -38,9 +37,15 @@
 	if s.Applied-s.Snapshot >= r.Records {
 		return true
 	}
-	if !s.SnapshotAt.IsZero() && s.Now.Sub(s.SnapshotAt) >= r.Age {
-		return true
-	}
-	kept := s.Applied - s.First
-	return s.First > 1 && kept > 0 && s.Snapshot-s.First < kept/2
+	return !s.SnapshotAt.IsZero() && s.Now.Sub(s.SnapshotAt) >= r.Age
+}
+
+// ForRank returns the rule of the writer with a rank from 0: a later one acts when
+// those before it did not, after as many times the bounds of the first.
+func (r SnapshotRule) ForRank(rank int) SnapshotRule {
+	setDefault(&r.Records, DefaultSnapshotRecords)
+	setDefault(&r.Age, DefaultSnapshotAge)
+	r.Records *= int64(rank + 1)
+	r.Age *= time.Duration(rank + 1)
+	return r
 }
