--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -18,8 +18,8 @@
 	defer stop()
 	root := &ffcli.Command{
 		Name:        "standin",
-		ShortUsage:  "standin <platform|backend|list> [flags]",
-		Subcommands: []*ffcli.Command{platformCommand(), backendCommand(), listCommand()},
+		ShortUsage:  "standin <platform|backend|backends|list> [flags]",
+		Subcommands: []*ffcli.Command{platformCommand(), backendCommand(), backendsCommand(), listCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(ctx, os.Args[1:])
