--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -543,7 +543,11 @@
 		return "no term holder"
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s token %v newest %v\n", n.name, n.state.term.token, n.state.term.newest)
+	fmt.Fprintf(&b, "%s token %v newest %v settled %v\n", n.name, n.state.term.token, n.state.term.newest, n.state.settled())
+	n.state.replica.OpenJobs(func(j *replica.Job) {
+		st, _ := n.state.status(j.Job.ID)
+		fmt.Fprintf(&b, "  %s: %s, %s, attempt %+v\n", j.Job.ID, st.State, st.Reason, j.Attempt)
+	})
 	for _, j := range sortedKeys(n.state.gangs) {
 		g := n.state.gangs[j]
 		fmt.Fprintf(&b, "  %s: %s gathering %v since %v\n", j, g.phase, g.gathering, g.since.Sub(c.now))
