cmd/measure requests

Prints, at the sizes of both deployments and in virtual time, completion times, goodput and the ratio of a small caller to a large one during floods, against first come, first served without limits.

--- a/internal/dispatch/matrix_test.go
+++ b/internal/dispatch/matrix_test.go
@@ -444,6 +444,8 @@
 		}
 		s.ask(s.arbiter, s.request, unclear)
 		s.assertRuns(1)
+		time.Sleep(recovery) // the arbiter gives up the exchange meanwhile
+		s.ask(s.arbiter, s.request, unclear)
 		s.heal()
 		s.ask(s.other, s.request, done)
 	}},
--- a/internal/measure/requests.go
+++ b/internal/measure/requests/requests.go
@@ -1,4 +1,6 @@
-package measure
+// Package requests measures how requests fare during floods, in virtual time: the
+// product's scheduler against first come, first served without limits.
+package requests
 
 import (
 	"fmt"
@@ -8,12 +10,11 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
-// Requests prints how requests fare during floods: the scheduler of
-// internal/dispatch/schedule against plain first come, first served without limits,
-// in virtual time and with the same arrivals.
-func Requests(w io.Writer, seed uint64) error {
-	for _, site := range requestSites {
-		for _, scene := range requestScenes {
+// Print writes the measurement at the sizes of both deployments. Both policies get
+// the same arrivals. Hedged sends, tickets and faults are not part of it.
+func Print(w io.Writer, seed uint64) error {
+	for _, site := range sites {
+		for _, scene := range scenes {
 			if err := printScene(w, site, scene, seed); err != nil {
 				return err
 			}
@@ -22,8 +23,8 @@
 	return nil
 }
 
-// requestSite is the size of one deployment.
-type requestSite struct {
+// deployment is the size of one deployment.
+type deployment struct {
 	name  string
 	zones []zoneSize
 	local time.Duration // one-way latency inside a zone
@@ -37,12 +38,12 @@
 
 const slotsPerServer = 8
 
-var requestSites = []requestSite{
+var sites = []deployment{
 	{"palvehelmed", []zoneSize{{3, 17}, {2, 17}, {2, 16}}, time.Millisecond, 8 * time.Millisecond},
 	{"swanbank", []zoneSize{{2, 17}, {2, 17}, {2, 16}}, 500 * time.Microsecond, 8 * time.Millisecond},
 }
 
-func (s requestSite) slots() int {
+func (s deployment) slots() int {
 	n := 0
 	for _, z := range s.zones {
 		n += z.servers * slotsPerServer
@@ -80,8 +81,8 @@
 	largeFactor   = 100 // requests of the large caller for each of a small one
 )
 
-// requestScene is one situation to measure.
-type requestScene struct {
+// situation is one situation to measure.
+type situation struct {
 	name  string
 	flood int // index of the flooding workload; -1: none
 	// large gives one caller largeFactor times the requests of each other caller.
@@ -94,7 +95,7 @@
 	noFlood     = -1
 )
 
-var requestScenes = []requestScene{
+var scenes = []situation{
 	{"no flood", noFlood, false, 24 * time.Second},
 	{"flood of the least urgent kind", workMatch, false, 24 * time.Second},
 	{"flood of the most urgent kind", workQuote, false, 16 * time.Second},
@@ -103,7 +104,7 @@
 
 const largeOverload = 1.5 // of the capacity
 
-func printScene(w io.Writer, site requestSite, scene requestScene, seed uint64) error {
+func printScene(w io.Writer, site deployment, scene situation, seed uint64) error {
 	vms := 0
 	for _, z := range site.zones {
 		vms += z.vms
--- a/internal/measure/requests_result.go
+++ b/internal/measure/requests/result.go
@@ -1,4 +1,4 @@
-package measure
+package requests
 
 import (
 	"fmt"
@@ -103,7 +103,7 @@
 	return 100 * float64(part) / float64(whole)
 }
 
-func (r *sceneResult) print(w io.Writer, policy string, scene requestScene) error {
+func (r *sceneResult) print(w io.Writer, policy string, scene situation) error {
 	for i, work := range workloads {
 		x := r.works[i]
 		if x.offered == 0 {
--- a/internal/measure/requests_sim.go
+++ b/internal/measure/requests/simulation.go
@@ -1,4 +1,4 @@
-package measure
+package requests
 
 import (
 	"container/heap"
@@ -9,8 +9,8 @@
 
 // simulation runs one scene in virtual time.
 type simulation struct {
-	site    requestSite
-	scene   requestScene
+	site    deployment
+	scene   situation
 	now     time.Time
 	end     time.Time
 	events  eventHeap
@@ -50,7 +50,7 @@
 	queue []func() // of the policy that queues at the server
 }
 
-func newSimulation(site requestSite, scene requestScene, seed uint64, newEntry func(*simulation) entry) *simulation {
+func newSimulation(site deployment, scene situation, seed uint64, newEntry func(*simulation) entry) *simulation {
 	start := time.Unix(0, 0)
 	s := &simulation{
 		site:  site,
--- a/internal/measure/requests_vm.go
+++ b/internal/measure/requests/vm.go
@@ -1,4 +1,4 @@
-package measure
+package requests
 
 import (
 	"fmt"
