Table tests of the scheduler; shed by share before shedding own class

A test found that a class below its minimum share of a full queue lost its own requests before a flooding class lost any. Other classes are now tried first.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -280,7 +280,7 @@
 		Incarnation: incarnation,
 		Ports:       Ports{View: func() *View { return w.viewOf(address) }, Dialer: dialer{m}, Peers: peers{m}},
 		Reporter:    violations{w.t},
-		Seed:        1,
+		Seed:        uint64(len(w.all) + 1),
 	})
 	w.change(func(v *View) {
 		v.Peers = append(v.Peers, PeerView{Address: address, Incarnation: incarnation, AZ: "az", Alive: true})
--- a/internal/dispatch/schedule/admission.go
+++ b/internal/dispatch/schedule/admission.go
@@ -32,27 +32,28 @@
 	return q.requests+1 > l.QueueRequests || q.bytes+size > l.QueueBytes
 }
 
-// victim returns the queued request to shed for x; nil when x itself is to be refused. Less urgent classes lose first, but a
-// class keeps its minimum share of the queue; in a class, the caller with the
-// most expected slot time loses its newest request.
+// victim returns the queued request to shed for x; nil when x itself is to be
+// refused. Less urgent classes lose first, and more urgent ones to a class below its
+// minimum share of the queue; no class falls below that share for another one. Then
+// the class of x itself is tried: there the caller with the most expected slot time
+// loses, unless that is the caller of x. The newest request of a caller goes.
 func (q *queue) victim(x *Request, l model.Limits) *Request {
 	for c := model.ClassCount - 1; c >= model.ClassUrgent; c-- {
-		if q.classes[c].requests == 0 {
-			continue
-		}
 		entitled := c > x.Class || q.belowShare(x.Class, l)
-		if c != x.Class && (!entitled || q.belowShare(c, l)) {
-			continue
-		}
-		largest := q.classes[c].largest()
-		if c == x.Class && largest.cost <= q.flowCost(x.Class, x.Flow) {
+		if c == x.Class || !entitled || q.classes[c].requests == 0 || q.belowShare(c, l) {
 			continue
 		}
-		return largest.items[len(largest.items)-1]
+		return q.classes[c].largest().newest()
+	}
+	largest := q.classes[x.Class].largest()
+	if largest == nil || largest.cost <= q.flowCost(x.Class, x.Flow) {
+		return nil
 	}
-	return nil
+	return largest.newest()
 }
 
+func (c *callerQueue) newest() *Request { return c.items[len(c.items)-1] }
+
 func (q *queue) belowShare(c model.Class, l model.Limits) bool {
 	return q.classes[c].requests*100 < l.MinSharePercent[c]*l.QueueRequests
 }
--- /dev/null
+++ b/internal/dispatch/schedule/scheduler_test.go
@@ -0,0 +1,162 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// fleet returns n servers of the own zone with 8 free slots each.
+func fleet(n int) Fleet {
+	f := Fleet{VMs: 1}
+	for i := range n {
+		s := model.BackendServer{Address: fmt.Sprint(i), Slots: 8, Connections: 64}
+		f.Servers = append(f.Servers, FleetServer{BackendServer: s, Usable: true, FreeSlots: 8})
+	}
+	return f
+}
+
+func scheduler(f Fleet) *Scheduler {
+	s := New(rand.New(rand.NewPCG(1, 1)))
+	s.Update(f, start)
+	return s
+}
+
+// startAll offers n requests and returns the servers that got them.
+func startAll(s *Scheduler, n int, now time.Time) map[string]int {
+	for range n {
+		s.Offer(req(model.ClassNormal, "a", "x"), now)
+	}
+	out := map[string]int{}
+	for {
+		x, b, _ := s.Next(now)
+		if x == nil {
+			return out
+		}
+		out[b.Address()]++
+	}
+}
+
+func TestRespectsSlotsAndConnections(t *testing.T) {
+	s := scheduler(fleet(2))
+	assert.DeepEqual(t, startAll(s, 100, start), map[string]int{"0": 8, "1": 8})
+	f := fleet(1)
+	f.Servers[0].Connections = 5
+	assert.DeepEqual(t, startAll(scheduler(f), 100, start), map[string]int{"0": 3})
+}
+
+func TestLeavesASlotToOtherVMs(t *testing.T) {
+	f := fleet(4)
+	f.VMs = 2 // the fair share is 16 of the 32 slots
+	got := startAll(scheduler(f), 100, start)
+	total := 0
+	for _, n := range got {
+		assert.Assert(t, n <= 7)
+		total += n
+	}
+	assert.Equal(t, total, 28)
+}
+
+func TestTiers(t *testing.T) {
+	f := fleet(3)
+	f.Servers[1].Tier, f.Servers[2].Tier = TierRegion, TierFar
+	s := scheduler(f)
+	assert.DeepEqual(t, startAll(s, 20, start), map[string]int{"0": 8, "1": 8})
+	later := start.Add(20 * time.Second) // a third of the deadline
+	assert.DeepEqual(t, startAll(s, 0, later), map[string]int{"2": 4})
+}
+
+func TestCrossRegionBudget(t *testing.T) {
+	f := fleet(1)
+	f.Servers[0].Tier = TierFar
+	f.Limits.CrossRegionRate = 250 // two requests and a half of 100 bytes
+	s := scheduler(f)
+	assert.DeepEqual(t, startAll(s, 8, start), map[string]int{"0": 3})
+	assert.DeepEqual(t, startAll(s, 0, start.Add(time.Second)), map[string]int{"0": 2})
+}
+
+func TestLeavingByOwnWord(t *testing.T) {
+	s := scheduler(fleet(2))
+	x := req(model.ClassNormal, "a", "x")
+	s.Offer(x, start)
+	_, b, _ := s.Next(start)
+	s.Ended(x, b, Report{End: EndLeaving}, start)
+	s.Again(x, start)
+	s.Update(fleet(2), start.Add(time.Second)) // the list does not know yet
+	got := startAll(s, 100, start.Add(time.Second))
+	assert.Equal(t, got[b.Address()], 0)
+	assert.Equal(t, len(got), 1)
+}
+
+func TestBoundedEjection(t *testing.T) {
+	s := scheduler(fleet(10))
+	now := start
+	for range 200 {
+		x := req(model.ClassNormal, "a", "x")
+		s.Offer(x, now)
+		if got, b, _ := s.Next(now); got != nil {
+			s.Ended(got, b, Report{End: EndUnreachable}, now)
+			s.Stopped(got)
+		}
+		now = now.Add(20 * time.Millisecond)
+	}
+	ejected := 0
+	for _, b := range s.pool.servers {
+		if b.health.ejected(now) {
+			ejected++
+		}
+	}
+	assert.Equal(t, ejected, 3)
+}
+
+func TestProbesBack(t *testing.T) {
+	s := scheduler(fleet(2))
+	bad := s.pool.servers["0"]
+	s.pool.eject(bad, start)
+	assert.DeepEqual(t, startAll(s, 20, start), map[string]int{"1": 8})
+	later := start.Add(ejectMin)
+	assert.DeepEqual(t, startAll(s, 0, later), map[string]int{"0": 1})
+	s.Ended(req(model.ClassNormal, "a", "x"), bad, Report{End: EndDone, FreeSlots: 8}, later)
+	assert.DeepEqual(t, startAll(s, 0, later), map[string]int{"0": 8})
+}
+
+func TestFailuresOfOneOrganisationDoNotEject(t *testing.T) {
+	h := &health{}
+	for range 100 {
+		assert.Assert(t, !h.executionFailed("a"))
+	}
+	assert.Assert(t, h.executionFailed("b"))
+}
+
+func TestRefusesWhatCannotBeAnswered(t *testing.T) {
+	s := scheduler(fleet(1))
+	for range minSamples {
+		s.serviceTimes("normal").add(10 * time.Second)
+	}
+	startAll(s, 8, start)
+	refused := 0
+	for range 100 { // each takes 10 s, 8 at a time, within a minute
+		refused += len(s.Offer(req(model.ClassNormal, "a", "x"), start))
+	}
+	assert.Assert(t, refused >= 55 && refused <= 65, "%d refused", refused)
+	small := req(model.ClassNormal, "b", "y")
+	assert.Equal(t, len(s.Offer(small, start)), 0)
+}
+
+func TestRetryBudget(t *testing.T) {
+	var b retryBudget
+	granted := 0
+	for i := range 1000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		b.sent(10, now)
+		if b.take(now) {
+			granted++
+		}
+	}
+	assert.Assert(t, granted >= 115 && granted <= 125, "%d granted", granted) // 20 saved, 100 earned, 2 per second
+}
