Assert outcomes and leaving backend servers inside the program; queue gauges

A ticket that settles twice, a settled not run that is found done, and a send to a backend server known to leave for more than 3 s are reported as violations.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -52,6 +52,7 @@
 	idle      chan struct{} // one element: no item was open a moment ago
 	waking    bool          // a wake-up is scheduled
 	suspected map[string]chan struct{}
+	leaving   map[string]time.Time         // backend servers that the view shows leaving, since when
 	successor map[model.Incarnation]string // address that took over, by incarnation
 	orphaned  map[model.Incarnation]bool   // offered, and certainly accepted by nobody
 	handed    chan struct{}                // closes when the hand-over of tickets ended
@@ -195,6 +196,7 @@
 			return
 		case now := <-ticks.C:
 			d.pump()
+			d.metrics.queues(d.Queues())
 			pings.tick(ctx, now)
 		}
 	}
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -12,6 +12,8 @@
 type metrics struct {
 	outcomes         [model.ClassCount]map[model.Outcome]tally.Counter
 	latency          [model.ClassCount]tally.Timer
+	queued           [model.ClassCount]tally.Gauge
+	running          [model.ClassCount]tally.Gauge
 	shed             tally.Counter
 	retries          tally.Counter
 	hedges           tally.Counter
@@ -38,6 +40,8 @@
 	for c := model.ClassUrgent; c < model.ClassCount; c++ {
 		class := s.Tagged(map[string]string{"class": c.String()})
 		m.latency[c] = class.Timer("latency")
+		m.queued[c] = class.Gauge("queued")
+		m.running[c] = class.Gauge("running")
 		m.outcomes[c] = map[model.Outcome]tally.Counter{}
 		for _, o := range outcomes {
 			name := strings.ReplaceAll(string(o), " ", "_")
@@ -53,3 +57,10 @@
 	}
 	m.latency[c].Record(took)
 }
+
+func (m *metrics) queues(states []QueueState) {
+	for _, s := range states {
+		m.queued[s.Class].Update(float64(s.Queued))
+		m.running[s.Class].Update(float64(s.Running))
+	}
+}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/dispatch/schedule"
+	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/platform"
 )
@@ -80,6 +81,34 @@
 	}
 	d.view = v
 	d.scheduler.Update(fleetOf(v), now)
+	d.noteLeaving(v, now)
+}
+
+// leavingGrace is how long after the view shows a backend server leaving a send to
+// it is a broken promise.
+const leavingGrace = 3 * time.Second
+
+func (d *Dispatcher) noteLeaving(v *View, now time.Time) {
+	leaving := map[string]time.Time{}
+	for _, b := range v.Backends {
+		if !b.Leaving {
+			continue
+		}
+		leaving[b.Server.Address] = now
+		if since, known := d.leaving[b.Server.Address]; known {
+			leaving[b.Server.Address] = since
+		}
+	}
+	d.leaving = leaving
+}
+
+// checkLeaving asserts that a backend server that is about to get a request is not
+// known to leave. The lock is held.
+func (d *Dispatcher) checkLeaving(it *item, address string, now time.Time) {
+	since, leaving := d.leaving[address]
+	if leaving && now.Sub(since) > leavingGrace {
+		d.violated(invariant.NoNewWorkOnLeaving, it.request.ID, "sent to "+address)
+	}
 }
 
 func fleetOf(v *View) schedule.Fleet {
@@ -126,7 +155,9 @@
 		if x == nil {
 			break
 		}
-		go d.execute(d.open[x], b)
+		it := d.open[x]
+		d.checkLeaving(it, b.Address(), now)
+		go d.execute(it, b)
 	}
 	d.scheduleWake()
 }
--- a/internal/dispatch/tickets.go
+++ b/internal/dispatch/tickets.go
@@ -151,12 +151,22 @@
 	if !ok {
 		return unknown(it.request.ID, ReasonDraining)
 	}
-	if a.Outcome != r.Outcome {
-		d.violated(invariant.AtMostOnce, it.request.ID, "a ticket has two outcomes: "+string(a.Outcome)+" and "+string(r.Outcome))
-	}
+	d.checkSettled(it.request.ID, a.Outcome, r.Outcome)
 	return resultOfAnswer(it.request.ID, a)
 }
 
+// checkSettled asserts that a ticket has one outcome. before is the one in force.
+func (d *Dispatcher) checkSettled(id model.RequestID, before, now model.Outcome) {
+	detail := "settled as " + string(before) + ", then found " + string(now)
+	switch {
+	case before == now:
+	case before == model.OutcomeNotRun:
+		d.violated(invariant.NotRunIsTrue, id, detail)
+	default:
+		d.violated(invariant.AtMostOnce, id, detail)
+	}
+}
+
 func answerOf(r Result) ticket.Answer {
 	return ticket.Answer{
 		Outcome:    r.Outcome,
@@ -207,6 +217,7 @@
 		res, ok := d.lookupExecution(ctx, id, t, e)
 		if ok {
 			a, _ := d.book.Settle(t, answerOf(res))
+			d.checkSettled(id, a.Outcome, res.Outcome)
 			return resultOfAnswer(id, a)
 		}
 		select {
