--- a/internal/invariant/placement.go
+++ b/internal/invariant/placement.go
@@ -48,6 +48,9 @@
 }
 
 func gangFault(gang placement.Placed, racks map[model.BackendServerID]model.RackID) string {
+	if len(gang.Members) == 0 {
+		return "no members placed"
+	}
 	if len(gang.Members) != gang.Shape.Tasks {
 		return fmt.Sprintf("%d members placed of %d", len(gang.Members), gang.Shape.Tasks)
 	}
--- a/internal/measure/gangs/placement.go
+++ b/internal/measure/gangs/placement.go
@@ -23,11 +23,11 @@
 		{"first fit", placement.FirstFit{}},
 		{"tightest cell", placement.TightestCell{}},
 		{"reclaiming (chosen)", placement.Reclaiming{}},
-		{"  no reservation", reclaiming(never, never)},
-		{"  reserve 2m, evict 10m", reclaiming(2*time.Minute, 10*time.Minute)},
-		{"  reserve 10m, evict 2h", reclaiming(10*time.Minute, 2*time.Hour)},
-		{"  reserve 1h, evict 4h", reclaiming(time.Hour, 4*time.Hour)},
-		{"  reserve 10m, never evict", reclaiming(10*time.Minute, never)},
+		{"  never reserve", reclaiming(never, never)},
+		{"  reserve 10m, evict 30m", reclaiming(10*time.Minute, 30*time.Minute)},
+		{"  reserve 1h, evict 2h", reclaiming(time.Hour, 2*time.Hour)},
+		{"  reserve 1h, evict 12h", reclaiming(time.Hour, 12*time.Hour)},
+		{"  reserve 1h, never evict", reclaiming(time.Hour, never)},
 	}
 }
 
