--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -4,7 +4,9 @@
 	"container/heap"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/config"
@@ -58,11 +60,15 @@
 	config   *config.Current
 	settings Settings
 	cut      map[[2]string]bool    // both ways, by name
-	mute     map[[2]string]bool    // answers from the second to the first are lost
+	mute     map[[2]string]bool    // answers are lost after the effect
+	silent   map[[2]string]bool    // calls vanish and get no answer
+	bad      map[model.JobID]bool  // jobs that fail wherever they run
+	hook     func(*node, Action)   // called before each action is carried out
 	vms      []platform.VMEntry    // the platform's list
 	stale    bool                  // the list is not updated
 	breaches []string              // broken promises seen by the fakes
 	reported []invariant.Violation // reported by the program
+	dump     string                // of the VM that reported first
 	ids      int
 	partial  map[model.AttemptID]time.Time
 	runtimes map[model.JobID]time.Duration
@@ -104,6 +110,7 @@
 		settings: DefaultSettings(),
 		cut:      make(map[[2]string]bool),
 		mute:     make(map[[2]string]bool),
+		silent:   make(map[[2]string]bool),
 		partial:  make(map[model.AttemptID]time.Time),
 		runtimes: make(map[model.JobID]time.Duration),
 		remote:   make(map[ReplyID]remoteReply),
@@ -124,13 +131,22 @@
 	return c
 }
 
-func (c *cluster) addServer(i int) {
+func (c *cluster) addServer(i int) { c.addServerIn(testZone, i) }
+
+func (c *cluster) addServerIn(az model.AZ, i int) {
 	id := model.BackendServerID(fmt.Sprintf(testAZServer, i))
-	info := model.BackendServer{ID: id, Address: string(id), AZ: testZone, Rack: "r0", Accelerators: 8, Slots: 8}
-	c.config.BackendServers[id] = info
+	info := model.BackendServer{ID: id, Address: string(id), AZ: az, Rack: "r0", Accelerators: 8, Slots: 8}
+	next := *c.config
+	next.BackendServers = maps.Clone(c.config.BackendServers)
+	next.BackendServers[id] = info
+	*c.config = next
+	for _, n := range c.nodes {
+		n.state.synced = nil
+	}
 	c.servers[id] = &fakeServer{
-		info:  info,
-		tasks: make(map[model.TaskID]*fakeTask),
+		info:   info,
+		tasks:  make(map[model.TaskID]*fakeTask),
+		badJob: func(j model.JobID) bool { return c.bad[j] },
 		runtime: func(j model.JobID) time.Duration {
 			if d, ok := c.runtimes[j]; ok {
 				return d
@@ -138,7 +154,7 @@
 			return 10 * time.Second
 		},
 	}
-	c.vms = append(c.vms, platform.VMEntry{Address: info.Address, Role: platform.RoleBackendServer, AZ: testZone, State: platform.VMLive})
+	c.vms = append(c.vms, platform.VMEntry{Address: info.Address, Role: platform.RoleBackendServer, AZ: az, State: platform.VMLive})
 }
 
 func (c *cluster) newID() string {
@@ -146,13 +162,15 @@
 	return fmt.Sprintf("id%04d", c.ids)
 }
 
-func (c *cluster) addNode() *node {
+func (c *cluster) addNode() *node { return c.addNodeIn(testZone) }
+
+func (c *cluster) addNodeIn(az model.AZ) *node {
 	name := fmt.Sprintf("vm%d", len(c.nodes))
-	id := Identity{Incarnation: model.Incarnation("i-" + name), Address: name, AZ: testZone}
+	id := Identity{Incarnation: model.Incarnation("i-" + name), Address: name, AZ: az}
 	n := &node{name: name, next: 1}
 	n.state = NewState(id, c.settings, replica.New(fixedConfig{c.config}), placement.Reclaiming{}, c.newID)
 	c.nodes = append(c.nodes, n)
-	c.vms = append(c.vms, platform.VMEntry{Address: name, Role: platform.RoleEntry, AZ: testZone, State: platform.VMLive})
+	c.vms = append(c.vms, platform.VMEntry{Address: name, Role: platform.RoleEntry, AZ: az, State: platform.VMLive})
 	return n
 }
 
@@ -195,10 +213,6 @@
 	}
 	c.steps++
 	for _, a := range n.state.Step(events, c.now) {
-		if n.frozen { // frozen between the decision and the sending
-			n.acts = append(n.acts, func() { c.carryOut(n, a) })
-			continue
-		}
 		c.carryOut(n, a)
 	}
 }
@@ -283,6 +297,16 @@
 func (c *cluster) sever(a, b string, cut bool) { c.cut[link(a, b)] = cut }
 
 func (c *cluster) carryOut(n *node, a Action) {
+	if c.hook != nil {
+		c.hook(n, a)
+	}
+	if n.dead {
+		return
+	}
+	if n.frozen {
+		n.acts = append(n.acts, func() { c.carryOut(n, a) })
+		return
+	}
 	switch a := a.(type) {
 	case Append:
 		c.append(n, a.Entry)
@@ -297,6 +321,9 @@
 	case SendTermOffer:
 		c.termOffer(n, a)
 	case Report:
+		if len(c.reported) == 0 {
+			c.dump = c.describe(n)
+		}
 		c.reported = append(c.reported, a.Violation)
 	default:
 		n.replies = append(n.replies, a)
@@ -311,14 +338,15 @@
 		c.after(linkDelay, func() { c.deliver(n, EntryAppended{Result: result}) })
 		return
 	}
+	vanishes := c.silent[link(n.name, "log")]
 	c.after(linkDelay+c.log.delay, func() {
-		if c.log.down || n.dead && c.rng.IntN(2) == 0 {
+		if vanishes || c.log.down || n.dead && c.rng.IntN(2) == 0 {
 			n.doubts = append(n.doubts, e.ID)
 			result.State = journal.AppendInDoubt
 		} else {
 			result.Offset = c.log.append(e, c.now)
 			result.State = journal.AppendStored
-			if c.log.lose || !c.connected(n.name, "log") {
+			if c.log.lose || c.mute[link(n.name, "log")] || !c.connected(n.name, "log") {
 				result.State = journal.AppendInDoubt
 			}
 		}
@@ -341,8 +369,9 @@
 		c.after(a.Timeout, func() { c.deliver(n, answered) })
 		return
 	}
+	vanishes := c.silent[link(n.name, a.Address)]
 	c.after(linkDelay, func() {
-		if f.dead || n.dead {
+		if vanishes || f.dead || n.dead {
 			answered.Err = errors.Join(errLost, platform.ErrInDoubt)
 			c.after(a.Timeout, func() { c.deliver(n, answered) })
 			return
@@ -360,7 +389,7 @@
 func (c *cluster) poll(n *node, a PollStatus) {
 	answered := StatusAnswered{Server: a.Server, Sent: a.Sent}
 	f := c.servers[a.Server]
-	if f == nil || f.dead || !c.connected(n.name, a.Address) || c.mute[link(n.name, a.Address)] {
+	if f == nil || f.dead || !c.connected(n.name, a.Address) || c.mute[link(n.name, a.Address)] || c.silent[link(n.name, a.Address)] {
 		answered.Err = platform.ErrUnavailable
 		c.after(a.Timeout, func() { c.deliver(n, answered) })
 		return
@@ -382,12 +411,20 @@
 
 func (c *cluster) reaches(n *node, address string) *node {
 	p := c.byAddress(address)
-	if p == nil || p.dead || p.frozen || !c.connected(n.name, address) {
+	if p == nil || p.dead || p.frozen || c.cut[link(n.name, address)] || c.silent[link(n.name, address)] {
 		return nil
 	}
 	return p
 }
 
+// peerError is what a caller learns of a peer that it does not reach.
+func (c *cluster) peerError(n *node, address string) error {
+	if c.silent[link(n.name, address)] {
+		return errors.Join(errLost, platform.ErrInDoubt)
+	}
+	return platform.ErrUnavailable
+}
+
 func (c *cluster) heartbeat(n *node, a SendHeartbeat) {
 	c.after(linkDelay, func() {
 		p := c.reaches(n, a.Address)
@@ -403,13 +440,14 @@
 // remoteReply routes replies of a peer back to the VM that called.
 type remoteReply struct {
 	node *node
+	from *node
 	job  model.JobID
 }
 
-func (c *cluster) expect(n *node, job model.JobID) ReplyID {
+func (c *cluster) expect(n, p *node, job model.JobID) ReplyID {
 	c.ids++
 	id := ReplyID(1_000_000 + c.ids)
-	c.remote[id] = remoteReply{node: n, job: job}
+	c.remote[id] = remoteReply{node: n, from: p, job: job}
 	return id
 }
 
@@ -417,21 +455,35 @@
 	switch a := a.(type) {
 	case OfferReply:
 		r := c.remote[a.Reply]
-		c.after(linkDelay, func() { c.deliver(r.node, OfferAnswered{Job: r.job, Answer: a.Answer}) })
+		e := OfferAnswered{Job: r.job, Answer: a.Answer}
+		if c.loses(r) {
+			e = OfferAnswered{Job: r.job, Err: errors.Join(errLost, platform.ErrInDoubt)}
+		}
+		c.after(linkDelay, func() { c.deliver(r.node, e) })
 	case TermOfferReply:
 		r := c.remote[a.Reply]
-		c.after(linkDelay, func() { c.deliver(r.node, TermOfferAnswered{Accepted: a.Accepted}) })
+		e := TermOfferAnswered{Accepted: a.Accepted}
+		if c.loses(r) {
+			e = TermOfferAnswered{Err: errors.Join(errLost, platform.ErrInDoubt)}
+		}
+		c.after(linkDelay, func() { c.deliver(r.node, e) })
 	}
 }
 
+// loses reports whether the answer of a peer does not get back.
+func (c *cluster) loses(r remoteReply) bool {
+	l := link(r.node.name, r.from.name)
+	return c.mute[l] || c.cut[l]
+}
+
 func (c *cluster) offer(n *node, a SendOffer) {
 	c.after(linkDelay, func() {
 		p := c.reaches(n, a.Address)
 		if p == nil {
-			c.deliver(n, OfferAnswered{Job: a.Offer.Job.ID, Err: platform.ErrUnavailable})
+			c.deliver(n, OfferAnswered{Job: a.Offer.Job.ID, Err: c.peerError(n, a.Address)})
 			return
 		}
-		c.deliver(p, JobOffered{Reply: c.expect(n, a.Offer.Job.ID), Offer: a.Offer})
+		c.deliver(p, JobOffered{Reply: c.expect(n, p, a.Offer.Job.ID), Offer: a.Offer})
 	})
 }
 
@@ -439,10 +491,10 @@
 	c.after(linkDelay, func() {
 		p := c.reaches(n, a.Address)
 		if p == nil {
-			c.deliver(n, TermOfferAnswered{Err: platform.ErrUnavailable})
+			c.deliver(n, TermOfferAnswered{Err: c.peerError(n, a.Address)})
 			return
 		}
-		c.deliver(p, TermOffered{Reply: c.expect(n, ""), Offer: a.Offer})
+		c.deliver(p, TermOffered{Reply: c.expect(n, p, ""), Offer: a.Offer})
 	})
 }
 
@@ -484,3 +536,26 @@
 	}
 	return n
 }
+
+// describe tells what a VM knows of its gangs and backend servers, for a failed run.
+func (c *cluster) describe(n *node) string {
+	if n == nil {
+		return "no term holder"
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s token %v newest %v\n", n.name, n.state.term.token, n.state.term.newest)
+	for _, j := range sortedKeys(n.state.gangs) {
+		g := n.state.gangs[j]
+		fmt.Fprintf(&b, "  %s: %s gathering %v since %v\n", j, g.phase, g.gathering, g.since.Sub(c.now))
+		for _, m := range g.members {
+			fmt.Fprintf(&b, "    %s on %s: %d %q pending %q until %v\n",
+				m.task, m.server, m.accelerators, m.state, m.pending, m.until.Sub(c.now))
+		}
+	}
+	for _, id := range sortedKeys(n.state.servers) {
+		v := n.state.servers[id]
+		fmt.Fprintf(&b, "  %s live %v gone %v leaving %v surveyed %v fenced %v quarantined %v\n",
+			id, n.state.live(v), v.gone, v.leaving, v.surveyed, v.fenced, v.health.quarantined)
+	}
+	return b.String()
+}
