Take no absence after a restart for proof that a request never ran

Cause: a backend server that was restarted has forgotten the requests that it ran. A look-up then said that it never saw them, and callers were told not run of orders that had run.

Change: the answer to a look-up tells how long the backend server has remembered requests. The client takes an absence for proof only when that reaches back to before it sent the request itself, by its own monotonic clock; else the look-up is in doubt. A look-up of a request that was refused at an earlier look-up is answered as absent too. The stand-in can start anew and keeps its record.

Ruled out: comparing clocks of two hosts, and an incarnation in each execution, which the sender must learn first.

--- a/internal/platform/backend.go
+++ b/internal/platform/backend.go
@@ -150,7 +150,8 @@
 	Execute(ctx context.Context, e Execution) (Answer, error)
 	// Lookup asks for the state of a request, on a connection other than the one
 	// that carried it. The error wraps ErrNotFound when the backend server never saw
-	// the request, in which case it will also refuse it from now on.
+	// the request, in which case it will also refuse it from now on. One that may have
+	// been restarted since the request was sent proves nothing: ErrInDoubt.
 	Lookup(ctx context.Context, id model.RequestID) (Answer, error)
 	// Ping proves the connection alive.
 	Ping(ctx context.Context) error
--- a/internal/platform/backend_client.go
+++ b/internal/platform/backend_client.go
@@ -5,10 +5,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
 	"sync"
+	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
@@ -82,6 +84,7 @@
 	control *http.Client
 	execute *http.Client
 	lookup  *http.Client // opens a new connection for each call
+	sends   sends
 }
 
 func newBackendClient(address string, connections int) *backendClient {
@@ -131,13 +134,29 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	return c.answer(ctx, b.execute, e.Request)
+	b.sends.begin(e.Request, time.Now())
+	a, err := c.answer(ctx, b.execute, e.Request)
+	if err == nil && a.State != ExecutionRunning || errors.Is(err, ErrUnavailable) {
+		b.sends.end(e.Request)
+	}
+	return a, err
 }
 
+// Lookup takes the word of a backend server that it never saw a request only when
+// it has remembered requests since before the request was sent from here: one that
+// was restarted has forgotten those that it ran.
 func (b *backendClient) Lookup(ctx context.Context, id model.RequestID) (Answer, error) {
 	path := PathExecutions + "/" + url.PathEscape(string(id)) + PathLookup
 	c := call{method: http.MethodPost, url: b.base + path}
-	return c.answer(ctx, b.lookup, id)
+	a, err := c.answer(ctx, b.lookup, id)
+	if err == nil && a.State == ExecutionRefused {
+		return Answer{}, c.fail(ErrInDoubt, errors.New("a look-up proves no refusal"))
+	}
+	var unknown *unknownError
+	if errors.As(err, &unknown) && !b.sends.covers(id, unknown.kept, time.Now()) {
+		return Answer{}, c.fail(ErrInDoubt, errors.New("the request may have been sent before the backend server started"))
+	}
+	return a, err
 }
 
 func (b *backendClient) post(path string, body any) (call, error) {
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -48,9 +48,22 @@
 		backendServer.CloseClientConnections()
 		backendServer.Close()
 	})
+	b.awaitUptime(t)
 	return b
 }
 
+// awaitUptime lets the backend server be older than the delay of a call, so that it
+// can prove that it remembers all that was sent.
+func (b *bed) awaitUptime(t *testing.T) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if b.backend.Uptime() < 50*time.Millisecond {
+			return poll.Continue("just started")
+		}
+		return poll.Success()
+	}, poll.WithDelay(10*time.Millisecond))
+}
+
 func shortly(t *testing.T) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	t.Cleanup(cancel)
@@ -67,7 +80,8 @@
 		ran    int
 		lookup error
 	}{
-		{"refused", standin.Fault{Refuse: true}, platform.ErrUnavailable, 0, platform.ErrNotFound},
+		// Nothing was sent, so that a look-up has no send to vouch for.
+		{"refused", standin.Fault{Refuse: true}, platform.ErrUnavailable, 0, platform.ErrInDoubt},
 		{"cut before effect", standin.Fault{Down: true}, platform.ErrInDoubt, 0, platform.ErrNotFound},
 		{"cut after effect", standin.Fault{AnswerLost: true}, platform.ErrInDoubt, 1, nil},
 		{"silent before effect", standin.Fault{Silent: standin.SilentBefore}, platform.ErrInDoubt, 0, platform.ErrNotFound},
@@ -119,6 +133,32 @@
 	assert.Equal(t, b.backend.Record().Executions[0].Times, 0)
 }
 
+// TestRestartedServerProvesNothing looks a request up that a backend server ran
+// before it started anew and forgot it.
+func TestRestartedServerProvesNothing(t *testing.T) {
+	b := newBed(t)
+	b.backend.SetFault(standin.Fault{Silent: standin.SilentAfter, Paths: []string{platform.PathExecutions}, Times: 1})
+	_, err := b.port.Execute(shortly(t), platform.Execution{Request: "r1"})
+	assert.ErrorIs(t, err, platform.ErrInDoubt)
+	b.backend.SetFault(standin.Fault{Restart: true})
+	b.awaitUptime(t)
+	for range 2 { // the first look-up makes the request refused from then on
+		_, err = b.port.Lookup(t.Context(), "r1")
+		assert.ErrorIs(t, err, platform.ErrInDoubt)
+		assert.Assert(t, !errors.Is(err, platform.ErrNotFound))
+	}
+	assert.Equal(t, b.backend.Record().Executions[0].Times, 1)
+}
+
+// TestLookupOfForeignRequest looks a request up that this client never sent. When
+// it was sent is not known, so that its absence proves nothing.
+func TestLookupOfForeignRequest(t *testing.T) {
+	b := newBed(t)
+	_, err := b.port.Lookup(t.Context(), "r1")
+	assert.ErrorIs(t, err, platform.ErrInDoubt)
+	assert.Assert(t, !errors.Is(err, platform.ErrNotFound))
+}
+
 // TestAppendFaults compares what the client says of a failed append with the log.
 func TestAppendFaults(t *testing.T) {
 	tests := []struct {
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"time"
 )
 
 // maxAnswerBytes bounds the body of an answer that a client reads.
@@ -79,7 +80,7 @@
 	cause := fmt.Errorf("status %d: %s", status, p.Message)
 	switch {
 	case status == http.StatusNotFound && p.Code == CodeNotFound:
-		return c.fail(ErrNotFound, cause)
+		return c.fail(ErrNotFound, &unknownError{cause: cause, kept: time.Duration(p.KeptMS) * time.Millisecond})
 	case status == http.StatusGone && p.Code == CodeTrimmed:
 		return c.fail(ErrTrimmed, cause)
 	case p.Effect == EffectNone:
@@ -89,6 +90,16 @@
 	}
 }
 
+// unknownError says that the other side knows nothing of an item, and for how long
+// it has remembered what it was sent.
+type unknownError struct {
+	cause error
+	kept  time.Duration
+}
+
+// Error returns the message of the cause.
+func (e *unknownError) Error() string { return e.cause.Error() }
+
 // fail wraps the cause and its class.
 func (c call) fail(class, cause error) error {
 	if c.harmless && errors.Is(class, ErrInDoubt) {
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -38,6 +38,9 @@
 	// Effect is EffectNone when the call certainly changed nothing.
 	Effect  string `json:"effect,omitempty"`
 	Message string `json:"message"`
+	// KeptMS, with CodeNotFound, is how long the other side has remembered what it
+	// was sent, in milliseconds. A restarted one has forgotten what came before.
+	KeptMS int64 `json:"keptMS,omitempty"`
 }
 
 // AppendReply answers an append to the log.
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -24,6 +24,9 @@
 	faults       *switches
 
 	mu         sync.Mutex
+	run        int // starts so far
+	began      time.Time
+	pastRuns   BackendRecord // of the runs before
 	token      model.Token
 	running    int // executions
 	executions map[model.RequestID]*execution
@@ -38,6 +41,7 @@
 		slots:        slots,
 		accelerators: accelerators,
 		faults:       newSwitches(),
+		began:        time.Now(),
 		executions:   make(map[model.RequestID]*execution),
 		tasks:        make(map[model.TaskID]*task),
 	}
@@ -47,9 +51,32 @@
 func (b *Backend) SetFault(f Fault) {
 	b.settle()
 	b.faults.set(f)
+	if f.Restart {
+		b.restart(time.Now())
+	}
 	b.settle()
 }
 
+// restart forgets everything but the record.
+func (b *Backend) restart(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range b.tasks {
+		b.stop(t, now)
+	}
+	for _, x := range b.executions {
+		x.breakOff(now)
+	}
+	b.pastRuns = b.account()
+	b.run++
+	b.began = now
+	b.token = model.Token{}
+	b.running = 0
+	clear(b.executions)
+	clear(b.tasks)
+	b.offers = nil
+}
+
 // settle lets time pass under the fault in force.
 func (b *Backend) settle() {
 	b.mu.Lock()
@@ -65,15 +92,27 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(time.Now())
-	r := BackendRecord{ID: b.id, Token: b.token, Offers: slices.Clone(b.offers)}
+	r := b.account()
+	slices.SortFunc(r.Executions, func(x, y ExecutionRecord) int { return cmp.Compare(x.Request, y.Request) })
+	slices.SortFunc(r.Tasks, func(x, y TaskRecord) int { return cmp.Compare(x.Task, y.Task) })
+	return r
+}
+
+// account returns the record of all runs, in no order.
+func (b *Backend) account() BackendRecord {
+	r := BackendRecord{
+		ID:         b.id,
+		Token:      b.token,
+		Executions: slices.Clone(b.pastRuns.Executions),
+		Tasks:      slices.Clone(b.pastRuns.Tasks),
+		Offers:     append(slices.Clone(b.pastRuns.Offers), b.offers...),
+	}
 	for _, x := range b.executions {
 		r.Executions = append(r.Executions, x.record)
 	}
 	for _, t := range b.tasks {
 		r.Tasks = append(r.Tasks, t.record())
 	}
-	slices.SortFunc(r.Executions, func(x, y ExecutionRecord) int { return cmp.Compare(x.Request, y.Request) })
-	slices.SortFunc(r.Tasks, func(x, y TaskRecord) int { return cmp.Compare(x.Task, y.Task) })
 	return r
 }
 
@@ -136,11 +175,20 @@
 	if run {
 		p := parsePayload(e.Body)
 		time.Sleep(p.run())
-		b.finish(x, p, time.Now())
+		if !b.finish(x, p, time.Now()) {
+			abort()
+		}
 	}
 	reply(w, b.describe(x))
 }
 
+// Uptime returns how long the backend server has remembered requests.
+func (b *Backend) Uptime() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Since(b.began)
+}
+
 func (b *Backend) describe(x *execution) platform.Answer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -150,8 +198,11 @@
 func (b *Backend) handleLookup(w http.ResponseWriter, r *http.Request) {
 	a, ok := b.lookUp(model.RequestID(chi.URLParam(r, "request")))
 	if !ok {
-		message := "the request was never seen here and is refused from now on"
-		problem(w, http.StatusNotFound, platform.Problem{Code: platform.CodeNotFound, Message: message})
+		problem(w, http.StatusNotFound, platform.Problem{
+			Code:    platform.CodeNotFound,
+			Message: "the request was never seen here and is refused from now on",
+			KeptMS:  b.Uptime().Milliseconds(),
+		})
 		return
 	}
 	reply(w, a)
--- a/internal/standin/executions.go
+++ b/internal/standin/executions.go
@@ -12,6 +12,7 @@
 // execution is a request that a backend server has seen.
 type execution struct {
 	record ExecutionRecord
+	run    int // of the backend server, see Backend.run
 	body   []byte
 	err    string
 }
@@ -31,6 +32,7 @@
 		return nil, false, refused
 	}
 	x = &execution{
+		run: b.run,
 		record: ExecutionRecord{
 			Request:  e.Request,
 			Caller:   e.Caller,
@@ -57,10 +59,14 @@
 	return ""
 }
 
-// finish ends a request that ran.
-func (b *Backend) finish(x *execution, p Payload, now time.Time) {
+// finish ends a request that ran. It reports false when the backend server started
+// anew meanwhile and knows nothing of the request.
+func (b *Backend) finish(x *execution, p Payload, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if x.run != b.run {
+		return false
+	}
 	b.running--
 	x.record.Ended = now
 	x.record.State = platform.ExecutionDone
@@ -69,6 +75,15 @@
 		x.err = "the request failed"
 	}
 	x.body = answerBody(x.record, p)
+	return true
+}
+
+// breakOff ends a request that still runs.
+func (x *execution) breakOff(now time.Time) {
+	if x.record.State == platform.ExecutionRunning {
+		x.record.State = platform.ExecutionFailed
+		x.record.Ended = now
+	}
 }
 
 func answerBody(r ExecutionRecord, p Payload) []byte {
@@ -83,8 +98,8 @@
 	return body
 }
 
-// lookUp returns what is known of a request. One that was never seen is refused
-// from now on, and ok is false.
+// lookUp returns what is known of a request. One that was never executed is
+// refused from now on, and ok is false.
 func (b *Backend) lookUp(id model.RequestID) (a platform.Answer, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -94,6 +109,9 @@
 		b.executions[id] = &execution{record: record}
 		return platform.Answer{}, false
 	}
+	if x.record.State == platform.ExecutionRefused {
+		return platform.Answer{}, false
+	}
 	return b.answer(x), true
 }
 
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -44,6 +44,9 @@
 	// Times limits the faults above to this number of calls; 0 means no limit.
 	Times int `json:"times,omitempty"`
 
+	// Restart makes a backend server start anew, once: connections are cut, and it
+	// forgets its tasks and requests, which stay in its record.
+	Restart bool `json:"restart,omitempty"`
 	// FailAll makes a backend server fail each task and request that it runs.
 	FailAll bool `json:"failAll,omitempty"`
 	// Leaving makes a backend server report that it leaves and refuse new work.
--- a/test/e2e/requests_test.go
+++ b/test/e2e/requests_test.go
@@ -94,6 +94,21 @@
 	noneCut(t, all)
 }
 
+// TestBackendRestarted has a backend server start anew, again and again, with
+// orders in flight. It knows nothing then of those that it ran.
+func TestBackendRestarted(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, zone{"a", 2, 2})
+	l := startLoad(t, c.vms, callers, callTimeout, kindOrder)
+	for range 6 {
+		l.awaitMore(30)
+		c.backends[0].fault(t, standin.Fault{Restart: true})
+	}
+	l.awaitMore(30)
+	s := c.compare(t, l.stop())
+	assert.Assert(t, s[model.OutcomeDone] > 0)
+}
+
 // TestPlannedStop ends a VM by SIGTERM under load, and later starts another one.
 func TestPlannedStop(t *testing.T) {
 	t.Parallel()
