--- a/internal/dispatch/schedule/scheduler_test.go
+++ b/internal/dispatch/schedule/scheduler_test.go
@@ -160,3 +160,24 @@
 	}
 	assert.Assert(t, granted >= 115 && granted <= 125, "%d granted", granted) // 20 saved, 100 earned, 2 per second
 }
+
+func TestQueueBounds(t *testing.T) {
+	cases := []struct {
+		name   string
+		limits model.Limits
+	}{
+		{"requests", model.Limits{QueueRequests: 10}},
+		{"bytes", model.Limits{QueueBytes: 1000}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := scheduler(Fleet{Limits: c.limits})
+			rejected := 0
+			for range 100 {
+				rejected += len(s.Offer(req(model.ClassNormal, "a", "x"), start))
+			}
+			assert.Equal(t, s.Waiting(), 10)
+			assert.Equal(t, rejected, 90)
+		})
+	}
+}
--- a/internal/dispatch/unreachable_test.go
+++ b/internal/dispatch/unreachable_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -28,3 +29,24 @@
 		assert.Assert(t, calls < 100, "%d sends", calls)
 	})
 }
+
+// TestSilentServerIsLeft loses all that one of two backend servers sends and gets.
+func TestSilentServerIsLeft(t *testing.T) {
+	inWorld(t, 1, 2, func(t *testing.T, w *world) {
+		m := w.vms["vm-0"]
+		silent := w.servers["backend-0"]
+		silent.faults = func(string) wireFault { return wireSilent }
+		ask := func(from, n int) {
+			for i := range n {
+				res := m.Do(context.Background(), quote(fmt.Sprint(from+i)))
+				assert.Equal(t, res.Outcome, model.OutcomeDone)
+			}
+		}
+		ask(0, 20) // hedged on the other one
+		go m.Do(context.Background(), m.order("in flight"))
+		time.Sleep(10 * time.Second) // pings notice by then
+		started := time.Now()
+		ask(100, 20)
+		assert.Assert(t, time.Since(started) < time.Second, "%s", time.Since(started))
+	})
+}
