--- a/cmd/measure/journal.go
+++ b/cmd/measure/journal.go
@@ -1,5 +1,5 @@
 package main
 
-import "github.com/eelgrassreach/eelgrassreach/internal/measure"
+import "github.com/eelgrassreach/eelgrassreach/internal/measure/changes"
 
-var _ = register("journal", measure.Journal)
+var _ = register("journal", changes.Print)
--- a/internal/measure/journal.go
+++ b/internal/measure/changes/changes.go
@@ -1,4 +1,6 @@
-package measure
+// Package changes measures the journal: how fast configuration changes spread, what
+// they cost the platform's log, and how long a start from the log takes.
+package changes
 
 import (
 	"fmt"
@@ -10,10 +12,10 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/journal/journaltest"
 )
 
-// Journal prints what the platform's log costs and how fast it spreads changes:
+// Print prints what the platform's log costs and how fast it spreads changes:
 // the time from accepted to in force on the last VM, the appends and bytes of a
 // change, a burst, and the start-up replay. Links are in-process, with real time.
-func Journal(w io.Writer, seed uint64) error {
+func Print(w io.Writer, seed uint64) error {
 	if err := printSpread(w); err != nil {
 		return err
 	}
@@ -75,6 +77,11 @@
 // roundMS rounds to a tenth of a millisecond.
 func roundMS(d time.Duration) time.Duration { return d.Round(time.Millisecond / 10) }
 
+// quantile returns the q-quantile of sorted durations.
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	return sorted[int(q*float64(len(sorted)-1))]
+}
+
 // spread publishes changes one after the other and times each.
 func spread(scene spreadScene) (spreadResult, error) {
 	c := newLogCluster(scene.link)
--- a/internal/measure/journal_replay.go
+++ b/internal/measure/changes/replay.go
@@ -1,4 +1,4 @@
-package measure
+package changes
 
 import (
 	"context"
