--- a/internal/control/gang.go
+++ b/internal/control/gang.go
@@ -288,11 +288,22 @@
 	}
 	s.placement.dirty = true
 	if why.result == replica.ResultRetry {
-		s.delayed[g.job.ID] = s.now.Add(s.settings.RetryDelay)
+		s.delayed[g.job.ID] = s.now.Add(s.retryDelay(g, why))
 	}
 	s.recordOutcome(g, why)
 }
 
+// retryDelay doubles with the attempts of a job that fails.
+func (s *State) retryDelay(g *gang, why ending) time.Duration {
+	if len(why.failedOn) == 0 {
+		return s.settings.RetryDelay
+	}
+	return s.settings.RetryDelay << min(g.number, maxRetryDoublings)
+}
+
+// maxRetryDoublings bounds the delay of a job that fails.
+const maxRetryDoublings = 7
+
 func all(g *gang, ok func(*member) bool) bool {
 	for _, m := range g.members {
 		if !ok(m) {
--- a/internal/control/offer.go
+++ b/internal/control/offer.go
@@ -53,21 +53,21 @@
 		return
 	}
 	l.offering = false
-	refused := e.Err == nil && !e.Answer.Accepted
-	notSent := e.Err != nil && errors.Is(e.Err, platform.ErrUnavailable)
 	if l.permit != permitOffered {
 		return
 	}
-	if refused || notSent {
+	switch {
+	case e.Err == nil && (e.Answer.Accepted || e.Answer.Reason == ReasonRecorded):
+		// The holder or the log has the job from now on; repeats are not needed.
+		l.offeredTo = ""
+	case e.Err != nil && !errors.Is(e.Err, platform.ErrUnavailable):
+		l.offerDoubted = true
+	case !l.offerDoubted:
 		l.permit = permitHere
 		l.offeredTo = ""
 		l.returnedAt = s.now
 		s.placement.dirty = true
 	}
-	if e.Err == nil && e.Answer.Accepted {
-		// The holder keeps the job from now on; repeats are not needed.
-		l.offeredTo = ""
-	}
 }
 
 // jobOffered takes a job with its permit from the VM that accepted it.
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -155,11 +155,30 @@
 	}
 	if j := s.replica.Job(job.ID); j != nil {
 		c.Submitted = j.AcceptedAt
-		c.Avoid = j.Failed
+		c.Avoid = s.avoid(j)
 	}
 	return c
 }
 
+// avoid lists the backend servers on which the job failed, as long as the usable
+// others can hold it.
+func (s *State) avoid(j *replica.Job) []model.BackendServerID {
+	if len(j.Failed) == 0 {
+		return nil
+	}
+	var others []model.BackendServer
+	for _, id := range sortedKeys(s.servers) {
+		if v := s.servers[id]; s.usable(v) && !slices.Contains(j.Failed, id) {
+			others = append(others, v.info)
+		}
+	}
+	org := s.replica.Config().Current().Organisations[j.Job.Organisation]
+	if placement.CheckShape(s.self.AZ, others, org, j.Job.Shape) != nil {
+		return nil
+	}
+	return j.Failed
+}
+
 // pending lists the jobs that may be started here, ordered by submission.
 func (s *State) pending() []placement.Gang {
 	var list []placement.Gang
--- a/internal/control/submit.go
+++ b/internal/control/submit.go
@@ -18,7 +18,10 @@
 	// offeredTo is the VM that may have the permit.
 	offeredTo string
 	offering  bool
-	offered   time.Time
+	// offerDoubted is set once an offer went without an answer. The permit then
+	// counts as given for good: a later refusal or failure does not undo it.
+	offerDoubted bool
+	offered      time.Time
 	// returnedAt is when a refused or unplaced permit came back.
 	returnedAt time.Time
 }
