One quantile for the measurements

Cause: three copies of the same function, and a package that no longer saw one. Change: internal/measure/stats. Measured: the module builds and vets again.

--- a/internal/measure/journal.go
+++ b/internal/measure/journal.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/journal/journaltest"
+	"github.com/eelgrassreach/eelgrassreach/internal/measure/stats"
 )
 
 // Journal prints what the platform's log costs and how fast it spreads changes:
@@ -65,8 +66,8 @@
 			return fmt.Errorf("%s: %w", scene.name, err)
 		}
 		fmt.Fprintf(table, "%s\t%d\t%v\t%v\t%v\t%v\t%.2f\t%d\t\n", scene.name, scene.changes,
-			roundMS(quantile(result.accepted, 0.5)), roundMS(result.accepted[len(result.accepted)-1]),
-			roundMS(quantile(result.inForce, 0.5)), roundMS(result.inForce[len(result.inForce)-1]),
+			roundMS(stats.Quantile(result.accepted, 0.5)), roundMS(result.accepted[len(result.accepted)-1]),
+			roundMS(stats.Quantile(result.inForce, 0.5)), roundMS(result.inForce[len(result.inForce)-1]),
 			float64(result.appends)/float64(scene.changes), result.bytes/int64(scene.changes))
 	}
 	return table.Flush()
--- a/internal/measure/requests/requests_test.go
+++ b/internal/measure/requests/requests_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/measure/stats"
 )
 
 const seed = 1
@@ -37,5 +39,5 @@
 func TestLargeCallerWaitsBehindItself(t *testing.T) {
 	_, product := both(t, scenes[3])
 	assert.Assert(t, percent(len(product.small), product.smallOffered) > 99)
-	assert.Assert(t, 4*quantile(product.small, 0.5) < quantile(product.large, 0.5))
+	assert.Assert(t, 4*stats.Quantile(product.small, 0.5) < stats.Quantile(product.large, 0.5))
 }
--- a/internal/measure/requests/result.go
+++ b/internal/measure/requests/result.go
@@ -5,6 +5,8 @@
 	"io"
 	"slices"
 	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/measure/stats"
 )
 
 // sceneResult collects the measured requests of one run.
@@ -89,13 +91,6 @@
 	slices.Sort(r.large)
 }
 
-func quantile(sorted []time.Duration, q float64) time.Duration {
-	if len(sorted) == 0 {
-		return 0
-	}
-	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
-}
-
 func percent(part, whole int) float64 {
 	if whole == 0 {
 		return 0
@@ -112,7 +107,7 @@
 		_, err := fmt.Fprintf(w, "  %-9s %-5s offered %7d  done %5.1f%% (%6.1f/s)  refused %5.1f%%  p50 %8s p95 %8s p99 %8s\n",
 			policy, work.kind, x.offered, percent(x.done, x.offered),
 			float64(x.window)/(scene.length-sceneWarmUp).Seconds(), percent(x.refused, x.offered),
-			round(quantile(x.times, 0.50)), round(quantile(x.times, 0.95)), round(quantile(x.times, 0.99)))
+			round(stats.Quantile(x.times, 0.50)), round(stats.Quantile(x.times, 0.95)), round(stats.Quantile(x.times, 0.99)))
 		if err != nil {
 			return err
 		}
@@ -123,14 +118,14 @@
 	if !scene.large {
 		return nil
 	}
-	small, large := quantile(r.small, 0.5), quantile(r.large, 0.5)
+	small, large := stats.Quantile(r.small, 0.5), stats.Quantile(r.large, 0.5)
 	ratio := 0.0
 	if large > 0 {
 		ratio = small.Seconds() / large.Seconds()
 	}
 	_, err := fmt.Fprintf(w, "  %-9s small callers: done %5.1f%% p50 %s p99 %s; the large one: done %5.1f%% p50 %s p99 %s; ratio of p50 %.2f\n",
-		policy, percent(len(r.small), r.smallOffered), round(small), round(quantile(r.small, 0.99)),
-		percent(len(r.large), r.largeOffered), round(large), round(quantile(r.large, 0.99)), ratio)
+		policy, percent(len(r.small), r.smallOffered), round(small), round(stats.Quantile(r.small, 0.99)),
+		percent(len(r.large), r.largeOffered), round(large), round(stats.Quantile(r.large, 0.99)), ratio)
 	return err
 }
 
