Check on single attempts allows for attempts that were taken over and not read yet

Cause: seed 23: a successor cut off from the log took over an attempt that it had not read, and reported a violation.

--- a/internal/control/adopt.go
+++ b/internal/control/adopt.go
@@ -70,6 +70,7 @@
 		started:   s.now,
 		startSent: true,
 		renewed:   s.now,
+		adopted:   true,
 		gathering: true,
 		size:      r.Members,
 	}
--- a/internal/control/check.go
+++ b/internal/control/check.go
@@ -34,8 +34,9 @@
 	}
 }
 
-// checkSingle reports a job that runs here although replay gave the permit for
-// another attempt.
+// checkSingle reports a job that runs here although replay closed its attempt or,
+// for a gang started here, gave the permit for another. A gang that was taken over
+// may be of an attempt that this VM has not read yet.
 func (s *State) checkSingle() {
 	for _, id := range sortedKeys(s.gangs) {
 		g := s.gangs[id]
@@ -43,7 +44,8 @@
 		if j == nil || j.Job.Idempotent || !g.startSent || g.gathering || g.phase == JobStopping {
 			continue
 		}
-		if !j.Attempt.Open || j.Attempt.ID != g.attempt {
+		same := j.Attempt.ID == g.attempt
+		if (same && !j.Attempt.Open) || (!same && !g.adopted) {
 			s.violated(invariant.Violation{
 				Promise: invariant.NoDoubleAttempt,
 				Job:     id,
--- a/internal/control/gang.go
+++ b/internal/control/gang.go
@@ -37,6 +37,7 @@
 	checkpoint string
 	renewed    time.Time
 	ending     ending
+	adopted    bool // another VM started it
 	// gathering is set while a gang that was taken over is not known to be whole.
 	gathering bool
 	// size is the number of members that the whole gang has.
