A started job that may not run twice waits for its silent backend server

Ruled out: vouching by the VMs that may act, which only shows that nobody renewed, not that the task had not ended; removed. Change: time alone ends the wait only for tasks that were never started and for idempotent jobs; otherwise the backend server answers, vanishes from the platform's list, or is taken out of the configuration.

--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -108,51 +108,34 @@
 	}
 }
 
-// expireMembers stops a gang of which a member's lease may have lapsed.
+// expireMembers stops a gang of which a member's lease may have lapsed or whose
+// backend server is gone.
 func (s *State) expireMembers(g *gang) {
 	if g.phase == JobStopping {
 		return
 	}
 	for _, m := range g.members {
-		if m.state.Active() && !s.now.Before(m.until) {
+		v := s.servers[m.server]
+		lost := v == nil || v.gone || !s.now.Before(m.until)
+		if m.state.Active() && lost {
 			s.stop(g, ending{result: replica.ResultRetry, reason: ReasonServerLost})
 			return
 		}
 	}
 }
 
-// lapsed reports whether a member certainly does not run although its backend
-// server does not answer.
+// lapsed reports whether a member certainly does not run, and has not run to its
+// end unseen, although its backend server does not answer. Time alone tells so of a
+// task that was never started; after a start only an idempotent job goes by time.
 func (s *State) lapsed(g *gang, m *member) bool {
-	if s.now.Before(m.until) || m.leasing > 0 {
-		return false
-	}
 	v := s.servers[m.server]
-	if v == nil || v.gone || m.state == "" {
+	if v == nil || v.gone {
 		return true
 	}
-	return g.job.Idempotent || s.vouched(v, m.until)
-}
-
-// vouched reports whether no other VM can have renewed leases on a silent backend
-// server before time t: every VM that may hold a token which the server would
-// accept was heard from after t without a newer token, or is gone.
-func (s *State) vouched(v *server, t time.Time) bool {
-	for i, n := range s.term.named {
-		if i == s.self.Incarnation || n.offset < v.fenced.Offset {
-			continue
-		}
-		p := s.peers.ByAddress(n.address)
-		if p == nil || s.peers.Gone(p, s.now) {
-			continue
-		}
-		// Another incarnation at the address has replaced the named one.
-		same := p.Incarnation == i || p.LastSeen.IsZero()
-		if same && p.LastSeen.Before(t) {
-			return false
-		}
+	if s.now.Before(m.until) || m.leasing > 0 {
+		return false
 	}
-	return true
+	return !g.startSent || g.job.Idempotent
 }
 
 // renew extends the leases of the gangs that are due, each as a whole: a gang with
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -65,7 +65,6 @@
 			Forget:        forgetPeer,
 		}),
 		servers:  make(map[model.BackendServerID]*server),
-		term:     termState{named: make(map[model.Incarnation]namedVM)},
 		gangs:    make(map[model.JobID]*gang),
 		tasks:    make(map[model.BackendServerID]map[model.TaskID]taskRef),
 		local:    make(map[model.JobID]*localJob),
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -28,8 +28,6 @@
 	// backoff is the time before which a fenced VM does not act.
 	backoff time.Time
 	actedAt time.Time
-	// named holds every VM that a claim named, as the newest such claim did.
-	named map[model.Incarnation]namedVM
 	// invited is set by a planned hand-over.
 	invited bool
 }
@@ -37,12 +35,6 @@
 // acting reports whether this VM schedules its availability zone.
 func (s *State) acting() bool { return s.term.token != model.Token{} }
 
-// namedVM is a VM that may act under the claim at offset.
-type namedVM struct {
-	address string
-	offset  int64
-}
-
 // superviseTerm lets this VM take the term when it has to, and keeps the log's
 // claim in step with who acts.
 func (s *State) superviseTerm() {
@@ -264,19 +256,8 @@
 
 // claimReplayed follows a claim that was read back.
 func (s *State) claimReplayed(c journal.TermClaimed) {
-	if c.AZ != s.self.AZ {
-		return
-	}
-	s.rememberNamed()
-	s.termReplayed()
-}
-
-// rememberNamed records who may act under the newest claim.
-func (s *State) rememberNamed() {
-	current := s.replica.Term(s.self.AZ)
-	s.term.named[current.Holder] = namedVM{address: current.Address, offset: current.Offset}
-	for _, n := range current.Successors {
-		s.term.named[n.Incarnation] = namedVM{address: n.Address, offset: current.Offset}
+	if c.AZ == s.self.AZ {
+		s.termReplayed()
 	}
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -35,7 +35,6 @@
 	Heartbeat
 	LastSeen time.Time // zero: listed but not heard from
 	Listed   bool
-	Vanished bool // was listed before and is not any more
 }
 
 // Settings are the durations of the table.
@@ -79,7 +78,6 @@
 	t.vms = vms
 	t.listed = now
 	for _, p := range t.peers {
-		p.Vanished = p.Vanished || p.Listed
 		p.Listed = false
 	}
 	for _, vm := range vms {
@@ -88,7 +86,6 @@
 		}
 		p := t.peer(vm.Address)
 		p.Listed = true
-		p.Vanished = false
 		p.AZ = vm.AZ
 		p.Leaving = p.Leaving || vm.State == platform.VMLeaving
 	}
@@ -118,12 +115,6 @@
 	return now.Sub(p.LastSeen) <= timeout
 }
 
-// Gone reports whether the VM certainly does not run: it vanished from the list, or
-// was never listed and is silent for the time after which it is forgotten.
-func (t *Table) Gone(p *Peer, now time.Time) bool {
-	return p.Vanished || (!p.Listed && now.Sub(p.LastSeen) > t.settings.Forget)
-}
-
 // Peers returns all known VMs ordered by address.
 func (t *Table) Peers() []*Peer {
 	list := make([]*Peer, 0, len(t.peers))
@@ -139,9 +130,6 @@
 	return slices.DeleteFunc(t.Peers(), func(p *Peer) bool { return p.AZ != t.az })
 }
 
-// ByAddress returns the VM at an address; nil when it is not known.
-func (t *Table) ByAddress(address string) *Peer { return t.peers[address] }
-
 // Targets returns the addresses for one round of heartbeats: all VMs of the
 // availability zone and, in turn, one of the others.
 func (t *Table) Targets() []string {
