--- a/internal/control/adopt.go
+++ b/internal/control/adopt.go
@@ -184,7 +184,8 @@
 }
 
 func (s *State) certainlyLost(j *replica.Job) bool {
-	if j.Job.Idempotent && s.now.Sub(s.term.actedAt) >= 2*s.settings.Lease {
+	lapsed := s.now.Sub(s.term.actedAt) >= 2*s.settings.Lease
+	if j.Job.Idempotent && lapsed {
 		return true
 	}
 	if len(j.Attempt.Servers) == 0 {
@@ -192,7 +193,7 @@
 	}
 	for _, id := range j.Attempt.Servers {
 		v := s.servers[id]
-		if v != nil && !s.surveyed(v) {
+		if v == nil && !lapsed || v != nil && !s.surveyed(v) {
 			return false
 		}
 	}
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -129,13 +129,13 @@
 // task that was never started; after a start only an idempotent job goes by time.
 func (s *State) lapsed(g *gang, m *member) bool {
 	v := s.servers[m.server]
-	if v == nil || v.gone {
+	if v != nil && v.gone {
 		return true
 	}
 	if s.now.Before(m.until) || m.leasing > 0 {
 		return false
 	}
-	return !g.startSent || g.job.Idempotent
+	return v == nil || !g.startSent || g.job.Idempotent
 }
 
 // renew extends the leases of the gangs that are due, each as a whole: a gang with
