--- a/internal/control/gang.go
+++ b/internal/control/gang.go
@@ -37,6 +37,7 @@
 	checkpoint string
 	renewed    time.Time
 	ending     ending
+	adopted    bool // another VM started it
 	// gathering is set while a gang that was taken over is not known to be whole.
 	gathering bool
 	// size is the number of members that the whole gang has.
@@ -213,7 +214,7 @@
 }
 
 func (s *State) superviseRunning(g *gang) {
-	if all(g, func(m *member) bool { return m.state == platform.TaskDone }) {
+	if all(g, isDone) {
 		s.finish(g, ending{final: true, result: replica.ResultDone})
 		return
 	}
@@ -268,7 +269,15 @@
 	}
 }
 
+func isDone(m *member) bool { return m.state == platform.TaskDone }
+
+// superviseStopping waits for the end of every member. A gang that turns out to be
+// done is, whatever it was stopped for.
 func (s *State) superviseStopping(g *gang) {
+	if len(g.members) == g.size && all(g, isDone) {
+		s.finish(g, ending{final: true, result: replica.ResultDone})
+		return
+	}
 	if all(g, func(m *member) bool { return m.ended() || s.lapsed(g, m) }) {
 		s.finish(g, g.ending)
 		return
