Spare a slot per backend server for more urgent work

Ruled out: sparing it always, which would idle an eighth of the slots while only that kind is asked for. Change: the least urgent class leaves one free slot of each backend server while other work came in during the last 2 s.

--- a/internal/dispatch/schedule/pool.go
+++ b/internal/dispatch/schedule/pool.go
@@ -49,6 +49,9 @@
 	leavingSticky = 30 * time.Second
 )
 
+// sparedShare bounds the slots that may be spared, as a divisor of the server's slots.
+const sparedShare = 4
+
 // Server is what the scheduler knows of one backend server.
 type Server struct {
 	address     string // never changes
@@ -166,11 +169,13 @@
 }
 
 // pick chooses a server of a tier by the power of two choices and counts the
-// request in flight there; nil when none has room. except is not chosen.
-func (p *pool) pick(t Tier, except *Server, now time.Time) *Server {
+// request in flight there; nil when none has room. spare free slots are left on each
+// server; except is not chosen.
+func (p *pool) pick(t Tier, spare int, except *Server, now time.Time) *Server {
+	spare = max(spare, p.headroom(t))
 	var open []*Server
 	for _, b := range p.tiers[t] {
-		if b != except && p.room(b, now) > p.headroom(t) {
+		if b != except && p.room(b, now) > min(spare, b.slots()/sparedShare) {
 			open = append(open, b)
 		}
 	}
--- a/internal/dispatch/schedule/scheduler.go
+++ b/internal/dispatch/schedule/scheduler.go
@@ -67,6 +67,8 @@
 	standingShare = 8
 	// staleFactor times that bound is when a queued request of a standing queue is dropped.
 	staleFactor = 2
+	// urgentMemory is how long slots are spared after more urgent work came in.
+	urgentMemory = 2 * time.Second
 )
 
 // Scheduler holds the queued requests of a VM and what it knows of the backend
@@ -81,6 +83,8 @@
 	crossing tokenBucket
 	// standing is since when each class has had requests waiting; zero: none wait.
 	standing [model.ClassCount]time.Time
+	// urgentSeen is when a request of another than the least urgent class came last.
+	urgentSeen time.Time
 }
 
 // New returns a Scheduler without backend servers.
@@ -101,6 +105,9 @@
 // Offer queues a request, unless it is rejected itself. Others may be shed for it.
 func (s *Scheduler) Offer(x *Request, now time.Time) []Rejected {
 	x.cost = s.serviceTimes(x.Kind).cost()
+	if x.Class != model.ClassBatch {
+		s.urgentSeen = now
+	}
 	if s.tooLate(x, now) {
 		return []Rejected{{x, RejectedDeadline, s.retryAfter(x.Class)}}
 	}
@@ -228,13 +235,14 @@
 // A near server whose last report shows no free slot is tried now and then, within
 // the retry budget. except, which may be nil, is not chosen.
 func (s *Scheduler) choose(x *Request, except *Server, now time.Time) *Server {
+	spare := s.spare(x.Class, now)
 	for _, t := range []Tier{TierZone, TierRegion} {
-		if b := s.pool.pick(t, except, now); b != nil {
+		if b := s.pool.pick(t, spare, except, now); b != nil {
 			return b
 		}
 	}
 	if s.mayCross(x, now) {
-		if b := s.pool.pick(TierFar, except, now); b != nil {
+		if b := s.pool.pick(TierFar, spare, except, now); b != nil {
 			s.charge(x.Size, now)
 			return b
 		}
@@ -242,6 +250,15 @@
 	return s.probe(except, now)
 }
 
+// spare returns how many free slots of each server are left to other classes. While
+// more urgent work comes in, the least urgent class leaves one.
+func (s *Scheduler) spare(c model.Class, now time.Time) int {
+	if c != model.ClassBatch || now.Sub(s.urgentSeen) > urgentMemory {
+		return 0
+	}
+	return 1
+}
+
 func (s *Scheduler) probe(except *Server, now time.Time) *Server {
 	b := s.pool.stale(except, now)
 	if b == nil || !s.retries.take(now) {
--- a/internal/dispatch/schedule/scheduler_test.go
+++ b/internal/dispatch/schedule/scheduler_test.go
@@ -62,6 +62,25 @@
 	assert.Equal(t, total, 28)
 }
 
+func TestLeastUrgentSparesASlot(t *testing.T) {
+	s := scheduler(fleet(2))
+	fill := func(now time.Time) int {
+		n := 0
+		for {
+			s.Offer(req(model.ClassBatch, "a", "x"), now)
+			if x, _, _ := s.Next(now); x == nil {
+				return n
+			}
+			n++
+		}
+	}
+	x := req(model.ClassUrgent, "a", "x")
+	s.Offer(x, start)
+	s.Withdraw(x)
+	assert.Equal(t, fill(start), 14)
+	assert.Equal(t, fill(start.Add(urgentMemory+1)), 2)
+}
+
 func TestTiers(t *testing.T) {
 	f := fleet(3)
 	f.Servers[1].Tier, f.Servers[2].Tier = TierRegion, TierFar
