--- a/internal/measure/gangs/cost.go
+++ b/internal/measure/gangs/cost.go
@@ -10,6 +10,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/placement"
 	"github.com/eelgrassreach/eelgrassreach/internal/placement/replay"
@@ -32,19 +33,20 @@
 	borrow                time.Duration // one small gang that borrows
 	reclaim               time.Duration // one guaranteed gang that evicts
 	queued                time.Duration // per gang, with 100 different gangs waiting
+	check                 time.Duration // the invariant checks after the reclaim
 	allocated             uint64        // bytes allocated by the reclaim
 }
 
 func printDecisionCost(w io.Writer, seed uint64) error {
 	fmt.Fprintf(w, "decision cost in one zone, seed %d, median of %d runs\n", seed, costRuns)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "servers\tgangs\ttasks\tborrow\treclaim\tper gang of 100 queued\tallocated\t")
+	fmt.Fprintln(table, "servers\tgangs\ttasks\tborrow\treclaim\tper gang of 100 queued\tchecks\tallocated\t")
 	var rows []costRow
 	for _, servers := range costSizes {
 		row := decisionCost(servers, seed)
 		rows = append(rows, row)
-		fmt.Fprintf(table, "%d\t%d\t%d\t%s\t%s\t%s\t%d KB\t\n", row.servers, row.gangs, row.tasks,
-			row.borrow, row.reclaim, row.queued, row.allocated/1024)
+		fmt.Fprintf(table, "%d\t%d\t%d\t%s\t%s\t%s\t%s\t%d KB\t\n", row.servers, row.gangs, row.tasks,
+			row.borrow, row.reclaim, row.queued, row.check, row.allocated/1024)
 	}
 	if err := table.Flush(); err != nil {
 		return err
@@ -52,6 +54,7 @@
 	printFit(w, "borrow", rows, func(r costRow) time.Duration { return r.borrow })
 	printFit(w, "reclaim", rows, func(r costRow) time.Duration { return r.reclaim })
 	printFit(w, "per gang of 100 queued", rows, func(r costRow) time.Duration { return r.queued })
+	printFit(w, "checks", rows, func(r costRow) time.Duration { return r.check })
 	return nil
 }
 
@@ -101,6 +104,7 @@
 	row.borrow, _ = timeDecide(state.Zone, []placement.Gang{costGang(0, "org-00", 1, 2, model.AdjacentServer)})
 	guaranteed := []placement.Gang{costGang(1, "org-01", 2, 8, model.AdjacentRack)}
 	row.reclaim, row.allocated = timeDecide(state.Zone, guaranteed)
+	row.check = timeChecks(state, guaranteed)
 	queued, _ := timeDecide(state.Zone, differentGangs(random))
 	row.queued = queued / queuedGangs
 	return row
@@ -168,16 +172,32 @@
 
 // timeDecide returns the median time of a decision and the bytes that one allocates.
 func timeDecide(zone placement.Zone, pending []placement.Gang) (time.Duration, uint64) {
-	policy := placement.Reclaiming{}
-	times := make([]time.Duration, costRuns)
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
+	median := medianTime(func() { placement.Reclaiming{}.Decide(zone, pending) })
+	runtime.ReadMemStats(&after)
+	return median, (after.TotalAlloc - before.TotalAlloc) / costRuns
+}
+
+// timeChecks returns the median time of the invariant checks on the zone that a
+// decision on the gangs leaves.
+func timeChecks(state *replay.State, pending []placement.Gang) time.Duration {
+	after := &replay.State{Zone: state.Zone, Pending: pending}
+	plan := after.Decide(placement.Reclaiming{})
+	return medianTime(func() {
+		invariant.CheckReclaimable(after.Zone, plan)
+		invariant.CheckNoDoublePromise(after.Zone)
+		invariant.CheckWholeGangs(after.Zone)
+	})
+}
+
+func medianTime(run func()) time.Duration {
+	times := make([]time.Duration, costRuns)
 	for i := range times {
 		begin := time.Now()
-		policy.Decide(zone, pending)
+		run()
 		times[i] = time.Since(begin)
 	}
-	runtime.ReadMemStats(&after)
 	slices.Sort(times)
-	return times[costRuns/2], (after.TotalAlloc - before.TotalAlloc) / costRuns
+	return times[costRuns/2]
 }
--- a/internal/measure/gangs/placement.go
+++ b/internal/measure/gangs/placement.go
@@ -8,6 +8,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/placement"
 )
 
@@ -51,7 +52,7 @@
 		d.name, seed, len(d.zones), serversPerZone, acceleratorsPerServer, 100*d.load, workloadSpan)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(table, "policy\tsmall p50\tp95\tserver p50\tp95\tlarge p50\tp95\tlargest wait p50\tmax"+
-		"\treclaim p50\tp95\tmax\tfragm.\tevictions\tunended\t")
+		"\turgent wait p50\tp95\treclaim p50\tp95\tmax\tfragm.\tevictions\tunended\t")
 	for _, v := range variants() {
 		printRow(table, v.name, replayDeployment(d, v.policy, seed))
 	}
@@ -87,11 +88,13 @@
 	large := completions(r, func(total int) bool { return total > serverSize })
 	waits := waitsOf(r, func(rec *record) bool { return rec.shape.Total() >= largestSize && !rec.guaranteed })
 	reclaims := waitsOf(r, func(rec *record) bool { return rec.guaranteed })
-	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.3f\t%d\t%d\t\n", name,
+	urgent := waitsOf(r, func(rec *record) bool { return rec.class == model.ClassUrgent })
+	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.3f\t%d\t%d\t\n", name,
 		quantile(small, 0.5), quantile(small, 0.95),
 		quantile(server, 0.5), quantile(server, 0.95),
 		quantile(large, 0.5), quantile(large, 0.95),
 		quantile(waits, 0.5), quantile(waits, 1),
+		quantile(urgent, 0.5), quantile(urgent, 0.95),
 		quantile(reclaims, 0.5), quantile(reclaims, 0.95), quantile(reclaims, 1),
 		r.fragmentation, r.evictions, r.unended)
 }
--- a/internal/measure/gangs/replay.go
+++ b/internal/measure/gangs/replay.go
@@ -22,6 +22,7 @@
 // record is what became of one job.
 type record struct {
 	shape      model.GangShape
+	class      model.Class
 	guaranteed bool // within its organisation's guarantee when it was submitted
 	submitted  time.Time
 	started    time.Time // first start
@@ -90,7 +91,7 @@
 	}
 	for _, j := range jobs {
 		state := &jobState{job: j, remaining: j.runtime}
-		state.record = &record{shape: j.gang.Shape, submitted: j.gang.Submitted}
+		state.record = &record{shape: j.gang.Shape, class: j.gang.Class, submitted: j.gang.Submitted}
 		r.result.records = append(r.result.records, state.record)
 		r.jobs[j.gang.Job] = state
 		r.push(event{at: j.gang.Submitted, kind: eventSubmit, job: state})
