Planned stop with long orders and an unused ticket; a gang that outlasts the test

Cause: a trial in which the drain returned at once passed TestPlannedStop, since closing the server waits 5 s for answers in progress and all requests were short; and one in which a gang with a lapsed member went on passed TestGangLosesMember.

Change: four orders of 6 s are in flight at the stop, and a ticket minted before it is used after it through another VM. The gang runs for a minute.

--- a/test/e2e/jobs_test.go
+++ b/test/e2e/jobs_test.go
@@ -107,7 +107,7 @@
 func TestGangLosesMember(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, zone{"a", 2, 3})
-	job := gang("gang-1", "a", 9000)
+	job := gang("gang-1", "a", 60_000)
 	job.Idempotent = true
 	submit(t, c.vms[0], job)
 	running := awaitJob(t, c.vms[1], "gang-1", control.JobRunning)
--- a/test/e2e/load_test.go
+++ b/test/e2e/load_test.go
@@ -23,6 +23,7 @@
 	// callRetries is how often a caller asks again whose call was cut.
 	callRetries = 3
 	answerSize  = 200 // bytes of padding
+	shortRunMS  = 60
 )
 
 // told is what one caller was told of one request, in the order of the tries.
@@ -94,7 +95,7 @@
 			id:   model.RequestID(fmt.Sprintf("%s-%d-%d", l.prefix, caller, n)),
 			kind: kinds[n%len(kinds)],
 		}
-		r.body = fmt.Appendf(nil, `{"runMS":60,"size":%d,"id":%q}`, answerSize, r.id)
+		r.body = orderBody(r.id, shortRunMS)
 		if l.ask(r, caller+n) {
 			l.mu.Lock()
 			l.told = append(l.told, r)
@@ -116,19 +117,79 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(l.t.Context(), l.timeout)
-		reply, err := v.client.Run(ctx, api.RunRequest{
-			ID: r.id, Ticket: ticket, Kind: r.kind, Organisation: organisation, Caller: "shop", Body: r.body,
-		})
+		told := r.run(ctx, v, ticket)
 		cancel()
-		if err == nil {
-			r.answers = append(r.answers, reply)
+		if told {
 			return true
 		}
-		r.errors = append(r.errors, fmt.Errorf("%s: %w", v.name, err))
 	}
 	return len(r.errors) > 0
 }
 
+// orderBody is the body of a request that runs for a time and differs from all others.
+func orderBody(id model.RequestID, runMS int) []byte {
+	return fmt.Appendf(nil, `{"runMS":%d,"size":%d,"id":%q}`, runMS, answerSize, id)
+}
+
+// run sends the request to a VM once. It reports whether it brought an outcome.
+func (r *told) run(ctx context.Context, v *vm, ticket string) bool {
+	reply, err := v.client.Run(ctx, api.RunRequest{
+		ID: r.id, Ticket: ticket, Kind: r.kind, Organisation: organisation, Caller: "shop", Body: r.body,
+	})
+	if err != nil {
+		r.errors = append(r.errors, fmt.Errorf("%s: %w", v.name, err))
+		return false
+	}
+	r.answers = append(r.answers, reply)
+	return true
+}
+
+// orders are single orders that are under way.
+type orders struct {
+	told  []*told
+	group sync.WaitGroup
+}
+
+// startOrders sends n orders to a VM.
+func startOrders(t *testing.T, v *vm, n, runMS int) *orders {
+	t.Helper()
+	o := &orders{}
+	for i := range n {
+		id := model.RequestID(fmt.Sprintf("long-%d", i))
+		r := &told{id: id, kind: kindOrder, body: orderBody(id, runMS)}
+		ticket, err := v.client.NewTicket(t.Context(), api.TicketRequest{})
+		assert.NilError(t, err)
+		o.told = append(o.told, r)
+		o.group.Go(func() { r.run(t.Context(), v, ticket.Ticket) })
+	}
+	return o
+}
+
+// wait waits until every order was told.
+func (o *orders) wait() []*told {
+	o.group.Wait()
+	return o.told
+}
+
+// awaitRunning waits until backend servers run all the orders.
+func (c *cluster) awaitRunning(t *testing.T, o *orders) {
+	t.Helper()
+	eventually(t, func() string {
+		running := make(map[model.RequestID]bool)
+		for _, b := range c.backends {
+			for _, x := range b.record(t).Executions {
+				running[callerID(x.Request)] = x.State == platform.ExecutionRunning
+			}
+		}
+		for _, r := range o.told {
+			if !running[r.id] {
+				return fmt.Sprintf("%s does not run", r.id)
+			}
+		}
+		return ""
+	})
+}
+
 // ticket mints a ticket when the kind needs one.
 func (l *load) ticket(r *told, first int) (ticket string, ok bool) {
 	if r.kind == kindQuote {
--- a/test/e2e/requests_test.go
+++ b/test/e2e/requests_test.go
@@ -109,19 +109,34 @@
 	assert.Assert(t, s[model.OutcomeDone] > 0)
 }
 
-// TestPlannedStop ends a VM by SIGTERM under load, and later starts another one.
+// longRunMS is the run time of a request that outlasts the bound on closing
+// connections, so that only a drain finishes it.
+const longRunMS = 6000
+
+// TestPlannedStop ends the term holder by SIGTERM under load, with long requests in
+// flight and with a ticket that is not yet used.
 func TestPlannedStop(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, zone{"a", 2, 2})
+	leaving := c.holder(t, "a", c.vms)
+	rest := c.without(leaving)
 	l := startLoad(t, c.vms, callers, callTimeout, kindOrder, kindQuote)
 	l.awaitMore(40)
-	leaving := c.holder(t, "a", c.vms)
+	long := startOrders(t, leaving, 4, longRunMS)
+	unused, err := leaving.client.NewTicket(t.Context(), api.TicketRequest{})
+	assert.NilError(t, err)
+	c.awaitRunning(t, long)
+
 	leaving.signal(t, syscall.SIGTERM)
 	assert.Equal(t, leaving.exitCode(), 0)
+	late := &told{id: "late", kind: kindOrder, body: orderBody("late", 0)}
+	late.run(t.Context(), rest[0], unused.Ticket)
 	l.awaitMore(80)
-	all := l.stop()
+	all := append(l.stop(), late)
+	all = append(all, long.wait()...)
 	c.compare(t, all)
 	noneCut(t, all)
+	c.noViolations(t, rest)
 }
 
 // leavingBound is the time after which a leaving backend server gets no new work.
