--- a/test/e2e/jobs_test.go
+++ b/test/e2e/jobs_test.go
@@ -107,6 +107,7 @@
 func TestGangLosesMember(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, zone{"a", 2, 3})
+	defer c.checkGangs(t, "gang-1")
 	job := gang("gang-1", "a", 60_000)
 	job.Idempotent = true
 	submit(t, c.vms[0], job)
@@ -128,7 +129,6 @@
 	first := c.attempts(t)["gang-1"][0]
 	assert.Assert(t, !first.whole())
 	cancel(t, c.vms[0], "gang-1")
-	c.checkGangs(t, "gang-1")
 	c.noViolations(t, c.vms)
 }
 
