--- a/internal/measure/changes/changes.go
+++ b/internal/measure/changes/changes.go
@@ -78,11 +78,6 @@
 // roundMS rounds to a tenth of a millisecond.
 func roundMS(d time.Duration) time.Duration { return d.Round(time.Millisecond / 10) }
 
-// quantile returns the q-quantile of sorted durations.
-func quantile(sorted []time.Duration, q float64) time.Duration {
-	return sorted[int(q*float64(len(sorted)-1))]
-}
-
 // spread publishes changes one after the other and times each.
 func spread(scene spreadScene) (spreadResult, error) {
 	c := newLogCluster(scene.link)
