--- a/internal/control/adopt.go
+++ b/internal/control/adopt.go
@@ -164,13 +164,29 @@
 		if !j.Attempt.Open || j.Job.HomeAZ != s.self.AZ || s.gangs[j.Job.ID] != nil {
 			return
 		}
-		if s.outcomes[j.Job.ID] != nil || !s.certainlyLost(j) {
+		if s.outcomes[j.Job.ID] != nil || !s.certainlyLost(j) || s.reported(j.Attempt.ID) {
 			return
 		}
 		s.recordLost(j)
 	})
 }
 
+// reported reports whether a backend server lists a task of the attempt, ended or
+// not. Its next report has the task taken over.
+func (s *State) reported(a model.AttemptID) bool {
+	for _, v := range s.servers {
+		if v.gone || !s.live(v) {
+			continue
+		}
+		for _, r := range v.tasks {
+			if r.Attempt == a {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (s *State) recordLost(j *replica.Job) {
 	s.outcomes[j.Job.ID] = &outcome{
 		ended: journal.JobEnded{
