--- a/test/e2e/jobs_test.go
+++ b/test/e2e/jobs_test.go
@@ -1,10 +1,13 @@
 package e2e
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -217,6 +220,7 @@
 	b.front.cut()
 	c.await(t, []*vm{b}, "cut off", func(s api.StatusReply) bool { return !s.Platform.Reachable && s.Partial != "" })
 	c.publish(t, a, "during-cut", organisationRecord("newcomer"))
+	c.publishInVain(t, b, "cut-off", organisationRecord("stray"))
 	submit(t, b, smallJob("b-during-cut"))
 	awaitJob(t, b, "b-during-cut", control.JobDone)
 	awaitJob(t, b, "before", control.JobDone)
@@ -230,6 +234,7 @@
 	b.front.heal(t)
 	revision := c.revision(t, a)
 	c.await(t, []*vm{b}, "configuration of the cut", func(s api.StatusReply) bool { return s.Revision == revision })
+	c.sameDecision(t, "cut-off")
 	for _, v := range c.vms {
 		for _, id := range []model.JobID{"before", "a-during-cut", "b-during-cut"} {
 			awaitDurable(t, v, id)
@@ -242,6 +247,37 @@
 	c.noViolations(t, c.vms)
 }
 
+// publishInVain has a VM that can't reach the log publish a change, which it may
+// not call accepted.
+func (c *cluster) publishInVain(t *testing.T, v *vm, id string, records ...json.RawMessage) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	reply, err := v.client.PutConfig(ctx, api.ConfigChangeRequest{ID: id, Records: records})
+	if err == nil && reply.Verdict != "unknown" {
+		t.Errorf("a VM that is cut off answered %q to a change", reply.Verdict)
+	}
+}
+
+// sameDecision waits until no VM or every VM knows a change, and compares the verdicts.
+func (c *cluster) sameDecision(t *testing.T, id string) {
+	t.Helper()
+	eventually(t, func() string {
+		verdicts := make(map[string]int)
+		for _, v := range c.vms {
+			reply, err := v.client.ConfigChange(t.Context(), id)
+			if err != nil && api.ProblemType(err) != api.ProblemNotFound {
+				return err.Error()
+			}
+			verdicts[reply.Verdict]++
+		}
+		if len(verdicts) > 1 || verdicts["unknown"] > 0 {
+			return fmt.Sprintf("verdicts %v", verdicts)
+		}
+		return ""
+	})
+}
+
 // TestJobHome submits a job at a VM of another availability zone than the one that
 // the job names.
 func TestJobHome(t *testing.T) {
