--- /dev/null
+++ b/cmd/measure/journal.go
@@ -0,0 +1,5 @@
+package main
+
+import "github.com/eelgrassreach/eelgrassreach/internal/measure/changes"
+
+var _ = register("journal", changes.Print)
--- a/internal/measure/gangs/placement.go
+++ b/internal/measure/gangs/placement.go
@@ -8,6 +8,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/placement"
 )
 
@@ -23,11 +24,11 @@
 		{"first fit", placement.FirstFit{}},
 		{"tightest cell", placement.TightestCell{}},
 		{"reclaiming (chosen)", placement.Reclaiming{}},
-		{"  no reservation", reclaiming(never, never)},
-		{"  reserve 2m, evict 10m", reclaiming(2*time.Minute, 10*time.Minute)},
-		{"  reserve 10m, evict 2h", reclaiming(10*time.Minute, 2*time.Hour)},
-		{"  reserve 1h, evict 4h", reclaiming(time.Hour, 4*time.Hour)},
-		{"  reserve 10m, never evict", reclaiming(10*time.Minute, never)},
+		{"  never reserve", reclaiming(never, never)},
+		{"  reserve 10m, evict 30m", reclaiming(10*time.Minute, 30*time.Minute)},
+		{"  reserve 1h, evict 2h", reclaiming(time.Hour, 2*time.Hour)},
+		{"  reserve 1h, evict 12h", reclaiming(time.Hour, 12*time.Hour)},
+		{"  reserve 1h, never evict", reclaiming(time.Hour, never)},
 	}
 }
 
@@ -51,7 +52,7 @@
 		d.name, seed, len(d.zones), serversPerZone, acceleratorsPerServer, 100*d.load, workloadSpan)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(table, "policy\tsmall p50\tp95\tserver p50\tp95\tlarge p50\tp95\tlargest wait p50\tmax"+
-		"\treclaim p50\tp95\tmax\tfragm.\tevictions\tunended\t")
+		"\turgent wait p50\tp95\treclaim p50\tp95\tmax\tfragm.\tevictions\tunended\t")
 	for _, v := range variants() {
 		printRow(table, v.name, replayDeployment(d, v.policy, seed))
 	}
@@ -87,11 +88,13 @@
 	large := completions(r, func(total int) bool { return total > serverSize })
 	waits := waitsOf(r, func(rec *record) bool { return rec.shape.Total() >= largestSize && !rec.guaranteed })
 	reclaims := waitsOf(r, func(rec *record) bool { return rec.guaranteed })
-	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.3f\t%d\t%d\t\n", name,
+	urgent := waitsOf(r, func(rec *record) bool { return rec.class == model.ClassUrgent })
+	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.3f\t%d\t%d\t\n", name,
 		quantile(small, 0.5), quantile(small, 0.95),
 		quantile(server, 0.5), quantile(server, 0.95),
 		quantile(large, 0.5), quantile(large, 0.95),
 		quantile(waits, 0.5), quantile(waits, 1),
+		quantile(urgent, 0.5), quantile(urgent, 0.95),
 		quantile(reclaims, 0.5), quantile(reclaims, 0.95), quantile(reclaims, 1),
 		r.fragmentation, r.evictions, r.unended)
 }
