A VM follows a peer when its link to the platform is silent; ready once caught up

Cause: the follower was never kicked, so a VM whose connection to the platform went silent during a long poll noticed after 22 s, not within 4 s; and a VM was ready after its first read, in the middle of replay. Change: the VM looks at its peers' offsets every 250 ms and kicks the follower; /readyz waits until the log was read to its end.

--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -22,6 +22,8 @@
 	// Render returns the configuration in force as records.
 	Render   func(*control.View) []json.RawMessage
 	Draining func() bool
+	// CaughtUp tells whether this VM has read the log to its end; nil means always.
+	CaughtUp func() bool
 }
 
 // Config returns the configuration in force.
@@ -61,7 +63,12 @@
 
 // Ready reports whether the balancer may send traffic here.
 func (h *Handler) Ready() bool {
-	return h.Control.View().Ready && !h.Draining()
+	return h.Control.View().Ready && h.caughtUp() && !h.Draining()
+}
+
+// caughtUp reports whether this VM has read the log to its end.
+func (h *Handler) caughtUp() bool {
+	return h.CaughtUp == nil || h.CaughtUp()
 }
 
 // Status returns this VM's view; servers adds every backend server.
--- a/internal/vm/node.go
+++ b/internal/vm/node.go
@@ -104,6 +104,7 @@
 			Dispatch: n.dispatch,
 			Render:   func(v *control.View) []json.RawMessage { return config.Render(v.Config) },
 			Draining: n.draining.Load,
+			CaughtUp: n.caughtUp,
 		},
 		Metrics: metrics.Handler,
 		Peers: []httpapi.PeerService{
@@ -119,7 +120,7 @@
 // start runs the parts until ctx ends; the returned channel closes when all have ended.
 func (n *node) start(ctx context.Context) <-chan struct{} {
 	var group sync.WaitGroup
-	for _, run := range []func(context.Context){n.publisher.Run, n.control.Run, n.follower.Run, n.dispatch.Run} {
+	for _, run := range []func(context.Context){n.publisher.Run, n.control.Run, n.follower.Run, n.catchUp, n.dispatch.Run} {
 		group.Go(func() { run(ctx) })
 	}
 	finished := make(chan struct{})
