Proof of a silent long poll; the operators' page is checked

Cause: the follower's reaction to a link that goes silent in a long poll, and the examples on the page, were not proved. Change: a test in virtual time that the VM follows through a peer within 4 s, and one that the page's records pass the checks. Seen to fail: without the kick, 'not in force in time'.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -170,3 +171,15 @@
 		Field: "priorityClass", Old: `"urgent"`, New: `"normal"`,
 	})
 }
+
+// The records on the operators' page pass the checks.
+func TestOperatorPageIsValid(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations/configuration-records.md")
+	assert.NilError(t, err)
+	blocks := strings.Split(string(page), "```json\n")[1:]
+	assert.Equal(t, len(blocks), 2)
+	for _, block := range blocks {
+		text, _, _ := strings.Cut(block, "```")
+		assert.NilError(t, Check(nil, parseAll(t, text), nil).Err())
+	}
+}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -96,6 +96,18 @@
 	})
 }
 
+// A VM whose link goes silent during a long poll follows through a peer in time.
+func TestSilentLongPollIsNoticed(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		a, b := c.start(journaltest.Faults{}), c.start(journaltest.Faults{})
+		time.Sleep(time.Second)
+		a.port.Set(journaltest.Faults{Read: journaltest.FaultSilent})
+		b.submit(configEntry("change", 0, "quote", 1))
+		time.Sleep(applyBound)
+		assert.Equal(t, a.replica.has("change"), 1, "not in force in time")
+	})
+}
+
 // An entry that the log passed without is void in every later copy, and its
 // submitter is told so.
 func TestEntryInDoubtExpires(t *testing.T) {
