Operators' log lines and metrics of the control state; job status from the term holder

Cause: the control state was visible on the status page only, and a VM that does not schedule a job could not say why the job waits, although any VM may be asked. Ruled out: logging inside the transition, which has to stay pure.

--- a/internal/httpapi/jobs.go
+++ b/internal/httpapi/jobs.go
@@ -42,7 +42,7 @@
 
 func (s *server) getJob(w http.ResponseWriter, r *http.Request) {
 	id := model.JobID(chi.URLParam(r, "id"))
-	status, ok := s.Queries.Job(id)
+	status, ok := s.Queries.Job(r.Context(), id)
 	if !ok {
 		writeNotFound(w, "this VM knows no job "+string(id))
 		return
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -60,6 +60,20 @@
 	return reply.Accepted, nil
 }
 
+// Job asks another VM for what it knows of a job; known is false when it knows nothing.
+func (c *Clients) Job(ctx context.Context, address string, id model.JobID) (status control.JobStatus, known bool, err error) {
+	reply, err := call(ctx, func(ctx context.Context) (*peerpb.GetJobReply, error) {
+		return c.at(address).control.GetJob(ctx, &peerpb.GetJobRequest{Job: string(id)})
+	})
+	if err != nil || !reply.Known {
+		return control.JobStatus{}, false, err
+	}
+	if err := json.Unmarshal(reply.Status, &status); err != nil {
+		return control.JobStatus{}, false, fmt.Errorf("decode job status: %w", err)
+	}
+	return status, true, nil
+}
+
 // fetch asks one VM for log records.
 func (c *Clients) fetch(ctx context.Context, address string, from int64, limit int) (journal.Fetched, error) {
 	in := &peerpb.FetchRequest{From: from, Limit: int32(limit)}
@@ -145,6 +159,19 @@
 	return &peerpb.OfferJobReply{Accepted: answer.Accepted, Reason: string(answer.Reason)}, nil
 }
 
+// GetJob returns what this VM knows of a job.
+func (s *ControlServer) GetJob(_ context.Context, in *peerpb.GetJobRequest) (*peerpb.GetJobReply, error) {
+	status, known := s.Loop.View().Job(model.JobID(in.Job))
+	if !known {
+		return &peerpb.GetJobReply{}, nil
+	}
+	data, err := json.Marshal(status)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &peerpb.GetJobReply{Known: true, Status: data}, nil
+}
+
 func heartbeatTo(h membership.Heartbeat) *peerpb.HeartbeatMessage {
 	out := &peerpb.HeartbeatMessage{
 		Incarnation:       string(h.Incarnation),
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -22,6 +22,9 @@
 	// Render returns the configuration in force as records.
 	Render   func(*control.View) []json.RawMessage
 	Draining func() bool
+	Holders  JobSource
+	// Violations returns the number of broken promises that the program has seen.
+	Violations func() int64
 	// CaughtUp tells whether this VM has read the log to its end; nil means always.
 	CaughtUp func() bool
 }
@@ -46,11 +49,6 @@
 	return h.Control.Decision(ctx, id)
 }
 
-// Job returns the status of a job that this VM knows.
-func (h *Handler) Job(id model.JobID) (control.JobStatus, bool) {
-	return h.Control.View().Job(id)
-}
-
 // Jobs lists the jobs of an organisation, or all.
 func (h *Handler) Jobs(org model.OrganisationID) []control.JobStatus {
 	return h.Control.View().Jobs(org)
@@ -93,7 +91,7 @@
 		Jobs:          jobCounts(view),
 		AtRisk:        view.AtRisk,
 		Fragmentation: view.Fragmentation,
-		Violations:    view.Violations,
+		Violations:    h.Violations(),
 	}
 	for _, b := range sortedBackends(view) {
 		countBackend(&status.Backends, b)
--- a/internal/vm/node.go
+++ b/internal/vm/node.go
@@ -29,6 +29,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
 	"github.com/eelgrassreach/eelgrassreach/internal/settings"
 	"github.com/eelgrassreach/eelgrassreach/internal/telemetry"
+	"github.com/eelgrassreach/eelgrassreach/internal/watch"
 )
 
 // logConnections bounds the connections to the platform: a long poll, an append,
@@ -37,15 +38,17 @@
 
 // node is a VM's parts.
 type node struct {
-	identity  control.Identity
-	logger    *zap.Logger
-	control   *control.Loop
-	dispatch  *dispatch.Dispatcher
-	publisher *journal.Publisher
-	follower  *journal.Follower
-	gate      *command.Gate
-	draining  atomic.Bool
-	handler   http.Handler
+	identity   control.Identity
+	logger     *zap.Logger
+	control    *control.Loop
+	dispatch   *dispatch.Dispatcher
+	publisher  *journal.Publisher
+	follower   *journal.Follower
+	violations *invariant.Counter
+	watcher    *watch.Watcher
+	gate       *command.Gate
+	draining   atomic.Bool
+	handler    http.Handler
 }
 
 // assemble connects the parts. Nothing runs yet.
@@ -60,7 +63,7 @@
 		logger: logger,
 		gate:   command.NewGate(),
 	}
-	reporter := invariant.NewCounter(metrics.Scope, logger)
+	n.violations = invariant.NewCounter(metrics.Scope, logger)
 	client := platform.NewHTTPClient(logConnections, false)
 	log := platform.NewLogClient(s.Platform, client)
 	dialer := platform.NewHTTPDialer(platform.DialerOptions{ConnectionsPerServer: s.MaxConns})
@@ -75,16 +78,17 @@
 		Dialer:   dialer,
 		VMs:      platform.NewVMListClient(s.Platform, client),
 		Peers:    peers,
-		Reporter: reporter,
+		Reporter: n.violations,
 	})
 	n.follower = journal.NewFollower(log, &peer.Fetcher{Clients: peers, Peers: n.freshestPeers}, n.control, journal.FollowerOptions{})
 	n.dispatch = dispatch.New(dispatch.Options{
 		Address:     s.Advertise,
 		Incarnation: n.identity.Incarnation,
 		Ports:       dispatch.Ports{View: n.trafficView(), Dialer: dialer, Peers: peers},
-		Reporter:    reporter,
+		Reporter:    n.violations,
 		Metrics:     metrics.Scope,
 	})
+	n.watcher = watch.New(n.control.View, logger, metrics.Scope)
 	n.handler = n.router(s, metrics, peers)
 	return n
 }
@@ -100,11 +104,13 @@
 			Gate:      n.gate,
 		},
 		Queries: &query.Handler{
-			Control:  n.control,
-			Dispatch: n.dispatch,
-			Render:   func(v *control.View) []json.RawMessage { return config.Render(v.Config) },
-			Draining: n.draining.Load,
-			CaughtUp: n.caughtUp,
+			Control:    n.control,
+			Dispatch:   n.dispatch,
+			Render:     func(v *control.View) []json.RawMessage { return config.Render(v.Config) },
+			Draining:   n.draining.Load,
+			Holders:    peers,
+			Violations: n.violations.Total,
+			CaughtUp:   n.caughtUp,
 		},
 		Metrics: metrics.Handler,
 		Peers: []httpapi.PeerService{
--- /dev/null
+++ b/internal/watch/compare.go
@@ -0,0 +1,122 @@
+package watch
+
+import (
+	"fmt"
+
+	"go.uber.org/zap"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/control"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+func (w *Watcher) compareLog(last, next *control.View) {
+	if last.Ready != next.Ready {
+		w.logger.Info("readiness changed", zap.Bool("ready", next.Ready))
+	}
+	switch {
+	case last.LogReachable && !next.LogReachable:
+		w.logger.Warn("platform log unreachable")
+	case !last.LogReachable && next.LogReachable:
+		w.logger.Info("platform log reachable", zap.Duration("outage", next.LogSince.Sub(last.LogSince)))
+	}
+}
+
+func (w *Watcher) compareConfig(last, next *control.View) {
+	if last.Config == nil || last.Config.Revision != next.Config.Revision {
+		w.logger.Info("configuration applied", zap.Int64("revision", next.Config.Revision))
+	}
+	if last.ConfigStalled == next.ConfigStalled {
+		return
+	}
+	if next.ConfigStalled == "" {
+		w.logger.Info("configuration no longer stalled")
+		return
+	}
+	w.logger.Error("configuration stalled", zap.String("reason", next.ConfigStalled))
+}
+
+func (w *Watcher) compareTerms(last, next *control.View) {
+	for az, term := range next.Terms {
+		if last.Terms[az].Token == term.Token && last.Terms[az].Holder == term.Holder {
+			continue
+		}
+		w.logger.Info("term changed",
+			zap.String("term_az", string(az)),
+			zap.String("holder", string(term.Holder)),
+			zap.String("address", term.Address),
+			zap.Int64("token", term.Token.Offset),
+			zap.Int("rank", term.Token.Rank),
+			zap.Bool("mine", term.Mine))
+	}
+	if last.Terms[next.AZ].Mine && !next.Terms[next.AZ].Mine {
+		w.logger.Info("term given up", zap.String("term_az", string(next.AZ)))
+	}
+}
+
+// backendCondition names the state of a backend server in logs and metrics.
+func backendCondition(b control.BackendState) string {
+	switch {
+	case !b.Live:
+		return "lost"
+	case b.Leaving:
+		return "leaving"
+	case b.Quarantined:
+		return "quarantined"
+	default:
+		return "live"
+	}
+}
+
+// compareBackends logs the servers of the own availability zone.
+func (w *Watcher) compareBackends(last, next *control.View) {
+	for id, b := range next.Backends {
+		if b.Server.AZ != next.AZ {
+			continue
+		}
+		before, known := last.Backends[id]
+		now := backendCondition(b)
+		if known && backendCondition(before) == now || !known && now == "lost" {
+			continue
+		}
+		w.logger.Info("backend server changed", zap.String("server", string(id)), zap.String("condition", now))
+	}
+}
+
+// riskKey names a guarantee.
+type riskKey struct {
+	organisation model.OrganisationID
+	guarantee    model.Guarantee
+}
+
+func riskSet(list []control.GuaranteeState) map[riskKey]int {
+	set := make(map[riskKey]int, len(list))
+	for _, g := range list {
+		set[riskKey{g.Organisation, g.Guarantee}] = g.Honoured
+	}
+	return set
+}
+
+func (w *Watcher) compareRisks(last, next *control.View) {
+	before, now := riskSet(last.AtRisk), riskSet(next.AtRisk)
+	for key, honoured := range now {
+		if was, known := before[key]; known && was == honoured {
+			continue
+		}
+		w.logger.Warn("guarantee at risk", append(riskFields(key), zap.Int("honoured", honoured))...)
+	}
+	for key := range before {
+		if _, still := now[key]; !still {
+			w.logger.Info("guarantee honoured again", riskFields(key)...)
+		}
+	}
+}
+
+func riskFields(k riskKey) []zap.Field {
+	shape := k.guarantee.Shape
+	return []zap.Field{
+		zap.String("organisation", string(k.organisation)),
+		zap.String("guarantee_az", string(k.guarantee.AZ)),
+		zap.String("shape", fmt.Sprintf("%dx%d/%s", shape.Tasks, shape.Accelerators, shape.Adjacency)),
+		zap.Int("count", k.guarantee.Count),
+	}
+}
