Ping what was silent, and let pings decide on the return after ejection

Cause: TestSilentServerIsLeft failed on and off (1.04 s for 20 quotes): a silent server whose requests were all answered by hedges elsewhere gave no evidence, and an ejected one was tried with live requests. Change: a server that is given up while silent is pinged until it answers; one ejected for its path stays out until then. Ruled out: a longer bound in the test. Run: go test -race ./internal/dispatch/... ./internal/ticket ./internal/measure/requests: ok; TestSilentServerIsLeft three times: ok.

--- a/internal/dispatch/ping.go
+++ b/internal/dispatch/ping.go
@@ -12,7 +12,8 @@
 	pingMisses = 2
 )
 
-// pinger proves the paths to the backend servers that have requests in flight.
+// pinger proves the paths to backend servers: those that have requests in flight,
+// and those that were ejected for their path.
 type pinger struct {
 	d      *Dispatcher
 	next   time.Time
@@ -38,7 +39,7 @@
 	p.d.mu.Lock()
 	defer p.d.mu.Unlock()
 	var out []string
-	for _, address := range p.d.scheduler.Busy() {
+	for _, address := range p.d.scheduler.Watched() {
 		if !p.busy[address] {
 			p.busy[address] = true
 			out = append(out, address)
@@ -56,6 +57,7 @@
 	delete(p.busy, address)
 	if err == nil {
 		delete(p.misses, address)
+		p.d.scheduler.Reachable(address, time.Now())
 		return
 	}
 	p.misses[address]++
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -216,7 +216,7 @@
 		return refusalReport(res.answer.Refused)
 	case endUnsent, endInDoubt:
 		if ctxErr != nil && !res.silent {
-			return schedule.Report{End: schedule.EndNeutral}
+			return schedule.Report{End: schedule.EndSlow}
 		}
 		return schedule.Report{End: schedule.EndUnreachable}
 	default:
--- a/internal/dispatch/schedule/feedback.go
+++ b/internal/dispatch/schedule/feedback.go
@@ -12,6 +12,7 @@
 	EndFull                   // refused for want of slots
 	EndLeaving                // refused by a server that takes no new work
 	EndUnreachable            // no answer, or no connection
+	EndSlow                   // given up without an answer, for another server's or the caller's sake
 	EndNeutral                // ended for a reason that says nothing of the server
 )
 
@@ -43,6 +44,10 @@
 		s.pool.end(b, noReport, now)
 		s.pool.close(b, now)
 		return s.unreachable(b, now)
+	case EndSlow:
+		s.pool.end(b, noReport, now)
+		b.health.suspect = true
+		return false
 	default:
 		s.pool.end(b, noReport, now)
 		return false
@@ -65,21 +70,40 @@
 }
 
 func (s *Scheduler) unreachable(b *Server, now time.Time) bool {
-	return b.health.pathFailed() && s.pool.eject(b, now)
+	if !b.health.pathFailed() || !s.pool.eject(b, now) {
+		return false
+	}
+	b.health.path = true
+	return true
 }
 
 // Unreachable notes that a server does not answer its pings. It reports whether the
 // server was ejected.
 func (s *Scheduler) Unreachable(address string, now time.Time) (ejected bool) {
 	b := s.pool.servers[address]
-	return b != nil && s.unreachable(b, now)
+	if b == nil {
+		return false
+	}
+	if b.health.path && b.health.ejected(now) {
+		b.health.extend(now)
+		return false
+	}
+	return s.unreachable(b, now)
+}
+
+// Reachable notes that a server answers its pings.
+func (s *Scheduler) Reachable(address string, now time.Time) {
+	if b := s.pool.servers[address]; b != nil {
+		b.health.pathProved(now)
+	}
 }
 
-// Busy returns the addresses of the servers that have requests of this VM in flight.
-func (s *Scheduler) Busy() []string {
+// Watched returns the addresses of the servers to ping: those that have requests of
+// this VM in flight, that were given up while silent, or are ejected for their path.
+func (s *Scheduler) Watched() []string {
 	var out []string
 	for address, b := range s.pool.servers {
-		if b.inflight > 0 {
+		if b.inflight > 0 || b.health.suspect || b.health.path {
 			out = append(out, address)
 		}
 	}
--- a/internal/dispatch/schedule/health.go
+++ b/internal/dispatch/schedule/health.go
@@ -27,7 +27,9 @@
 	failedFor    map[model.OrganisationID]bool
 	ejectedUntil time.Time
 	ejections    int  // consecutive
-	probing      bool // ejection is over, no success seen yet
+	probing      bool // ejected, or ejection is over and no success seen yet
+	path         bool // ejected for its path, which pings can prove again
+	suspect      bool // was silent when another server answered first
 }
 
 // admits reports whether a request may be sent: one at a time while probing.
@@ -44,7 +46,10 @@
 func (h *health) success() { *h = health{} }
 
 // reachable clears the evidence against the path only.
-func (h *health) reachable() { h.unreachable = 0 }
+func (h *health) reachable() {
+	h.unreachable = 0
+	h.suspect = false
+}
 
 // pathFailed notes a failure of the path and reports whether it calls for ejection.
 func (h *health) pathFailed() bool {
@@ -65,6 +70,22 @@
 	return h.probing || several
 }
 
+// pathProved notes an answered ping. It ends an ejection for the path; requests go
+// one at a time until one succeeds.
+func (h *health) pathProved(now time.Time) {
+	h.reachable()
+	if h.path && h.ejected(now) {
+		h.ejectedUntil = now
+	}
+}
+
+// extend keeps an ejected server out while its path fails.
+func (h *health) extend(now time.Time) {
+	if until := now.Add(ejectMin); until.After(h.ejectedUntil) {
+		h.ejectedUntil = until
+	}
+}
+
 func (h *health) eject(now time.Time) {
 	h.ejectedUntil = now.Add(min(ejectMin<<min(h.ejections, 8), ejectMax))
 	h.ejections++
--- a/internal/dispatch/schedule/scheduler_test.go
+++ b/internal/dispatch/schedule/scheduler_test.go
@@ -144,6 +144,23 @@
 	assert.DeepEqual(t, startAll(s, 0, later), map[string]int{"0": 8})
 }
 
+func TestPingsDecideOnTheReturn(t *testing.T) {
+	s := scheduler(fleet(4))
+	bad := s.pool.servers["0"]
+	for range ejectAfter {
+		s.Unreachable("0", start)
+	}
+	assert.Assert(t, bad.health.ejected(start))
+	now := start
+	for range 10 { // still silent, long after the ejection would have ended
+		now = now.Add(time.Second)
+		s.Unreachable("0", now)
+		assert.Assert(t, bad.health.ejected(now.Add(time.Second)))
+	}
+	s.Reachable("0", now)
+	assert.DeepEqual(t, startAll(s, 100, now)["0"], 1)
+}
+
 func TestFailuresOfOneOrganisationDoNotEject(t *testing.T) {
 	h := &health{}
 	for range 100 {
