Urgent gangs go before overdue ones, and starved ones before urgent ones

Change: an overdue gang (4 h) no longer evicts urgent gangs; one that waited for 24 h goes before them. Every eviction now hits only gangs that are behind in the order of the queue.

--- a/internal/measure/gangs/placement.go
+++ b/internal/measure/gangs/placement.go
@@ -34,6 +34,7 @@
 
 func reclaiming(reserveAfter, evictAfter time.Duration) placement.Policy {
 	options := placement.Options{ReserveAfter: reserveAfter, EvictAfter: evictAfter}
+	options.StarvedAfter = max(evictAfter, placement.DefaultStarvedAfter)
 	return placement.Reclaiming{Options: options}
 }
 
--- a/internal/placement/borrowed.go
+++ b/internal/placement/borrowed.go
@@ -81,14 +81,14 @@
 }
 
 // preemptByClass evicts less urgent borrowed gangs for an urgent gang. It spares gangs
-// that were started ReserveAfter or more after their submission, so that a flood of
+// that were started StarvedAfter or more after their submission, so that a flood of
 // urgent work cannot starve them and no gang is stopped for this over and over.
 func (d *decision) preemptByClass(g Gang) bool {
 	if d.unpreempting[g.Shape] {
 		return false
 	}
 	may := func(gang *Placed) bool {
-		return gang.Class > g.Class && gang.Started.Sub(gang.Submitted) < d.options.ReserveAfter
+		return gang.Class > g.Class && gang.Started.Sub(gang.Submitted) < d.options.StarvedAfter
 	}
 	room := d.withoutHeld(d.preemptible(may))
 	c, victims, ok := d.cheapest(g, room, may)
@@ -100,12 +100,11 @@
 	return true
 }
 
-// startOverdue places the gang that waits longest past EvictAfter, by evicting
-// borrowed gangs that were submitted later. It goes before all other borrowers, so
-// that nobody else takes the room that it frees. It returns the gang's position in
-// queue, or -1.
-func (d *decision) startOverdue(queue []Gang) int {
-	for _, i := range d.waitingFor(queue, d.options.EvictAfter) {
+// startWaiting places the gang that was submitted first of those that wait at least
+// that long, if need be by evicting borrowed gangs that were submitted later and that
+// may be evicted. It returns the gang's position in queue, or -1.
+func (d *decision) startWaiting(queue []Gang, wait time.Duration, may evictable) int {
+	for _, i := range d.waitingFor(queue, wait) {
 		g := queue[i]
 		if _, blocked := d.blocked(g); blocked {
 			continue
@@ -114,7 +113,7 @@
 			d.start(g, c, true)
 			return i
 		}
-		if d.preemptLater(g) {
+		if d.preemptLater(g, may) {
 			return i
 		}
 	}
@@ -122,8 +121,8 @@
 }
 
 // preemptLater evicts borrowed gangs that were submitted later than g.
-func (d *decision) preemptLater(g Gang) bool {
-	later := func(gang *Placed) bool { return gang.Submitted.After(g.Submitted) }
+func (d *decision) preemptLater(g Gang, may evictable) bool {
+	later := func(gang *Placed) bool { return gang.Submitted.After(g.Submitted) && may(gang) }
 	c, victims, ok := d.cheapest(g, d.preemptible(later), later)
 	if ok {
 		d.reclaimFor(g, c, victims)
@@ -131,6 +130,8 @@
 	return ok
 }
 
+func notUrgent(gang *Placed) bool { return gang.Class != model.ClassUrgent }
+
 // reclaimFor evicts the victims and gives the cell to g, which waits for them.
 func (d *decision) reclaimFor(g Gang, c cell, victims []int) {
 	d.evict(victims, g)
@@ -188,4 +189,5 @@
 const (
 	DefaultReserveAfter = time.Hour
 	DefaultEvictAfter   = 4 * time.Hour
+	DefaultStarvedAfter = 24 * time.Hour
 )
--- a/internal/placement/reclaiming.go
+++ b/internal/placement/reclaiming.go
@@ -12,9 +12,12 @@
 type Options struct {
 	// ReserveAfter is the wait after which a gang gets a draining reservation.
 	ReserveAfter time.Duration
-	// EvictAfter is the wait after which the reserved cell is cleared by evicting
-	// borrowed gangs that were submitted later.
+	// EvictAfter is the wait after which a gang evicts borrowed gangs that were
+	// submitted later, but not urgent ones.
 	EvictAfter time.Duration
+	// StarvedAfter is the wait after which a gang goes before urgent gangs and may
+	// evict them. A gang that started so late is not evicted by urgent ones.
+	StarvedAfter time.Duration
 }
 
 // Reclaiming keeps every guarantee reclaimable: there is always an assignment of the
@@ -25,17 +28,19 @@
 }
 
 // Decide implements Policy. Gangs inside a guarantee go first, by class and then by
-// submission. Then come the gang that is overdue, urgent gangs, the gang with the
-// draining reservation, and all others by class and submission. A gang may evict for
-// itself only while it is ahead of all that could take the room that this frees.
+// submission. Then come, among borrowers, one that starves, urgent ones, one that is
+// overdue, one with the draining reservation, and all others by class and submission.
+// A gang may evict only those that are behind it in this order, so that none of them
+// can take the room back.
 func (p Reclaiming) Decide(zone Zone, pending []Gang) Plan {
 	d := newDecision(zone, p.Options.withDefaults())
 	d.demote()
 	rest := d.startAllGuaranteed(byClass(pending))
-	rest = without(rest, d.startOverdue(rest))
+	rest = without(rest, d.startWaiting(rest, d.options.StarvedAfter, anyBorrowed))
 	urgent := urgentGangs(rest)
 	d.startAllBorrowed(rest[:urgent])
 	rest = rest[urgent:]
+	rest = without(rest, d.startWaiting(rest, d.options.EvictAfter, notUrgent))
 	rest = without(rest, d.reserve(rest))
 	d.startAllBorrowed(rest)
 	d.promote()
@@ -62,6 +67,7 @@
 func (o Options) withDefaults() Options {
 	o.ReserveAfter = cmp.Or(o.ReserveAfter, DefaultReserveAfter)
 	o.EvictAfter = cmp.Or(o.EvictAfter, DefaultEvictAfter)
+	o.StarvedAfter = cmp.Or(o.StarvedAfter, DefaultStarvedAfter)
 	return o
 }
 
