--- /dev/null
+++ b/test/e2e/jobfaults_test.go
@@ -0,0 +1,83 @@
+package e2e
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/control"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/standin"
+)
+
+// TestCommandsUnanswered has the backend servers leave commands unanswered before
+// and after their effect while jobs start, and close connections after it.
+func TestCommandsUnanswered(t *testing.T) {
+	t.Parallel()
+	for _, f := range []standin.Fault{
+		{Silent: standin.SilentBefore, Times: 2},
+		{Silent: standin.SilentAfter, Times: 2},
+		{AnswerLost: true, Times: 2},
+	} {
+		f.Paths = []string{platform.PathCommands}
+		t.Run(fmt.Sprintf("silent %s lost %t", f.Silent, f.AnswerLost), func(t *testing.T) {
+			t.Parallel()
+			c := startCluster(t, zone{"a", 2, 2})
+			for _, b := range c.backends {
+				b.fault(t, f)
+			}
+			submit(t, c.vms[0], gang("gang-1", "a", 700))
+			awaitDurable(t, c.vms[1], "gang-1")
+			c.checkGangs(t)
+			c.noViolations(t, c.vms)
+		})
+	}
+}
+
+// TestLogAnswersLost has the platform store records and lose its answers while jobs
+// are submitted.
+func TestLogAnswersLost(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, zone{"a", 2, 2})
+	lost := standin.Fault{AnswerLost: true, Paths: []string{platform.PathLog}, Times: 40}
+	assert.NilError(t, standin.PutFault(t.Context(), c.platformURL, lost))
+	for n := range 4 {
+		id := model.JobID(fmt.Sprintf("job-%d", n))
+		submit(t, c.vms[n%2], smallJob(id))
+		awaitDurable(t, c.vms[(n+1)%2], id)
+	}
+	c.checkGangs(t)
+	assert.Equal(t, len(c.attempts(t)), 4)
+	c.noViolations(t, c.vms)
+}
+
+// TestHolderFrozen freezes the term holder while a gang runs, for longer than a
+// lease, and thaws it. The gang runs whole and once.
+func TestHolderFrozen(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, zone{"a", 2, 2})
+	submit(t, c.vms[0], gang("gang-1", "a", 9000))
+	awaitJob(t, c.vms[0], "gang-1", control.JobRunning)
+	frozen := c.holder(t, "a", c.vms)
+	rest := c.without(frozen)
+	frozen.signal(t, syscall.SIGSTOP)
+	c.holder(t, "a", rest)
+	thaw := time.Now().Add(control.DefaultSettings().Lease)
+	eventually(t, func() string {
+		if time.Now().Before(thaw) {
+			return "the lease may last"
+		}
+		return ""
+	})
+	frozen.signal(t, syscall.SIGCONT)
+	for _, v := range c.vms {
+		awaitDurable(t, v, "gang-1")
+	}
+	c.checkGangs(t)
+	assert.Equal(t, len(c.attempts(t)["gang-1"]), 1)
+	c.noViolations(t, c.vms)
+}
