--- a/internal/control/adopt.go
+++ b/internal/control/adopt.go
@@ -164,27 +164,31 @@
 		if !j.Attempt.Open || j.Job.HomeAZ != s.self.AZ || s.gangs[j.Job.ID] != nil {
 			return
 		}
-		if s.outcomes[j.Job.ID] != nil || !s.certainlyLost(j) || s.reported(j.Attempt.ID) {
+		if s.outcomes[j.Job.ID] != nil || !s.certainlyLost(j) || s.takeUpReported(j.Attempt.ID) {
 			return
 		}
 		s.recordLost(j)
 	})
 }
 
-// reported reports whether a backend server lists a task of the attempt, ended or
-// not. Its next report has the task taken over.
-func (s *State) reported(a model.AttemptID) bool {
-	for _, v := range s.servers {
-		if v.gone || !s.live(v) {
-			continue
-		}
+// takeUpReported takes over the ended tasks of an attempt from the newest reports
+// and returns whether any task of it is listed. One that is listed as active is
+// taken over with the next report.
+func (s *State) takeUpReported(a model.AttemptID) bool {
+	found := false
+	for _, id := range sortedKeys(s.servers) {
+		v := s.servers[id]
 		for _, r := range v.tasks {
-			if r.Attempt == a {
-				return true
+			if r.Attempt != a || (r.State.Active() && v.gone) {
+				continue
+			}
+			found = true
+			if !r.State.Active() {
+				s.unexpected(id, r)
 			}
 		}
 	}
-	return false
+	return found
 }
 
 func (s *State) recordLost(j *replica.Job) {
