--- a/internal/placement/reclaiming_test.go
+++ b/internal/placement/reclaiming_test.go
@@ -256,3 +256,22 @@
 	plan = s.Decide(placement.Reclaiming{})
 	assert.DeepEqual(t, plan.Demotions, []model.JobID{"a2"})
 }
+
+func TestUrgentGoesBeforeOverdueButNotBeforeStarved(t *testing.T) {
+	whole := shapeOf(1, 8, model.AdjacentServer)
+	for wait, first := range map[time.Duration]model.JobID{
+		placement.DefaultEvictAfter:   "urgent",
+		placement.DefaultStarvedAfter: "batch",
+	} {
+		s := stateOf(serversOf(1, 1, 8), organisationOf("a"))
+		s.Submit(gangOf(s, "running", "a", whole, model.ClassUrgent))
+		s.Decide(placement.Reclaiming{})
+		s.Advance(time.Minute)
+		s.Submit(gangOf(s, "batch", "a", whole, model.ClassBatch))
+		s.Advance(wait)
+		s.Submit(gangOf(s, "urgent", "a", whole, model.ClassUrgent))
+		s.Remove("running")
+		plan := s.Decide(placement.Reclaiming{})
+		assert.Equal(t, plan.Starts[0].Job, first, "after %s", wait)
+	}
+}
