Releases side by side proved; not ready without a readable configuration

Cause: that an old and a new release agree was shown by one example; an old release that starts while a newer record stands was ready with an empty configuration.

--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -41,7 +41,7 @@
 	if err := json.Unmarshal(data, &e); err != nil {
 		return fmt.Errorf("decode configuration: %w", err)
 	}
-	restored := NewState()
+	restored := newState(s.read)
 	for i, raw := range e.Records {
 		env, err := readEnvelope(raw)
 		if err != nil {
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -21,8 +21,12 @@
 	current  *Current
 	stale    bool // current must be built anew
 	history  []journal.Decision
+	read     recordReader
 }
 
+// recordReader reads a record; another release has another one.
+type recordReader func(raw json.RawMessage) (record, Findings)
+
 // stored is an accepted record: as published, and as read.
 type stored struct {
 	raw  json.RawMessage
@@ -30,8 +34,12 @@
 }
 
 // NewState returns the state before the first change.
-func NewState() *State {
+func NewState() *State { return newState(readRecord) }
+
+// newState returns a state that reads records with the given reader.
+func newState(read recordReader) *State {
 	return &State{
+		read:    read,
 		records: make(map[Key]stored),
 		unread:  make(map[Key]string),
 		current: newCurrent(),
@@ -86,7 +94,7 @@
 		delete(s.records, e.Key)
 		return
 	}
-	read, findings := readRecord(raw)
+	read, findings := s.read(raw)
 	if len(findings) > 0 {
 		s.unread[e.Key] = findings[0].String()
 	}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -61,9 +61,12 @@
 	return h.Dispatch.Lookup(ctx, id, ticket)
 }
 
-// Ready reports whether the balancer may send traffic here.
+// Ready reports whether the balancer may send traffic here: the log was read to its
+// end, there is a configuration that this release can read, and no planned stop.
 func (h *Handler) Ready() bool {
-	return h.Control.View().Ready && h.caughtUp() && !h.Draining()
+	view := h.Control.View()
+	unreadable := view.ConfigStalled != "" && view.Config.Revision == 0
+	return view.Ready && h.caughtUp() && !unreadable && !h.Draining()
 }
 
 // caughtUp reports whether this VM has read the log to its end.
