--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -27,6 +27,9 @@
 // LogReachable tells whether the platform's log answers.
 type LogReachable struct{ OK bool }
 
+// LogTrimmed tells the oldest offset that the platform's log keeps.
+type LogTrimmed struct{ First int64 }
+
 // EntryAppended carries what became of an Append action.
 type EntryAppended struct{ Result journal.AppendResult }
 
@@ -137,6 +140,7 @@
 func (EntriesRead) event()       {}
 func (SnapshotRead) event()      {}
 func (LogReachable) event()      {}
+func (LogTrimmed) event()        {}
 func (EntryAppended) event()     {}
 func (CommandAnswered) event()   {}
 func (StatusAnswered) event()    {}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -161,6 +161,9 @@
 // Reachable implements journal.Sink.
 func (l *Loop) Reachable(ok bool) { l.post(context.Background(), LogReachable{OK: ok}) }
 
+// Trimmed takes the oldest offset that the platform's log keeps.
+func (l *Loop) Trimmed(first int64) { l.post(context.Background(), LogTrimmed{First: first}) }
+
 // HandleHeartbeat takes a peer's heartbeat and returns the own one.
 func (l *Loop) HandleHeartbeat(ctx context.Context, h membership.Heartbeat) membership.Heartbeat {
 	l.post(ctx, HeartbeatReceived{Heartbeat: h})
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -16,6 +16,7 @@
 		Applied:    applied,
 		Snapshot:   s.replica.SnapshotOffset(),
 		SnapshotAt: s.replica.SnapshotTime(),
+		First:      s.log.first,
 		Now:        s.now,
 	})
 	if !s.log.reachable || !due {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -48,7 +48,8 @@
 	known     bool
 	reachable bool
 	since     time.Time
-	read      bool // something was delivered
+	read      bool  // something was delivered
+	first     int64 // the oldest offset kept; 0 when not known
 }
 
 // NewState returns the state of a VM that has seen nothing yet. newID makes unique IDs.
@@ -116,6 +117,8 @@
 		s.snapshotRead(e)
 	case LogReachable:
 		s.logReachable(e.OK)
+	case LogTrimmed:
+		s.log.first = max(s.log.first, e.First)
 	case EntryAppended:
 		s.entryAppended(e)
 	case CommandAnswered:
--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -25,6 +25,7 @@
 
 	mu      sync.Mutex
 	next    int64 // the next offset to deliver; 0 before the first delivery
+	first   int64 // the oldest offset that the log was seen to keep
 	window  window
 	blocked string
 }
@@ -69,6 +70,13 @@
 	return f.next
 }
 
+// First returns the oldest offset that the log was seen to keep; 0 when not known.
+func (f *Follower) First() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.first
+}
+
 // CaughtUp is closed once everything was delivered that the platform, or the peer
 // that answered, had when it was asked.
 func (f *Follower) CaughtUp() <-chan struct{} { return f.ready }
@@ -175,6 +183,9 @@
 	defer cancel()
 	batch, err := f.log.Read(readCtx, from, f.pace.limit(), wait)
 	f.pace.answered(batch, err)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.first = max(f.first, batch.First)
 	return batch, err
 }
 
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -136,6 +136,29 @@
 	})
 }
 
+// However few records the log keeps, there is always a usable snapshot in it.
+func TestSnapshotsPrecedeTheHorizon(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		const kept = 120
+		a := c.start(journaltest.Faults{})
+		time.Sleep(time.Second)
+		for round := range 6 {
+			for i := range 100 {
+				a.submit(plain(fmt.Sprintf("e-%d-%d", round, i)))
+				time.Sleep(100 * time.Millisecond)
+				c.log.Trim(c.log.Next() - kept)
+				if (journal.SnapshotRule{}).SnapshotDue(a.replica.snapshotState(a.follower.First())) {
+					a.snapshot()
+				}
+			}
+			late := c.start(journaltest.Faults{})
+			late.setCut(true) // it has the log alone
+			time.Sleep(5 * time.Second)
+			c.agree()
+		}
+	})
+}
+
 func TestSnapshotRule(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	rule := journal.SnapshotRule{Records: 100, Age: time.Hour}
@@ -146,6 +169,8 @@
 		"empty":              {journal.SnapshotState{Now: now}, false},
 		"fresh":              {journal.SnapshotState{Applied: 150, Snapshot: 100, SnapshotAt: now, Now: now}, false},
 		"many records":       {journal.SnapshotState{Applied: 200, Snapshot: 100, SnapshotAt: now, Now: now}, true},
+		"older half":         {journal.SnapshotState{Applied: 150, Snapshot: 100, SnapshotAt: now, First: 80, Now: now}, true},
+		"newer half":         {journal.SnapshotState{Applied: 150, Snapshot: 100, SnapshotAt: now, First: 40, Now: now}, false},
 		"old without change": {journal.SnapshotState{Applied: 101, Snapshot: 100, SnapshotAt: now.Add(-time.Hour), Now: now}, true},
 	} {
 		t.Run(name, func(t *testing.T) { assert.Equal(t, rule.SnapshotDue(tc.state), tc.due) })
@@ -153,6 +178,9 @@
 	late := journal.SnapshotState{Applied: 250, Snapshot: 100, SnapshotAt: now.Add(-time.Hour), Now: now}
 	assert.Assert(t, rule.ForRank(0).SnapshotDue(late))
 	assert.Assert(t, !rule.ForRank(1).SnapshotDue(late), "a writer of rank 1 does not wait for rank 0")
+	late.First = 50
+	assert.Assert(t, rule.ForRank(0).SnapshotDue(late))
+	assert.Assert(t, !rule.ForRank(1).SnapshotDue(late))
 	late.Applied = 300
 	assert.Assert(t, rule.ForRank(1).SnapshotDue(late))
 }
--- a/internal/journal/world_test.go
+++ b/internal/journal/world_test.go
@@ -37,6 +37,7 @@
 	applied   []string
 	next      int64
 	revision  int64 // the highest revision that was in force
+	newest    int64 // the offset of the newest snapshot record
 	snapshots int
 	reachable []bool
 }
@@ -61,6 +62,7 @@
 
 func (r *replica) apply(e journal.Located) {
 	if e.Entry.Kind == journal.KindSnapshot {
+		r.newest = e.Offset
 		return
 	}
 	if _, void := r.decided.Screen(e); void {
@@ -152,6 +154,13 @@
 	return r.snapshots, append([]bool{}, r.reachable...)
 }
 
+// snapshotState returns what the snapshot rule decides on.
+func (r *replica) snapshotState(first int64) journal.SnapshotState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return journal.SnapshotState{Applied: r.next - 1, Snapshot: r.newest, First: first, Now: time.Now()}
+}
+
 // decision returns the replica's decision on an entry.
 func (r *replica) decision(id string) (journal.Decision, bool) {
 	r.mu.Lock()
--- a/internal/vm/catchup.go
+++ b/internal/vm/catchup.go
@@ -11,10 +11,12 @@
 const catchUpInterval = 250 * time.Millisecond
 
 // catchUp makes the follower fetch from a peer while one is ahead, so that a VM
-// whose link to the platform is silent does not wait for its long poll to end.
+// whose link to the platform is silent does not wait for its long poll to end. It
+// also tells control how far the log was trimmed.
 func (n *node) catchUp(ctx context.Context) {
 	ticker := time.NewTicker(catchUpInterval)
 	defer ticker.Stop()
+	var first int64
 	for {
 		select {
 		case <-ctx.Done():
@@ -24,6 +26,10 @@
 		if peerAhead(n.control.View().Peers, n.follower.Next()) {
 			n.follower.Kick()
 		}
+		if now := n.follower.First(); now != first {
+			first = now
+			n.control.Trimmed(first)
+		}
 	}
 }
 
