A stalled VM refuses changes without an expected revision

Cause: a VM that cannot read the newest configuration checked changes against its old one and lost each time; the operator was told to look at a state that this VM does not show. Change: such a change is refused with the reason; with an expected revision it is published, so that an old release can replace what it cannot read.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -15,8 +15,14 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
-// ReasonDraining refuses commands during a planned stop.
-const ReasonDraining model.Reason = "draining"
+const (
+	// ReasonDraining refuses commands during a planned stop.
+	ReasonDraining model.Reason = "draining"
+	// ReasonConfigStalled refuses changes on a VM that cannot read the newest
+	// configuration, unless they name the revision that they expect: it could only
+	// check against an old one and lose.
+	ReasonConfigStalled model.Reason = "configuration stalled"
+)
 
 // drainingRetryAfter is when another VM will have taken the traffic over.
 const drainingRetryAfter = time.Second
@@ -113,7 +119,13 @@
 		return Published{}, err
 	}
 	defer release()
-	current := h.Control.View().Config
+	view := h.Control.View()
+	if view.ConfigStalled != "" && c.ExpectedRevision == nil {
+		message := "this VM cannot read the newest configuration; publish through an upgraded VM," +
+			" or give the expected revision: " + view.ConfigStalled
+		return Published{}, &control.Refusal{Reason: ReasonConfigStalled, Message: message}
+	}
+	current := view.Config
 	if c.ID == "" {
 		c.ID = model.RandomID()
 	}
