--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -40,12 +40,14 @@
 // NewMetrics returns a root scope whose page Prometheus can read.
 func NewMetrics(az string) (*Metrics, error) {
 	reporter := prometheus.NewReporter(prometheus.Options{})
+	sanitize := prometheus.DefaultSanitizerOpts
+	sanitize.ValueCharacters.Characters = tally.UnderscoreDashDotCharacters
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "eelgrassreach",
 		Tags:            map[string]string{"az": az},
 		CachedReporter:  reporter,
 		Separator:       prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions: &sanitize,
 	}, metricsInterval)
 	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}, nil
 }
--- a/internal/vm/node.go
+++ b/internal/vm/node.go
@@ -126,7 +126,10 @@
 // start runs the parts until ctx ends; the returned channel closes when all have ended.
 func (n *node) start(ctx context.Context) <-chan struct{} {
 	var group sync.WaitGroup
-	for _, run := range []func(context.Context){n.publisher.Run, n.control.Run, n.follower.Run, n.catchUp, n.dispatch.Run} {
+	parts := []func(context.Context){
+		n.publisher.Run, n.control.Run, n.follower.Run, n.catchUp, n.dispatch.Run, n.watcher.Run,
+	}
+	for _, run := range parts {
 		group.Go(func() { run(ctx) })
 	}
 	finished := make(chan struct{})
