A gang that is taken over is judged by all reports at once; proofs put in

Cause: TestOfferInDoubt: tasks that were done before replay named their attempt were taken over server by server, the first half was judged as not whole, and the job ran twice. Put in: proofs of fencing, silent backend servers, holds before starts, offers in doubt, bad backend servers against good jobs, verdicts of replay.

--- a/internal/control/adopt.go
+++ b/internal/control/adopt.go
@@ -29,6 +29,7 @@
 		return
 	}
 	s.adoptMember(s.adopt(r), id, r)
+	s.takeUpReported(r.Attempt)
 }
 
 // stopStray stops a task that belongs to no attempt in force.
@@ -87,6 +88,9 @@
 }
 
 func (s *State) adoptMember(g *gang, id model.BackendServerID, r platform.TaskReport) {
+	if known, _ := s.findMember(id, r.Task); known != nil {
+		return
+	}
 	m := &member{
 		task:         r.Task,
 		server:       id,
@@ -171,9 +175,9 @@
 	})
 }
 
-// takeUpReported takes over the ended tasks of an attempt from the newest reports
-// and returns whether any task of it is listed. One that is listed as active is
-// taken over with the next report.
+// takeUpReported takes over the tasks of an attempt from the newest reports of all
+// backend servers, so that a gang is judged by all of them at once, and returns
+// whether any is listed. Tasks last seen active on one that is gone do not count.
 func (s *State) takeUpReported(a model.AttemptID) bool {
 	found := false
 	for _, id := range sortedKeys(s.servers) {
@@ -183,14 +187,22 @@
 				continue
 			}
 			found = true
-			if !r.State.Active() {
-				s.unexpected(id, r)
-			}
+			s.takeUp(id, v, r)
 		}
 	}
 	return found
 }
 
+// takeUp takes over one reported task, an active one only from a surveyed server.
+func (s *State) takeUp(id model.BackendServerID, v *server, r platform.TaskReport) {
+	if r.State.Active() && !(s.live(v) && s.surveyed(v)) {
+		return
+	}
+	if known, _ := s.findMember(id, r.Task); known == nil {
+		s.unexpected(id, r)
+	}
+}
+
 func (s *State) recordLost(j *replica.Job) {
 	s.outcomes[j.Job.ID] = &outcome{
 		ended: journal.JobEnded{
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -40,7 +40,8 @@
 	leaving bool
 	dead    bool
 	failAll bool
-	noFence bool // mechanism switched off
+	// stale counts commands that took effect under an older token than one seen.
+	stale   int
 	badJob  func(model.JobID) bool
 	runtime func(model.JobID) time.Duration
 }
@@ -89,8 +90,11 @@
 
 func (f *fakeServer) command(b platform.CommandBatch, now time.Time) []platform.TaskResult {
 	f.expire(now)
-	fenced := b.Token.Less(f.token) && !f.noFence
-	if !fenced && f.token.Less(b.Token) {
+	fenced := b.Token.Less(f.token)
+	if !fenced && b.Token.Less(f.token) {
+		f.stale += len(b.Commands)
+	}
+	if f.token.Less(b.Token) {
 		f.token = b.Token
 	}
 	var results []platform.TaskResult
--- a/internal/control/home_test.go
+++ b/internal/control/home_test.go
@@ -73,3 +73,27 @@
 	assert.Equal(t, st.State, JobDone)
 	c.assertClean()
 }
+
+// A permit whose offer went without an answer is given to no other VM, so that the
+// job does not run twice when the first one ran it and died.
+func TestOfferInDoubt(t *testing.T) {
+	c := newTwoZones(t)
+	first := c.nodes[2]
+	assert.Assert(t, first.state.acting())
+	c.log.down = true
+	c.run(time.Second)
+	c.mute[link(c.nodes[0].name, first.name)] = true
+	id := c.submit(c.nodes[0], gangOfFour, false, 2*time.Second)
+	c.run(5 * time.Second)
+	first.dead = true
+	c.run(30 * time.Second)
+	assert.Assert(t, c.nodes[3].state.acting())
+	st, _ := c.nodes[0].state.status(id)
+	assert.Equal(t, st.Reason, ReasonPermitElsewhere)
+	c.log.down = false
+	c.run(30 * time.Second)
+	st, _ = c.nodes[0].state.status(id)
+	assert.Equal(t, st.State, JobDone)
+	assert.Equal(t, st.Attempts, 1)
+	c.assertClean()
+}
--- a/internal/control/oracle_test.go
+++ b/internal/control/oracle_test.go
@@ -60,6 +60,11 @@
 
 // observe checks the promises against what really happened.
 func (c *cluster) observe() {
+	for id, f := range c.servers {
+		if f.stale > 0 {
+			c.breach("%s carried out %d commands under an older token", id, f.stale)
+		}
+	}
 	facts := c.facts()
 	for id, a := range facts {
 		c.observePartial(id, a)
--- a/internal/control/outage_test.go
+++ b/internal/control/outage_test.go
@@ -119,3 +119,62 @@
 	assert.Equal(t, c.running(id), 4)
 	c.assertClean()
 }
+
+// A holder that cannot reach a backend server does not conclude from time alone that
+// a task has ended there: a successor may be renewing it, or it may be done.
+func TestSilentServerIsWaitedFor(t *testing.T) {
+	c := newRunningCluster(t, 2, 2)
+	id := c.submit(c.other(), model.GangShape{Tasks: 1, Accelerators: 8, Adjacency: model.AdjacentAny}, false, time.Hour)
+	c.run(5 * time.Second)
+	a, b := c.holder(), c.other()
+	st, _ := a.state.status(id)
+	c.sever(a.name, b.name, true)
+	c.sever(b.name, "log", true)
+	for server := range c.servers {
+		silent := server == st.Servers[0]
+		c.sever(a.name, string(server), silent)
+		c.sever(b.name, string(server), !silent)
+	}
+	c.run(time.Minute)
+	assert.Assert(t, a.state.acting() && b.state.acting())
+	assert.Equal(t, c.running(id), 1)
+	waiting, _ := a.state.status(id)
+	assert.Equal(t, waiting.Reason, ReasonServerSilent)
+	c.assertClean()
+}
+
+// A batch of a holder that was cut off is refused where a newer token was seen.
+func TestOlderTokenIsFenced(t *testing.T) {
+	c := newRunningCluster(t, 3, 3)
+	id := c.submit(c.other(), gangOfFour, false, time.Hour)
+	for range 8 { // renewed at different times, so that one meets the new token first
+		c.submit(c.other(), model.GangShape{Tasks: 1, Accelerators: 1, Adjacency: model.AdjacentAny}, false, time.Hour)
+		c.run(600 * time.Millisecond)
+	}
+	old := c.holder()
+	c.log.down = true
+	for _, n := range c.nodes {
+		if n != old {
+			c.sever(old.name, n.name, true)
+		}
+	}
+	c.run(30 * time.Second)
+	assert.Assert(t, !old.state.acting())
+	assert.Equal(t, c.running(id), 4)
+	c.assertClean()
+}
+
+// No member starts while another is not held.
+func TestNoStartBeforeAllHeld(t *testing.T) {
+	c := newRunningCluster(t, 3, 4)
+	c.silent[link(c.holder().name, "s1")] = true
+	c.submit(c.other(), model.GangShape{Tasks: 4, Accelerators: 8, Adjacency: model.AdjacentAny}, false, time.Hour)
+	c.run(20 * time.Second)
+	held := 0
+	for _, f := range c.servers {
+		held += len(f.tasks)
+	}
+	assert.Assert(t, held > 0)
+	assert.Equal(t, len(c.facts()), 0)
+	c.assertClean()
+}
--- a/internal/control/reclaim_test.go
+++ b/internal/control/reclaim_test.go
@@ -78,6 +78,7 @@
 	for _, id := range good {
 		assert.Equal(t, c.stateOf(c.holder(), id), JobDone)
 	}
+	assert.Assert(t, len(c.servers["s0"].tasks) <= 2*quarantineJobs, "%d tasks tried", len(c.servers["s0"].tasks))
 	st, _ := c.holder().state.status(bad)
 	assert.Equal(t, st.State, JobFailed)
 	assert.Equal(t, st.Reason, ReasonFailedOnMany)
@@ -93,6 +94,24 @@
 	c.assertClean()
 }
 
+// Backend servers that fail all are not taken as evidence against a job.
+func TestBadServersEndNoJob(t *testing.T) {
+	c := newRunningCluster(t, 3, 8)
+	for _, id := range []model.BackendServerID{"s0", "s1", "s2", "s3"} {
+		c.servers[id].failAll = true
+	}
+	var good []model.JobID
+	for range 12 {
+		shape := model.GangShape{Tasks: 1, Accelerators: 8, Adjacency: model.AdjacentAny}
+		good = append(good, c.submit(c.other(), shape, false, 2*time.Second))
+	}
+	c.run(3 * time.Minute)
+	for _, id := range good {
+		assert.Equal(t, c.stateOf(c.holder(), id), JobDone)
+	}
+	c.assertClean()
+}
+
 // Shapes that can never run are refused with a typed reason.
 func TestNeverFits(t *testing.T) {
 	c := newRunningCluster(t, 1, 2)
--- a/internal/replica/state_test.go
+++ b/internal/replica/state_test.go
@@ -107,3 +107,43 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(a), string(b))
 }
+
+// Verdicts rest on offsets, revisions and open attempts.
+func TestVerdicts(t *testing.T) {
+	s := New(config.NewState())
+	claim := func(attempt model.AttemptID, number int, term int64) journal.AttemptClaimed {
+		return journal.AttemptClaimed{Job: "j", Attempt: attempt, Number: number, Term: model.Token{Offset: term}}
+	}
+	accept := journal.JobAccepted{Job: model.Job{ID: "j", HomeAZ: "a"}}
+	end := journal.JobEnded{Job: "j", Attempt: "one", Result: string(ResultRetry)}
+	moved := journal.JobMoved{Job: "j", Home: "b", ExpectedRevision: 1}
+	steps := []struct {
+		name string
+		kind journal.Kind
+		body any
+		want journal.Verdict
+	}{
+		{"job", journal.KindJobAccepted, accept, journal.VerdictAccepted},
+		{"the same job", journal.KindJobAccepted, accept, journal.VerdictConflict},
+		{"first term", journal.KindTerm, journal.TermClaimed{AZ: "a", Holder: "x"}, journal.VerdictAccepted},
+		{"race for the first term", journal.KindTerm, journal.TermClaimed{AZ: "a", Holder: "y"}, journal.VerdictConflict},
+		{"claim without the term", journal.KindAttempt, claim("zero", 1, 0), journal.VerdictConflict},
+		{"claim", journal.KindAttempt, claim("one", 1, 3), journal.VerdictAccepted},
+		{"race for the attempt", journal.KindAttempt, claim("other", 1, 3), journal.VerdictConflict},
+		{"claim while one is open", journal.KindAttempt, claim("two", 2, 3), journal.VerdictConflict},
+		{"move while one is open", journal.KindJobMoved, moved, journal.VerdictConflict},
+		{"end", journal.KindJobEnded, end, journal.VerdictAccepted},
+		{"end again", journal.KindJobEnded, end, journal.VerdictConflict},
+		{"next term", journal.KindTerm, journal.TermClaimed{AZ: "a", Holder: "y", Previous: 3}, journal.VerdictAccepted},
+		{"claim of the old term", journal.KindAttempt, claim("two", 2, 3), journal.VerdictConflict},
+		{"move", journal.KindJobMoved, moved, journal.VerdictAccepted},
+		{"move against the old home", journal.KindJobMoved, moved, journal.VerdictConflict},
+		{"cancellation", journal.KindJobCancelled, journal.JobCancelled{Job: "j"}, journal.VerdictAccepted},
+		{"cancellation again", journal.KindJobCancelled, journal.JobCancelled{Job: "j"}, journal.VerdictAccepted},
+	}
+	for i, st := range steps {
+		d := s.Apply(located(int64(i+1), st.name, st.kind, st.body))
+		assert.Equal(t, d.Verdict, st.want, st.name)
+	}
+	assert.Equal(t, s.Job("j").Result, ResultCancelled)
+}
