--- a/internal/control/reclaim_test.go
+++ b/internal/control/reclaim_test.go
@@ -78,6 +78,7 @@
 	for _, id := range good {
 		assert.Equal(t, c.stateOf(c.holder(), id), JobDone)
 	}
+	assert.Assert(t, len(c.servers["s0"].tasks) <= 2*quarantineJobs, "%d tasks tried", len(c.servers["s0"].tasks))
 	st, _ := c.holder().state.status(bad)
 	assert.Equal(t, st.State, JobFailed)
 	assert.Equal(t, st.Reason, ReasonFailedOnMany)
@@ -93,6 +94,30 @@
 	c.assertClean()
 }
 
+// Failures on backend servers that fail other jobs too are not taken as evidence
+// against a job, also when it has tried several of them.
+func TestBadServersEndNoJob(t *testing.T) {
+	c := newRunningCluster(t, 3, 8)
+	one := model.GangShape{Tasks: 1, Accelerators: 8, Adjacency: model.AdjacentAny}
+	for range 4 {
+		c.submit(c.other(), one, false, time.Minute)
+	}
+	c.run(5 * time.Second)
+	for _, f := range c.servers {
+		f.failAll = len(f.tasks) == 0
+	}
+	var good []model.JobID
+	for range 4 {
+		good = append(good, c.submit(c.other(), one, false, 2*time.Second))
+	}
+	c.run(3 * time.Minute)
+	for _, id := range good {
+		assert.Equal(t, c.stateOf(c.holder(), id), JobDone)
+		assert.Assert(t, len(c.holder().state.replica.Job(id).Failed) >= c.settings.FailedServers)
+	}
+	c.assertClean()
+}
+
 // Shapes that can never run are refused with a typed reason.
 func TestNeverFits(t *testing.T) {
 	c := newRunningCluster(t, 1, 2)
