--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -177,12 +178,19 @@
 	return true
 }
 
-// read makes one read of the log that is bounded in time.
+// errTimedOut marks a read that was given up.
+var errTimedOut = errors.New("read timed out")
+
+// read makes one read of the log that is bounded in time. The error also wraps
+// errTimedOut when the platform did not answer within the bound.
 func (f *Follower) read(ctx context.Context, from int64, wait time.Duration) (platform.Batch, error) {
 	readCtx, cancel := context.WithTimeout(ctx, wait+f.opts.SlowTimeout)
 	defer cancel()
 	batch, err := f.log.Read(readCtx, from, f.pace.limit(), wait)
 	f.pace.answered(batch, err)
+	if err != nil && readCtx.Err() != nil {
+		return batch, fmt.Errorf("%w: %w", errTimedOut, err)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.first = max(f.first, batch.First)
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,6 +58,28 @@
 	})
 }
 
+// Large entries are appended in packets of bounded size, and a VM whose client takes
+// small answers alone reads them all the same.
+func TestLargePackets(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		a := c.start(journaltest.Faults{})
+		time.Sleep(time.Second)
+		for i := range 40 {
+			e := plain(fmt.Sprintf("large-%02d", i))
+			e.Body = json.RawMessage(`"` + strings.Repeat("x", 100<<10) + `"`)
+			a.submit(e)
+		}
+		time.Sleep(3 * time.Second)
+		for _, r := range c.log.History() {
+			assert.Assert(t, len(r.Data) <= journal.DefaultPacketBytes, "%d bytes", len(r.Data))
+		}
+		late := c.start(journaltest.Faults{AnswerBytes: journal.DefaultPacketBytes})
+		late.setCut(true) // it has the log alone
+		time.Sleep(10 * time.Second)
+		c.agree()
+	})
+}
+
 func TestBackpressureIsTold(t *testing.T) {
 	p := journal.NewPublisher(journaltest.NewLog().Port(), journal.PublisherOptions{QueueEntries: 2, EntryBytes: 500})
 	entry := func(id string, size int) journal.Entry {
--- a/internal/journal/journaltest/port.go
+++ b/internal/journal/journaltest/port.go
@@ -27,6 +27,8 @@
 	Append  Fault
 	Read    Fault
 	Latency time.Duration // before the effect and again before the answer
+	// AnswerBytes is the largest answer to a read that the client takes; 0 for any.
+	AnswerBytes int
 }
 
 // Port is a VM's link to the log. It implements platform.Log.
@@ -121,6 +123,9 @@
 			return platform.Batch{}, unavailable
 		}
 		batch, changed, err := p.log.read(from, limit)
+		if faults.AnswerBytes > 0 && size(batch) > faults.AnswerBytes {
+			return platform.Batch{}, unavailable
+		}
 		if err != nil || len(batch.Records) > 0 || wait == 0 {
 			return batch, err
 		}
@@ -136,6 +141,15 @@
 	}
 }
 
+// size returns the bytes of the records of a batch.
+func size(batch platform.Batch) int {
+	bytes := 0
+	for _, r := range batch.Records {
+		bytes += len(r.Data)
+	}
+	return bytes
+}
+
 // current returns the faults of a call that begins.
 func (p *Port) current() Faults {
 	p.mu.Lock()
--- a/internal/journal/startup.go
+++ b/internal/journal/startup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 
@@ -82,11 +83,16 @@
 	return nil, nil
 }
 
-// readRange reads the records from offset from up to, not including, offset end.
+// readRange reads the records from offset from up to, not including, offset end. A
+// read that fails is repeated for fewer records, since the answer may be too large.
 func (f *Follower) readRange(ctx context.Context, from, end int64) ([]platform.Record, error) {
 	var records []platform.Record
 	for from < end {
+		limit := f.pace.limit()
 		batch, err := f.read(ctx, from, 0)
+		if err != nil && limit > 1 && !errors.Is(err, errTimedOut) && !errors.Is(err, platform.ErrTrimmed) {
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
