Backend servers of other availability zones are known through their term holder

Cause: a request whose own zone had no backend server waited in the queue until its deadline and was told not run, although the next zone was idle: the view called every backend server of another zone lost, so the far tiers of routing were empty. Ruled out: polling other zones, which costs cross-region traffic for each server. Change: a term holder's heartbeat carries the exceptions of its zone (down, leaving, quarantined); towards other zones it leaves out the free slots, which grow with the number of servers. Conclusion: a zone without backend servers is served by the others.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -167,7 +167,11 @@
 // HandleHeartbeat takes a peer's heartbeat and returns the own one.
 func (l *Loop) HandleHeartbeat(ctx context.Context, h membership.Heartbeat) membership.Heartbeat {
 	l.post(ctx, HeartbeatReceived{Heartbeat: h})
-	return *l.heartbeat.Load()
+	own := *l.heartbeat.Load()
+	if h.AZ != own.AZ {
+		return own.Abridged()
+	}
+	return own
 }
 
 // View implements Service.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -178,6 +178,7 @@
 func (s *State) heartbeatReceived(h membership.Heartbeat) {
 	s.peers.Observe(h, s.now)
 	if h.AZ != s.self.AZ {
+		s.remoteHeard(h)
 		return
 	}
 	s.observeHolder(h)
@@ -204,6 +205,10 @@
 	s.peers.Expire(s.now)
 	h := s.ownHeartbeat()
 	for _, address := range s.peers.Targets() {
+		if s.peers.Remote(address) {
+			s.emit(SendHeartbeat{Address: address, Heartbeat: h.Abridged()})
+			continue
+		}
 		s.emit(SendHeartbeat{Address: address, Heartbeat: h})
 	}
 }
@@ -227,10 +232,15 @@
 		v := s.servers[id]
 		if s.live(v) {
 			h.FreeSlots[id] = v.free
+		} else {
+			h.DownServers = append(h.DownServers, id)
 		}
 		if v.leaving {
 			h.LeavingServers = append(h.LeavingServers, id)
 		}
+		if v.health.quarantined {
+			h.QuarantinedServers = append(h.QuarantinedServers, id)
+		}
 	}
 	return h
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -24,6 +24,7 @@
 	log       logState
 	term      termState
 	servers   map[model.BackendServerID]*server
+	remotes   map[model.AZ]*remoteZone
 	gangs     map[model.JobID]*gang
 	tasks     map[model.BackendServerID]map[model.TaskID]taskRef
 	local     map[model.JobID]*localJob
@@ -66,6 +67,7 @@
 			Forget:        forgetPeer,
 		}),
 		servers:  make(map[model.BackendServerID]*server),
+		remotes:  make(map[model.AZ]*remoteZone),
 		gangs:    make(map[model.JobID]*gang),
 		tasks:    make(map[model.BackendServerID]map[model.TaskID]taskRef),
 		local:    make(map[model.JobID]*localJob),
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -102,7 +102,7 @@
 func (s *State) viewBackends() map[model.BackendServerID]BackendState {
 	list := make(map[model.BackendServerID]BackendState)
 	for id, info := range s.replica.Config().Current().BackendServers {
-		list[id] = BackendState{Server: info}
+		list[id] = s.remoteBackend(info)
 	}
 	for id, v := range s.servers {
 		list[id] = BackendState{
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -24,12 +24,24 @@
 	Token model.Token
 	// LeavingServers lists the backend servers that the sender saw leaving.
 	LeavingServers []model.BackendServerID
-	// FreeSlots holds the free slots of backend servers as last seen by the sender.
+	// FreeSlots holds the free slots of the live backend servers. It is left out
+	// towards other availability zones.
 	FreeSlots map[model.BackendServerID]int
+	// DownServers and QuarantinedServers list the backend servers of the zone that a
+	// sender with a token cannot reach or keeps from new work.
+	DownServers        []model.BackendServerID
+	QuarantinedServers []model.BackendServerID
 	// Cancelled lists jobs whose cancellation is not in the log yet.
 	Cancelled []model.JobID
 }
 
+// Abridged returns the heartbeat as other availability zones get it: without what
+// grows with the number of backend servers.
+func (h Heartbeat) Abridged() Heartbeat {
+	h.FreeSlots = nil
+	return h
+}
+
 // Peer is another VM.
 type Peer struct {
 	Heartbeat
@@ -159,6 +171,13 @@
 	return zone
 }
 
+// Remote reports whether the VM at address is in another availability zone, as far
+// as is known.
+func (t *Table) Remote(address string) bool {
+	p := t.peers[address]
+	return p != nil && p.AZ != t.az
+}
+
 func (t *Table) peer(address string) *Peer {
 	p := t.peers[address]
 	if p == nil {
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -184,14 +184,30 @@
 		TermRank:          int32(h.Token.Rank),
 		FreeSlots:         make(map[string]int32, len(h.FreeSlots)),
 	}
-	for _, id := range h.LeavingServers {
-		out.LeavingBackendServers = append(out.LeavingBackendServers, string(id))
-	}
+	out.LeavingBackendServers = idsTo(h.LeavingServers)
+	out.DownBackendServers = idsTo(h.DownServers)
+	out.QuarantinedBackendServers = idsTo(h.QuarantinedServers)
 	for id, n := range h.FreeSlots {
 		out.FreeSlots[string(id)] = int32(n)
 	}
-	for _, id := range h.Cancelled {
-		out.CancelledJobs = append(out.CancelledJobs, string(id))
+	out.CancelledJobs = idsTo(h.Cancelled)
+	return out
+}
+
+// idsTo converts typed IDs for the wire; nil stays nil.
+func idsTo[T ~string](ids []T) []string {
+	var out []string
+	for _, id := range ids {
+		out = append(out, string(id))
+	}
+	return out
+}
+
+// idsFrom converts IDs from the wire; nil stays nil.
+func idsFrom[T ~string](ids []string) []T {
+	var out []T
+	for _, id := range ids {
+		out = append(out, T(id))
 	}
 	return out
 }
@@ -207,15 +223,13 @@
 		Token:        model.Token{Offset: m.TermOffset, Rank: int(m.TermRank)},
 		FreeSlots:    make(map[model.BackendServerID]int, len(m.FreeSlots)),
 	}
-	for _, id := range m.LeavingBackendServers {
-		h.LeavingServers = append(h.LeavingServers, model.BackendServerID(id))
-	}
+	h.LeavingServers = idsFrom[model.BackendServerID](m.LeavingBackendServers)
+	h.DownServers = idsFrom[model.BackendServerID](m.DownBackendServers)
+	h.QuarantinedServers = idsFrom[model.BackendServerID](m.QuarantinedBackendServers)
 	for id, n := range m.FreeSlots {
 		h.FreeSlots[model.BackendServerID(id)] = int(n)
 	}
-	for _, id := range m.CancelledJobs {
-		h.Cancelled = append(h.Cancelled, model.JobID(id))
-	}
+	h.Cancelled = idsFrom[model.JobID](m.CancelledJobs)
 	return h
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -128,7 +128,7 @@
 JSON
 check "publish configuration through VM one" 0 "accepted at" $cli config put -server "${vm[one]}" -f "$dir/records.json"
 eventually "VM three follows" "swanbank" $cli config list -server "${vm[three]}"
-eventually "VM three sees the backend servers of its zone" "4 live" $cli status -server "${vm[three]}"
+eventually "VM three sees the backend servers of both zones" "8 live" $cli status -server "${vm[three]}"
 
 check "idempotent request" 0 "outcome  done" \
   $cli request run -server "${vm[two]}" -kind quote -organisation palvehelmed -body chaplet
