The availability zone asked for in a submission is the job's home

Ruled out: the HTTP layer, which passes the field on. Change: a home asked for is kept, or refused with a reason when it can never hold the shape; without one the choice is as before.

--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -3,12 +3,24 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/config"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/placement"
 )
 
+// homeOf returns the home that the submitter asked for, or chooses one. The error is
+// that of the asked zone when it can never hold the shape.
+func (s *State) homeOf(cfg *config.Current, org model.Organisation, job model.Job) (model.AZ, error) {
+	if job.HomeAZ == "" {
+		return s.chooseHome(cfg, org, job.Shape)
+	}
+	servers := slices.Collect(maps.Values(cfg.BackendServers))
+	return job.HomeAZ, placement.CheckShape(job.HomeAZ, servers, org, job.Shape)
+}
+
 // chooseHome picks the availability zone whose term holder schedules a job: one in
 // which the organisation has a guarantee that covers it, the own one first; then
 // the own one; then any that can ever hold the shape. Another availability zone
@@ -78,7 +90,7 @@
 
 // shapeRefusal explains why a job can never run.
 func shapeRefusal(err error) *Refusal {
-	r := &Refusal{Reason: ReasonNeverFits, Message: fmt.Sprintf("no availability zone can run the job: %v", err)}
+	r := &Refusal{Reason: ReasonNeverFits, Message: fmt.Sprintf("the job can never run: %v", err)}
 	var shape *placement.ShapeError
 	if errors.As(err, &shape) && shape.Reason != placement.ShapeNoCell {
 		r.Reason = model.Reason(shape.Reason)
--- a/internal/control/home_test.go
+++ b/internal/control/home_test.go
@@ -97,3 +97,17 @@
 	assert.Equal(t, st.Attempts, 1)
 	c.assertClean()
 }
+
+// A home that the submitter asks for is kept, or refused when it can never hold the job.
+func TestHomeAsAsked(t *testing.T) {
+	s := remoteState(t, "b1")
+	org := model.Organisation{ID: "o"}
+	cfg := s.replica.Config().Current()
+	job := model.Job{ID: "j", HomeAZ: "b", Shape: model.GangShape{Tasks: 1, Accelerators: 8, Adjacency: model.AdjacentAny}}
+	home, err := s.homeOf(cfg, org, job)
+	assert.NilError(t, err)
+	assert.Equal(t, home, model.AZ("b"))
+	job.HomeAZ = "a"
+	_, err = s.homeOf(cfg, org, job)
+	assert.Equal(t, shapeRefusal(err).Reason, ReasonNeverFits)
+}
--- a/internal/control/submit.go
+++ b/internal/control/submit.go
@@ -72,7 +72,7 @@
 	if !ok {
 		return &Refusal{Reason: ReasonUnknownTenant, Message: "unknown organisation " + string(job.Organisation)}
 	}
-	home, err := s.chooseHome(cfg, org, job.Shape)
+	home, err := s.homeOf(cfg, org, *job)
 	if err != nil {
 		return shapeRefusal(err)
 	}
