The budget of appends is shared by the live VMs

Cause: the budget was 30 appends a second per VM. At the two-year size with two to three VMs in each of 19 availability zones that allows 1,140 to 1,710 a second, and the platform takes several hundred. Ruled out: a smaller fixed share, which would slow today's eight VMs for nothing. Change: -append-rate is the budget of all VMs together, 240 by default; each VM takes its share by the number of VMs it hears, at least 1. Conclusion: the sum stays within the platform's rate at both sizes; zones cut off from each other, but not from the platform, may pass it for the time of the cut.

--- a/internal/journal/publisher.go
+++ b/internal/journal/publisher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/platform"
@@ -48,6 +49,7 @@
 	log  platform.Log
 	opts PublisherOptions
 	wake chan struct{}
+	rate atomic.Int64 // appends per second
 
 	mu      sync.Mutex
 	outbox  *outbox
@@ -60,7 +62,9 @@
 // Observe or ObserveSnapshot told the log's next offset.
 func NewPublisher(log platform.Log, opts PublisherOptions) *Publisher {
 	opts = opts.withDefaults()
-	return &Publisher{log: log, opts: opts, wake: make(chan struct{}, 1), outbox: newOutbox(opts)}
+	p := &Publisher{log: log, opts: opts, wake: make(chan struct{}, 1), outbox: newOutbox(opts)}
+	p.SetRate(opts.AppendsPerSecond)
+	return p
 }
 
 // Submit queues an entry and returns at once. The error wraps ErrBackpressure,
@@ -177,7 +181,6 @@
 // Run sends until ctx ends. An append under way is then completed; entries that
 // were not sent are reported as such.
 func (p *Publisher) Run(ctx context.Context) {
-	interval := time.Second / time.Duration(p.opts.AppendsPerSecond)
 	for ctx.Err() == nil {
 		p.deliver()
 		packet, pause := p.take()
@@ -187,12 +190,22 @@
 		}
 		p.send(ctx, packet)
 		p.deliver()
-		sleep(ctx, interval)
+		sleep(ctx, p.interval())
 	}
 	p.stop()
 	p.deliver()
 }
 
+// SetRate changes the budget of appends per second; less than 1 counts as 1.
+func (p *Publisher) SetRate(appendsPerSecond int) {
+	p.rate.Store(int64(max(1, appendsPerSecond)))
+}
+
+// interval is the least time between two appends.
+func (p *Publisher) interval() time.Duration {
+	return time.Second / time.Duration(p.rate.Load())
+}
+
 // take returns the next packet, or the time until there may be one.
 func (p *Publisher) take() ([]*pending, time.Duration) {
 	p.mu.Lock()
--- a/internal/journal/publisher_options.go
+++ b/internal/journal/publisher_options.go
@@ -4,7 +4,7 @@
 
 // The default options of a publisher.
 const (
-	DefaultAppendsPerSecond = 50 // per VM: eight VMs make 400
+	DefaultAppendsPerSecond = 50
 	DefaultQueueEntries     = 4096
 	DefaultQueueBytes       = 16 << 20
 	DefaultPacketBytes      = 256 << 10
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,7 +28,7 @@
 	Peers         []string
 	DrainNotice   time.Duration
 	DrainTimeout  time.Duration
-	AppendRate    int   // appends per second
+	AppendRate    int   // appends per second of all VMs together
 	MaxBody       int64 // bytes
 	MaxConns      int   // connections per backend server
 	TicketTTL     time.Duration
@@ -84,7 +84,7 @@
 	fs.StringVar(&r.drainNotice, "drain-notice", "3s", "time between not ready and the end of acceptance in a planned stop")
 	fs.StringVar(&r.drainTimeout, "drain-timeout", "30s", "bound on a planned stop after the notice")
 	fs.StringVar(&r.ticketTTL, "ticket-ttl", "10m", "lifetime of a ticket when none is asked for")
-	fs.StringVar(&r.appendRate, "append-rate", "30", "appends per second to the platform's log, at most")
+	fs.StringVar(&r.appendRate, "append-rate", "240", "appends per second to the platform's log by all VMs together; each takes its share")
 	fs.StringVar(&r.maxBody, "max-body", "1048576", "largest request body in bytes")
 	fs.StringVar(&r.maxConns, "max-conns", "16", "connections to one backend server, at most")
 	fs.StringVar(&r.logLevel, "log-level", "info", "debug, info, warn or error")
--- a/internal/vm/node.go
+++ b/internal/vm/node.go
@@ -69,7 +69,7 @@
 	dialer := platform.NewHTTPDialer(platform.DialerOptions{ConnectionsPerServer: s.MaxConns})
 	peers := peer.NewClients()
 
-	n.publisher = journal.NewPublisher(log, journal.PublisherOptions{AppendsPerSecond: s.AppendRate})
+	n.publisher = journal.NewPublisher(log, journal.PublisherOptions{AppendsPerSecond: appendShare(s.AppendRate, nil)})
 	n.control = control.New(control.Options{
 		Identity: n.identity,
 		Replica:  replica.New(config.NewState()),
@@ -124,10 +124,11 @@
 }
 
 // start runs the parts until ctx ends; the returned channel closes when all have ended.
-func (n *node) start(ctx context.Context) <-chan struct{} {
+func (n *node) start(ctx context.Context, s settings.Serve) <-chan struct{} {
 	var group sync.WaitGroup
 	parts := []func(context.Context){
 		n.publisher.Run, n.control.Run, n.follower.Run, n.catchUp, n.dispatch.Run, n.watcher.Run,
+		func(ctx context.Context) { n.shareAppends(ctx, s.AppendRate) },
 	}
 	for _, run := range parts {
 		group.Go(func() { run(ctx) })
--- a/internal/vm/run.go
+++ b/internal/vm/run.go
@@ -56,7 +56,7 @@
 
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
-	finished := node.start(work)
+	finished := node.start(work, s)
 	logger.Info("serving",
 		zap.String("listen", s.Listen),
 		zap.String("vm_az", string(s.AZ)),
