--- a/internal/control/adopt.go
+++ b/internal/control/adopt.go
@@ -116,7 +116,8 @@
 		return
 	}
 	broken := !all(g, func(m *member) bool { return runsOrDone(m) || m.state == platform.TaskHeld })
-	if broken || s.surveyDone() || s.now.Sub(s.term.actedAt) >= s.settings.Lease {
+	heard := s.surveyDone() && s.now.Sub(g.since) >= s.settings.gatherTime()
+	if broken || heard || s.now.Sub(s.term.actedAt) >= s.settings.Lease {
 		g.gathering = false
 		s.failGathered(g)
 	}
@@ -188,15 +189,16 @@
 				continue
 			}
 			found = true
-			s.takeUp(id, v, r)
+			s.takeUp(id, r)
 		}
 	}
 	return found
 }
 
-// takeUp takes over one reported task, an active one only from a surveyed server.
-func (s *State) takeUp(id model.BackendServerID, v *server, r platform.TaskReport) {
-	if r.State.Active() && !(s.live(v) && s.surveyed(v)) {
+// takeUp takes over one reported task. One that was active may have ended since; it
+// is taken over with the next report.
+func (s *State) takeUp(id model.BackendServerID, r platform.TaskReport) {
+	if r.State.Active() {
 		return
 	}
 	if known, _ := s.findMember(id, r.Task); known == nil {
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -69,3 +69,9 @@
 func (s Settings) PartialBound() time.Duration {
 	return s.Lease + s.RenewInterval + 2*s.CommandTimeout
 }
+
+// gatherTime is how long every backend server that answers takes at most to report
+// anew.
+func (s Settings) gatherTime() time.Duration {
+	return s.PollInterval + 2*s.CommandTimeout
+}
