A randomised run that hits harder; one drain per VM

Change: nearly equal chances, faults on calls that exist, slow backend servers, 20 to 50 steps; the name puts it under make soak. It then found that a second Drain offered the tickets again, perhaps to another VM; only the first call drains now. Ruled out: sync.Once, whose waiters stop the virtual time of synctest.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -44,6 +44,9 @@
 	base context.Context // ends at Close
 	stop context.CancelFunc
 
+	drained  chan struct{} // closes at the end of the drain
+	drainErr error         // set before that
+
 	mu        sync.Mutex // guards the fields below; held for short steps only
 	view      *View
 	scheduler *schedule.Scheduler
@@ -82,6 +85,7 @@
 		open:      map[*schedule.Request]*item{},
 		idle:      make(chan struct{}, 1),
 		handed:    make(chan struct{}),
+		drained:   make(chan struct{}),
 		suspected: map[string]chan struct{}{},
 		successor: map[model.Incarnation]string{},
 		orphaned:  map[model.Incarnation]bool{},
@@ -90,10 +94,10 @@
 
 // Close ends all background work. Requests that are open get an outcome.
 func (d *Dispatcher) Close() {
-	d.mu.Lock()
-	d.draining = true
-	d.mu.Unlock()
-	d.expire()
+	if d.startDrain() {
+		close(d.drained)
+	}
+	_ = d.expire()
 	d.stop()
 }
 
--- a/internal/dispatch/drain.go
+++ b/internal/dispatch/drain.go
@@ -25,17 +25,30 @@
 
 // Drain finishes the open requests, then gives the arbitration of tickets and what
 // is still queued to another VM. It returns when no request is left or ctx ends;
-// those left get a truthful outcome. The error counts them.
+// those left get a truthful outcome. The error counts them. Only the first call
+// drains; another one returns its result when it is over.
 func (d *Dispatcher) Drain(ctx context.Context) error {
-	d.mu.Lock()
-	d.draining = true
-	d.mu.Unlock()
+	if !d.startDrain() {
+		<-d.drained
+		return d.drainErr
+	}
+	defer close(d.drained)
 	ctx, cancel := boundDrain(ctx)
 	defer cancel()
 	d.finishOpen(ctx)
 	d.handOverAll(ctx)
 	d.awaitIdle(ctx)
-	return d.expire()
+	d.drainErr = d.expire()
+	return d.drainErr
+}
+
+// startDrain refuses new work; false when a drain was started before.
+func (d *Dispatcher) startDrain() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	first := !d.draining
+	d.draining = true
+	return first
 }
 
 func boundDrain(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -28,8 +29,8 @@
 type step struct {
 	Do    string
 	VM    int
-	Other int // another VM, server or earlier request
-	Call  string
+	Other int  // another VM, server or earlier request
+	Late  bool // the second of the two kinds of call that a fault can hit
 	Fault wireFault
 	Count int
 	Wait  time.Duration // before the next step
@@ -40,19 +41,30 @@
 	randomServers = 3
 )
 
+var (
+	stepNames = []string{
+		"order", "order", "order", "order", "retry", "retry", "quote", "quote",
+		"server fault", "server fault", "server fault", "peer fault", "peer fault",
+		"freeze", "kill", "drain", "drain", "leave", "fail", "slow", "heal",
+	}
+	stepWaits = []time.Duration{0, 1, 5, 19, 500, 2000} // milliseconds
+)
+
+// pick draws from 0 to n-1 with nearly equal chances, which rapid's ranges do not.
+func pick(t *rapid.T, n int, label string) int {
+	const many = 1 << 20
+	return rapid.IntRange(0, many).Draw(t, label) % n
+}
+
 func genStep(t *rapid.T) step {
 	return step{
-		Do: rapid.SampledFrom([]string{
-			"order", "order", "order", "retry", "retry", "quote", "quote",
-			"server fault", "server fault", "peer fault", "peer fault",
-			"freeze", "kill", "drain", "leave", "fail", "heal",
-		}).Draw(t, "do"),
-		VM:    rapid.IntRange(0, randomVMs-1).Draw(t, "vm"),
-		Other: rapid.IntRange(0, 7).Draw(t, "other"),
-		Call:  rapid.SampledFrom([]string{"execute", "lookup", "forward", "hand-over"}).Draw(t, "call"),
-		Fault: wireFault(rapid.IntRange(1, int(wireFaultCount)-1).Draw(t, "fault")),
-		Count: rapid.IntRange(1, 5).Draw(t, "count"),
-		Wait:  time.Duration(rapid.SampledFrom([]int{0, 1, 5, 19, 500, 2000}).Draw(t, "wait")) * time.Millisecond,
+		Do:    stepNames[pick(t, len(stepNames), "do")],
+		VM:    pick(t, randomVMs, "vm"),
+		Other: pick(t, 8, "other"),
+		Late:  pick(t, 3, "late") == 0,
+		Fault: wireFault(1 + pick(t, int(wireFaultCount)-1, "fault")),
+		Count: 1 + pick(t, 5, "count"),
+		Wait:  stepWaits[pick(t, len(stepWaits), "wait")] * time.Millisecond,
 	}
 }
 
@@ -97,7 +109,7 @@
 		r.w.freeze(r.vm(s.VM), time.Duration(s.Count)*time.Second)
 	case "kill", "drain":
 		r.lose(s)
-	case "leave", "fail":
+	case "leave", "fail", "slow":
 		r.degrade(s)
 	case "heal":
 		r.heal()
@@ -105,28 +117,32 @@
 	time.Sleep(s.Wait)
 }
 
+// faultServer breaks the next calls of one server, or of all.
 func (r *randomRun) faultServer(s step) {
-	faults := make([]wireFault, s.Count)
-	for i := range faults {
-		faults[i] = s.Fault
+	call := "execute"
+	if s.Late {
+		call = "lookup"
+	}
+	for i := range randomServers {
+		if s.Other%4 != i && s.Other%4 != randomServers {
+			continue
+		}
+		server := r.server(i)
+		server.mu.Lock()
+		server.faults = breakCalls(call, slices.Repeat([]wireFault{s.Fault}, s.Count)...)
+		server.mu.Unlock()
 	}
-	server := r.server(s.Other)
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	server.faults = breakCalls(s.Call, faults...)
 }
 
 func (r *randomRun) faultPeers(s step) {
-	left := s.Count
+	call := "forward"
+	if s.Late {
+		call = "hand-over"
+	}
+	broken := breakCalls(call, slices.Repeat([]wireFault{s.Fault}, s.Count)...)
 	r.w.mu.Lock()
 	defer r.w.mu.Unlock()
-	r.w.peerFault = func(call, _, _ string) wireFault {
-		if call != s.Call || left == 0 {
-			return wireOK
-		}
-		left--
-		return s.Fault
-	}
+	r.w.peerFault = func(call, _, _ string) wireFault { return broken(call) }
 }
 
 // lose takes a VM away, but never the last one.
@@ -152,17 +168,20 @@
 	server := r.server(s.Other)
 	server.mu.Lock()
 	defer server.mu.Unlock()
-	if s.Do == "leave" {
+	switch s.Do {
+	case "leave":
 		server.leaving = !server.leaving
-		return
+	case "fail":
+		server.failAll = !server.failAll
+	case "slow": // slower than a drain
+		server.service = 8 * time.Second
 	}
-	server.failAll = !server.failAll
 }
 
 func (r *randomRun) heal() {
 	for _, s := range r.w.servers {
 		s.mu.Lock()
-		s.faults, s.leaving, s.failAll = nil, false, false
+		s.faults, s.leaving, s.failAll, s.service = nil, false, false, 20*time.Millisecond
 		s.mu.Unlock()
 	}
 	r.w.mu.Lock()
@@ -190,11 +209,11 @@
 	})
 }
 
-// TestRandomRequests runs random steps and faults on several VMs and compares what
+// TestSoakRequests runs random steps and faults on several VMs and compares what
 // callers were told with the backend servers' record of executions.
-func TestRandomRequests(t *testing.T) {
+func TestSoakRequests(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		steps := rapid.SliceOfN(rapid.Custom(genStep), 1, 25).Draw(rt, "steps")
+		steps := rapid.SliceOfN(rapid.Custom(genStep), 20, 50).Draw(rt, "steps")
 		f := &findings{}
 		(&randomRun{}).run(t, f, steps)
 		if len(f.list) > 0 {
