--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -24,19 +24,36 @@
 	Token model.Token
 	// LeavingServers lists the backend servers that the sender saw leaving.
 	LeavingServers []model.BackendServerID
-	// FreeSlots holds the free slots of backend servers as last seen by the sender.
+	// FreeSlots holds the free slots of the live backend servers. It is left out
+	// towards other availability zones.
 	FreeSlots map[model.BackendServerID]int
+	// DownServers and QuarantinedServers list the backend servers of the zone that a
+	// sender with a token cannot reach or keeps from new work.
+	DownServers        []model.BackendServerID
+	QuarantinedServers []model.BackendServerID
 	// Cancelled lists jobs whose cancellation is not in the log yet.
 	Cancelled []model.JobID
 }
 
+// Abridged returns the heartbeat as other availability zones get it: without what
+// grows with the number of backend servers.
+func (h Heartbeat) Abridged() Heartbeat {
+	h.FreeSlots = nil
+	return h
+}
+
 // Peer is another VM.
 type Peer struct {
 	Heartbeat
 	LastSeen time.Time // zero: listed but not heard from
 	Listed   bool
+	// ListedLeaving is set while the platform lists the VM as leaving.
+	ListedLeaving bool
 }
 
+// IsLeaving reports whether the VM or the platform says that it leaves.
+func (p *Peer) IsLeaving() bool { return p.Leaving || p.ListedLeaving }
+
 // Settings are the durations of the table.
 type Settings struct {
 	// Timeout is how long a VM of the same availability zone stays alive without a heartbeat.
@@ -87,7 +104,7 @@
 		p := t.peer(vm.Address)
 		p.Listed = true
 		p.AZ = vm.AZ
-		p.Leaving = p.Leaving || vm.State == platform.VMLeaving
+		p.ListedLeaving = vm.State == platform.VMLeaving
 	}
 }
 
@@ -125,6 +142,12 @@
 	return list
 }
 
+// IsLeaving reports whether the VM at an address is known to leave.
+func (t *Table) IsLeaving(address string) bool {
+	p := t.peers[address]
+	return p != nil && p.IsLeaving()
+}
+
 // ZonePeers returns the VMs of the owner's availability zone ordered by address.
 func (t *Table) ZonePeers() []*Peer {
 	return slices.DeleteFunc(t.Peers(), func(p *Peer) bool { return p.AZ != t.az })
@@ -148,6 +171,13 @@
 	return zone
 }
 
+// Remote reports whether the VM at address is in another availability zone, as far
+// as is known.
+func (t *Table) Remote(address string) bool {
+	p := t.peers[address]
+	return p != nil && p.AZ != t.az
+}
+
 func (t *Table) peer(address string) *Peer {
 	p := t.peers[address]
 	if p == nil {
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -60,6 +60,20 @@
 	return reply.Accepted, nil
 }
 
+// Job asks another VM for what it knows of a job; known is false when it knows nothing.
+func (c *Clients) Job(ctx context.Context, address string, id model.JobID) (status control.JobStatus, known bool, err error) {
+	reply, err := call(ctx, func(ctx context.Context) (*peerpb.GetJobReply, error) {
+		return c.at(address).control.GetJob(ctx, &peerpb.GetJobRequest{Job: string(id)})
+	})
+	if err != nil || !reply.Known {
+		return control.JobStatus{}, false, err
+	}
+	if err := json.Unmarshal(reply.Status, &status); err != nil {
+		return control.JobStatus{}, false, fmt.Errorf("decode job status: %w", err)
+	}
+	return status, true, nil
+}
+
 // fetch asks one VM for log records.
 func (c *Clients) fetch(ctx context.Context, address string, from int64, limit int) (journal.Fetched, error) {
 	in := &peerpb.FetchRequest{From: from, Limit: int32(limit)}
@@ -145,6 +159,19 @@
 	return &peerpb.OfferJobReply{Accepted: answer.Accepted, Reason: string(answer.Reason)}, nil
 }
 
+// GetJob returns what this VM knows of a job.
+func (s *ControlServer) GetJob(_ context.Context, in *peerpb.GetJobRequest) (*peerpb.GetJobReply, error) {
+	status, known := s.Loop.View().Job(model.JobID(in.Job))
+	if !known {
+		return &peerpb.GetJobReply{}, nil
+	}
+	data, err := json.Marshal(status)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &peerpb.GetJobReply{Known: true, Status: data}, nil
+}
+
 func heartbeatTo(h membership.Heartbeat) *peerpb.HeartbeatMessage {
 	out := &peerpb.HeartbeatMessage{
 		Incarnation:       string(h.Incarnation),
@@ -157,14 +184,30 @@
 		TermRank:          int32(h.Token.Rank),
 		FreeSlots:         make(map[string]int32, len(h.FreeSlots)),
 	}
-	for _, id := range h.LeavingServers {
-		out.LeavingBackendServers = append(out.LeavingBackendServers, string(id))
-	}
+	out.LeavingBackendServers = idsTo(h.LeavingServers)
+	out.DownBackendServers = idsTo(h.DownServers)
+	out.QuarantinedBackendServers = idsTo(h.QuarantinedServers)
 	for id, n := range h.FreeSlots {
 		out.FreeSlots[string(id)] = int32(n)
 	}
-	for _, id := range h.Cancelled {
-		out.CancelledJobs = append(out.CancelledJobs, string(id))
+	out.CancelledJobs = idsTo(h.Cancelled)
+	return out
+}
+
+// idsTo converts typed IDs for the wire; nil stays nil.
+func idsTo[T ~string](ids []T) []string {
+	var out []string
+	for _, id := range ids {
+		out = append(out, string(id))
+	}
+	return out
+}
+
+// idsFrom converts IDs from the wire; nil stays nil.
+func idsFrom[T ~string](ids []string) []T {
+	var out []T
+	for _, id := range ids {
+		out = append(out, T(id))
 	}
 	return out
 }
@@ -180,15 +223,13 @@
 		Token:        model.Token{Offset: m.TermOffset, Rank: int(m.TermRank)},
 		FreeSlots:    make(map[model.BackendServerID]int, len(m.FreeSlots)),
 	}
-	for _, id := range m.LeavingBackendServers {
-		h.LeavingServers = append(h.LeavingServers, model.BackendServerID(id))
-	}
+	h.LeavingServers = idsFrom[model.BackendServerID](m.LeavingBackendServers)
+	h.DownServers = idsFrom[model.BackendServerID](m.DownBackendServers)
+	h.QuarantinedServers = idsFrom[model.BackendServerID](m.QuarantinedBackendServers)
 	for id, n := range m.FreeSlots {
 		h.FreeSlots[model.BackendServerID(id)] = int(n)
 	}
-	for _, id := range m.CancelledJobs {
-		h.Cancelled = append(h.Cancelled, model.JobID(id))
-	}
+	h.Cancelled = idsFrom[model.JobID](m.CancelledJobs)
 	return h
 }
 
