--- a/internal/placement/guaranteed.go
+++ b/internal/placement/guaranteed.go
@@ -144,12 +144,14 @@
 
 // reclaimOwnBound evicts borrowed gangs of g's own organisation, the most recently
 // started first, when its accelerator bound leaves no room for a guaranteed gang. It
-// reports whether g has to wait for that.
+// reports whether g has to wait for that. A guarantee stands above the bound: when
+// nothing of the organisation is left to evict, g does not wait.
 func (d *decision) reclaimOwnBound(g Gang) bool {
 	if !overBound(d.bounds[g.Organisation], d.used[g.Organisation], g.Shape) {
 		return false
 	}
 	excess := d.used[g.Organisation] + g.Shape.Total() - d.bounds[g.Organisation]
+	stopping := false
 	var own []int
 	for i := range d.zone.Placed {
 		gang := &d.zone.Placed[i]
@@ -157,6 +159,7 @@
 			continue
 		}
 		if d.evicting[i] {
+			stopping = true
 			excess -= gang.Shape.Total()
 		} else if !d.inside[i] {
 			own = append(own, i)
@@ -170,7 +173,8 @@
 			break
 		}
 		d.evict([]int{i}, g)
+		stopping = true
 		excess -= d.zone.Placed[i].Shape.Total()
 	}
-	return true
+	return stopping
 }
