--- a/internal/placement/borrowed.go
+++ b/internal/placement/borrowed.go
@@ -122,7 +122,7 @@
 
 // preemptLater evicts borrowed gangs that were submitted later than g.
 func (d *decision) preemptLater(g Gang, may evictable) bool {
-	later := func(gang *Placed) bool { return gang.Submitted.After(g.Submitted) && may(gang) }
+	later := func(gang *Placed) bool { return compareSubmission(&gang.Gang, &g) > 0 && may(gang) }
 	c, victims, ok := d.cheapest(g, d.preemptible(later), later)
 	if ok {
 		d.reclaimFor(g, c, victims)
--- a/internal/placement/reclaiming.go
+++ b/internal/placement/reclaiming.go
@@ -166,9 +166,11 @@
 
 func sortBySubmission(queue []Gang, positions []int) {
 	slices.SortStableFunc(positions, func(a, b int) int {
-		return cmp.Or(
-			queue[a].Submitted.Compare(queue[b].Submitted),
-			cmp.Compare(queue[a].Job, queue[b].Job),
-		)
+		return compareSubmission(&queue[a], &queue[b])
 	})
 }
+
+// compareSubmission orders gangs by submission and then by job.
+func compareSubmission(a, b *Gang) int {
+	return cmp.Or(a.Submitted.Compare(b.Submitted), cmp.Compare(a.Job, b.Job))
+}
