--- a/test/e2e/jobfaults_test.go
+++ b/test/e2e/jobfaults_test.go
@@ -81,3 +81,43 @@
 	assert.Equal(t, len(c.attempts(t)["gang-1"]), 1)
 	c.noViolations(t, c.vms)
 }
+
+// TestServerForgetsEndedTask restarts a backend server right after a task ended there.
+// The job may not be repeated, and it ran: it must not run a second time.
+func TestServerForgetsEndedTask(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, zone{"a", 2, 2})
+	for n := range 3 {
+		id := model.JobID(fmt.Sprintf("once-%d", n))
+		submit(t, c.vms[0], smallJob(id))
+		ran := c.awaitTaskDone(t, id)
+		ran.fault(t, standin.Fault{Restart: true})
+	}
+	settled := time.Now().Add(control.DefaultSettings().Lease)
+	eventually(t, func() string {
+		if time.Now().Before(settled) {
+			return "a second attempt may still come"
+		}
+		return ""
+	})
+	c.checkGangs(t)
+	c.noViolations(t, c.vms)
+}
+
+// awaitTaskDone waits until a task of a job is done and returns its backend server.
+func (c *cluster) awaitTaskDone(t *testing.T, id model.JobID) *backend {
+	t.Helper()
+	var found *backend
+	eventually(t, func() string {
+		for _, b := range c.backends {
+			for _, task := range b.record(t).Tasks {
+				if task.Job == id && task.State == platform.TaskDone {
+					found = b
+					return ""
+				}
+			}
+		}
+		return fmt.Sprintf("no task of %s is done", id)
+	})
+	return found
+}
