--- a/internal/control/adopt.go
+++ b/internal/control/adopt.go
@@ -29,6 +29,7 @@
 		return
 	}
 	s.adoptMember(s.adopt(r), id, r)
+	s.takeUpReported(r.Attempt)
 }
 
 // stopStray stops a task that belongs to no attempt in force.
@@ -82,11 +83,15 @@
 		g.number = j.Attempt.Number
 	}
 	s.gangs[r.Job] = g
+	s.touched[r.Job] = true
 	s.placement.dirty = true
 	return g
 }
 
 func (s *State) adoptMember(g *gang, id model.BackendServerID, r platform.TaskReport) {
+	if known, _ := s.findMember(id, r.Task); known != nil {
+		return
+	}
 	m := &member{
 		task:         r.Task,
 		server:       id,
@@ -164,27 +169,39 @@
 		if !j.Attempt.Open || j.Job.HomeAZ != s.self.AZ || s.gangs[j.Job.ID] != nil {
 			return
 		}
-		if s.outcomes[j.Job.ID] != nil || !s.certainlyLost(j) || s.reported(j.Attempt.ID) {
+		if s.outcomes[j.Job.ID] != nil || !s.certainlyLost(j) || s.takeUpReported(j.Attempt.ID) {
 			return
 		}
 		s.recordLost(j)
 	})
 }
 
-// reported reports whether a backend server lists a task of the attempt, ended or
-// not. Its next report has the task taken over.
-func (s *State) reported(a model.AttemptID) bool {
-	for _, v := range s.servers {
-		if v.gone || !s.live(v) {
-			continue
-		}
+// takeUpReported takes over the tasks of an attempt from the newest reports of all
+// backend servers, so that a gang is judged by all of them at once, and returns
+// whether any is listed. Tasks last seen active on one that is gone do not count.
+func (s *State) takeUpReported(a model.AttemptID) bool {
+	found := false
+	for _, id := range s.serverIDs {
+		v := s.servers[id]
 		for _, r := range v.tasks {
-			if r.Attempt == a {
-				return true
+			if r.Attempt != a || (r.State.Active() && v.gone) {
+				continue
 			}
+			found = true
+			s.takeUp(id, v, r)
 		}
 	}
-	return false
+	return found
+}
+
+// takeUp takes over one reported task, an active one only from a surveyed server.
+func (s *State) takeUp(id model.BackendServerID, v *server, r platform.TaskReport) {
+	if r.State.Active() && !(s.live(v) && s.surveyed(v)) {
+		return
+	}
+	if known, _ := s.findMember(id, r.Task); known == nil {
+		s.unexpected(id, r)
+	}
 }
 
 func (s *State) recordLost(j *replica.Job) {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -24,6 +24,8 @@
 	log       logState
 	term      termState
 	servers   map[model.BackendServerID]*server
+	remotes   map[model.AZ]*remoteZone
+	serverIDs []model.BackendServerID // the keys of servers, sorted
 	gangs     map[model.JobID]*gang
 	tasks     map[model.BackendServerID]map[model.TaskID]taskRef
 	local     map[model.JobID]*localJob
@@ -32,6 +34,8 @@
 	entries   map[string]*pendingEntry
 	waiters   map[string][]waiter
 	delayed   map[model.JobID]time.Time // a refused gang is not placed before
+	// touched holds the gangs to supervise in a step that does not go through all.
+	touched   map[model.JobID]bool
 	placement placementState
 	drain     drainState
 
@@ -48,7 +52,8 @@
 	known     bool
 	reachable bool
 	since     time.Time
-	read      bool // something was delivered
+	read      bool  // something was delivered
+	first     int64 // the oldest offset kept; 0 when not known
 }
 
 // NewState returns the state of a VM that has seen nothing yet. newID makes unique IDs.
@@ -65,6 +70,7 @@
 			Forget:        forgetPeer,
 		}),
 		servers:  make(map[model.BackendServerID]*server),
+		remotes:  make(map[model.AZ]*remoteZone),
 		gangs:    make(map[model.JobID]*gang),
 		tasks:    make(map[model.BackendServerID]map[model.TaskID]taskRef),
 		local:    make(map[model.JobID]*localJob),
@@ -73,6 +79,7 @@
 		entries:  make(map[string]*pendingEntry),
 		waiters:  make(map[string][]waiter),
 		delayed:  make(map[model.JobID]time.Time),
+		touched:  make(map[model.JobID]bool),
 	}
 }
 
@@ -87,10 +94,12 @@
 // that depend on the whole state are made once, after the last event.
 func (s *State) Step(events []Event, now time.Time) []Action {
 	s.advance(now)
+	full := false
 	for _, e := range events {
 		s.handle(e)
+		full = full || !isAnswer(e)
 	}
-	s.settle()
+	s.settle(full)
 	actions := s.actions
 	s.actions = nil
 	return actions
@@ -116,6 +125,8 @@
 		s.snapshotRead(e)
 	case LogReachable:
 		s.logReachable(e.OK)
+	case LogTrimmed:
+		s.log.first = max(s.log.first, e.First)
 	case EntryAppended:
 		s.entryAppended(e)
 	case CommandAnswered:
@@ -150,8 +161,20 @@
 	}
 }
 
-// settle makes the decisions that depend on the whole state.
-func (s *State) settle() {
+// isAnswer reports whether an event concerns only the gangs that it touches. These
+// are the many; what depends on time waits for the next tick.
+func isAnswer(e Event) bool {
+	switch e.(type) {
+	case CommandAnswered, StatusAnswered, HeartbeatReceived:
+		return true
+	default:
+		return false
+	}
+}
+
+// settle makes the decisions that depend on the whole state; full tells to go
+// through all gangs.
+func (s *State) settle(full bool) {
 	s.syncServers()
 	s.heartbeat()
 	s.pollServers()
@@ -161,19 +184,27 @@
 	s.recordOutcomes()
 	s.expireWaiters()
 	if s.acting() {
-		s.probeQuarantined()
-		s.superviseGangs()
-		s.place()
-		s.renew()
-		s.closeLostAttempts()
-		s.moveJobs()
-		s.snapshot()
-		s.checkInvariants()
+		s.schedule(full)
 	}
 	s.superviseDrain()
 	s.flushCommands()
 }
 
+// schedule moves the gangs of the availability zone on.
+func (s *State) schedule(full bool) {
+	s.superviseGangs(full)
+	s.place()
+	if !full {
+		return
+	}
+	s.probeQuarantined()
+	s.renew()
+	s.closeLostAttempts()
+	s.moveJobs()
+	s.snapshot()
+	s.checkInvariants()
+}
+
 func (s *State) emit(a Action) { s.actions = append(s.actions, a) }
 
 func (s *State) violated(v invariant.Violation) {
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -102,7 +102,7 @@
 func (s *State) viewBackends() map[model.BackendServerID]BackendState {
 	list := make(map[model.BackendServerID]BackendState)
 	for id, info := range s.replica.Config().Current().BackendServers {
-		list[id] = BackendState{Server: info}
+		list[id] = s.remoteBackend(info)
 	}
 	for id, v := range s.servers {
 		list[id] = BackendState{
@@ -132,7 +132,7 @@
 			Incarnation: p.Incarnation,
 			AZ:          p.AZ,
 			Alive:       s.peers.Alive(p, s.now),
-			Leaving:     p.Leaving,
+			Leaving:     p.IsLeaving(),
 			Applied:     p.Applied,
 		})
 	}
--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -25,6 +26,7 @@
 
 	mu      sync.Mutex
 	next    int64 // the next offset to deliver; 0 before the first delivery
+	first   int64 // the oldest offset that the log was seen to keep
 	window  window
 	blocked string
 }
@@ -69,6 +71,13 @@
 	return f.next
 }
 
+// First returns the oldest offset that the log was seen to keep; 0 when not known.
+func (f *Follower) First() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.first
+}
+
 // CaughtUp is closed once everything was delivered that the platform, or the peer
 // that answered, had when it was asked.
 func (f *Follower) CaughtUp() <-chan struct{} { return f.ready }
@@ -169,12 +178,22 @@
 	return true
 }
 
-// read makes one read of the log that is bounded in time.
+// errTimedOut marks a read that was given up.
+var errTimedOut = errors.New("read timed out")
+
+// read makes one read of the log that is bounded in time. The error also wraps
+// errTimedOut when the platform did not answer within the bound.
 func (f *Follower) read(ctx context.Context, from int64, wait time.Duration) (platform.Batch, error) {
 	readCtx, cancel := context.WithTimeout(ctx, wait+f.opts.SlowTimeout)
 	defer cancel()
 	batch, err := f.log.Read(readCtx, from, f.pace.limit(), wait)
 	f.pace.answered(batch, err)
+	if err != nil && readCtx.Err() != nil {
+		return batch, fmt.Errorf("%w: %w", errTimedOut, err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.first = max(f.first, batch.First)
 	return batch, err
 }
 
