A gang that is just starting counts as started now

Cause: control has no start time for a gang that gathers its members; the zero time made it the last to be evicted instead of the first. Seen red without the change: TestStartingGangIsEvictedBeforeARunningOne.

--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -43,6 +43,7 @@
 }
 
 func newDecision(zone Zone, options Options) *decision {
+	zone.Placed = startedBy(zone.Now, zone.Placed)
 	t := newTopology(zone.Servers)
 	d := &decision{
 		options:      options,
@@ -68,6 +69,21 @@
 	return d
 }
 
+// startedBy lets gangs that are just starting count as started now.
+func startedBy(now time.Time, placed []Placed) []Placed {
+	starting := func(gang Placed) bool { return gang.Started.IsZero() }
+	if !slices.ContainsFunc(placed, starting) {
+		return placed
+	}
+	placed = slices.Clone(placed)
+	for i := range placed {
+		if starting(placed[i]) {
+			placed[i].Started = now
+		}
+	}
+	return placed
+}
+
 // tally fills the amounts per server from the placed gangs.
 func (d *decision) tally() {
 	d.free = slices.Clone(d.topology.capacity)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -55,7 +55,8 @@
 	Borrowed bool
 	// Evicting is set when a stop is under way; the accelerators are not free yet.
 	Evicting bool
-	Started  time.Time
+	// Started is when the gang started; zero for one that is just starting.
+	Started time.Time
 }
 
 // Zone is the state that a decision is made on. It is not changed.
--- a/internal/placement/reclaiming_test.go
+++ b/internal/placement/reclaiming_test.go
@@ -275,3 +275,18 @@
 		assert.Equal(t, plan.Starts[0].Job, first, "after %s", wait)
 	}
 }
+
+func TestStartingGangIsEvictedBeforeARunningOne(t *testing.T) {
+	half := shapeOf(1, 4, model.AdjacentServer)
+	s := stateOf(serversOf(1, 1, 8), organisationOf("a", guaranteeOf(1, 1, 4, model.AdjacentServer)), organisationOf("b"))
+	for _, job := range []string{"b1", "b2"} {
+		s.Submit(gangOf(s, job, "b", half, model.ClassNormal))
+	}
+	s.Decide(placement.Reclaiming{})
+	s.Zone.Placed[1].Started = time.Time{}
+	s.Advance(time.Hour)
+	s.Submit(gangOf(s, "a1", "a", half, model.ClassNormal))
+	plan := s.Decide(placement.Reclaiming{})
+	assert.DeepEqual(t, plan.Evictions, []placement.Eviction{{Job: "b2", For: "a1"}})
+	assert.Assert(t, s.Zone.Placed[1].Started.IsZero(), "the zone is not changed")
+}
