--- a/internal/control/adopt.go
+++ b/internal/control/adopt.go
@@ -29,6 +29,7 @@
 		return
 	}
 	s.adoptMember(s.adopt(r), id, r)
+	s.takeUpReported(r.Attempt)
 }
 
 // stopStray stops a task that belongs to no attempt in force.
@@ -82,11 +83,15 @@
 		g.number = j.Attempt.Number
 	}
 	s.gangs[r.Job] = g
+	s.touched[r.Job] = true
 	s.placement.dirty = true
 	return g
 }
 
 func (s *State) adoptMember(g *gang, id model.BackendServerID, r platform.TaskReport) {
+	if known, _ := s.findMember(id, r.Task); known != nil {
+		return
+	}
 	m := &member{
 		task:         r.Task,
 		server:       id,
@@ -111,7 +116,8 @@
 		return
 	}
 	broken := !all(g, func(m *member) bool { return runsOrDone(m) || m.state == platform.TaskHeld })
-	if broken || s.surveyDone() || s.now.Sub(s.term.actedAt) >= s.settings.Lease {
+	heard := s.surveyDone() && s.now.Sub(g.since) >= s.settings.gatherTime()
+	if broken || heard || s.now.Sub(s.term.actedAt) >= s.settings.Lease {
 		g.gathering = false
 		s.failGathered(g)
 	}
@@ -171,26 +177,35 @@
 	})
 }
 
-// takeUpReported takes over the ended tasks of an attempt from the newest reports
-// and returns whether any task of it is listed. One that is listed as active is
-// taken over with the next report.
+// takeUpReported takes over the tasks of an attempt from the newest reports of all
+// backend servers, so that a gang is judged by all of them at once, and returns
+// whether any is listed. Tasks last seen active on one that is gone do not count.
 func (s *State) takeUpReported(a model.AttemptID) bool {
 	found := false
-	for _, id := range sortedKeys(s.servers) {
+	for _, id := range s.serverIDs {
 		v := s.servers[id]
 		for _, r := range v.tasks {
 			if r.Attempt != a || (r.State.Active() && v.gone) {
 				continue
 			}
 			found = true
-			if !r.State.Active() {
-				s.unexpected(id, r)
-			}
+			s.takeUp(id, r)
 		}
 	}
 	return found
 }
 
+// takeUp takes over one reported task. One that was active may have ended since; it
+// is taken over with the next report.
+func (s *State) takeUp(id model.BackendServerID, r platform.TaskReport) {
+	if r.State.Active() {
+		return
+	}
+	if known, _ := s.findMember(id, r.Task); known == nil {
+		s.unexpected(id, r)
+	}
+}
+
 func (s *State) recordLost(j *replica.Job) {
 	s.outcomes[j.Job.ID] = &outcome{
 		ended: journal.JobEnded{
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -78,6 +78,7 @@
 			s.placement.dirty = true
 		}
 	}
+	s.serverIDs = sortedKeys(s.servers)
 }
 
 // pollServers asks for the reports that are due.
@@ -86,7 +87,7 @@
 	if s.acting() {
 		interval = s.settings.PollInterval
 	}
-	for _, id := range sortedKeys(s.servers) {
+	for _, id := range s.serverIDs {
 		v := s.servers[id]
 		due := v.pollNow || s.now.Sub(v.pollSent) >= interval
 		if v.polling || !due {
@@ -178,6 +179,7 @@
 func (s *State) heartbeatReceived(h membership.Heartbeat) {
 	s.peers.Observe(h, s.now)
 	if h.AZ != s.self.AZ {
+		s.remoteHeard(h)
 		return
 	}
 	s.observeHolder(h)
@@ -204,6 +206,10 @@
 	s.peers.Expire(s.now)
 	h := s.ownHeartbeat()
 	for _, address := range s.peers.Targets() {
+		if s.peers.Remote(address) {
+			s.emit(SendHeartbeat{Address: address, Heartbeat: h.Abridged()})
+			continue
+		}
 		s.emit(SendHeartbeat{Address: address, Heartbeat: h})
 	}
 }
@@ -223,14 +229,19 @@
 	}
 	h.Token = s.term.token
 	h.FreeSlots = make(map[model.BackendServerID]int, len(s.servers))
-	for _, id := range sortedKeys(s.servers) {
+	for _, id := range s.serverIDs {
 		v := s.servers[id]
 		if s.live(v) {
 			h.FreeSlots[id] = v.free
+		} else {
+			h.DownServers = append(h.DownServers, id)
 		}
 		if v.leaving {
 			h.LeavingServers = append(h.LeavingServers, id)
 		}
+		if v.health.quarantined {
+			h.QuarantinedServers = append(h.QuarantinedServers, id)
+		}
 	}
 	return h
 }
