Draining VMs pass requests on; control has its own peer connections; bound below guarantees is a finding

The gate refused requests that the draining dispatcher would have passed on to another VM; 64 slow forwards could hold up heartbeats, which shared their pool; an accelerator bound below the guarantees in a zone was accepted, although the guarantees then exceed it. Change: requests pass the gate; control calls between VMs have connections of their own; the check names the field and zone; make fuzz runs every target.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 GO ?= go
 SEED ?= 1
 N ?= 1000
+FUZZTIME ?= 10s
 BIN := bin
 
 .PHONY: build test demo matrix soak measure generate fmt vet lint links fuzz
@@ -44,3 +45,7 @@
 
 links:
 	bash scripts/check-links.sh
+
+# Runs each fuzz target for FUZZTIME.
+fuzz:
+	FUZZTIME=$(FUZZTIME) bash scripts/fuzz.sh
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -62,14 +62,10 @@
 	return release, nil
 }
 
-// Run runs a request to its outcome.
-func (h *Handler) Run(ctx context.Context, r dispatch.Request) (dispatch.Result, error) {
-	release, err := h.admit()
-	if err != nil {
-		return dispatch.Result{}, err
-	}
-	defer release()
-	return h.Dispatch.Do(ctx, r), nil
+// Run runs a request to its outcome. The gate does not hold it: a dispatcher that
+// drains passes requests on to other VMs and counts its own.
+func (h *Handler) Run(ctx context.Context, r dispatch.Request) dispatch.Result {
+	return h.Dispatch.Do(ctx, r)
 }
 
 // MintTicket returns a ticket; a zero ttl means the default.
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
@@ -31,6 +32,7 @@
 	}
 	c.addresses()
 	c.zones()
+	c.bounds()
 	if fit != nil {
 		c.guarantees(fit)
 	}
@@ -108,6 +110,33 @@
 	}
 }
 
+// bounds finds organisations whose accelerator bound is below their guarantees in
+// one availability zone. A bound of 0 bounds nothing.
+func (c *checker) bounds() {
+	for _, organisation := range c.next.OrganisationList() {
+		if organisation.MaxAccelerators == 0 {
+			continue
+		}
+		place := c.places[Key{TypeOrganisation, string(organisation.ID)}]
+		totals := guaranteedTotals(organisation)
+		for _, az := range slices.Sorted(maps.Keys(totals)) {
+			if totals[az] > organisation.MaxAccelerators {
+				c.add(place, "maxAccelerators", "%s: bound of %d accelerators is below the %d guaranteed in %s",
+					organisation.ID, organisation.MaxAccelerators, totals[az], az)
+			}
+		}
+	}
+}
+
+// guaranteedTotals returns the guaranteed accelerators by availability zone.
+func guaranteedTotals(organisation model.Organisation) map[model.AZ]int {
+	totals := make(map[model.AZ]int)
+	for _, g := range organisation.Guarantees {
+		totals[g.AZ] += g.Shape.Total() * g.Count
+	}
+	return totals
+}
+
 // guarantees finds guarantees that the backend servers cannot honour together.
 func (c *checker) guarantees(fit Fit) {
 	for _, misfit := range fit(c.next.Servers(), c.next.OrganisationList()) {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -183,3 +183,17 @@
 		assert.NilError(t, Check(nil, parseAll(t, text), nil).Err())
 	}
 }
+
+func TestBoundBelowGuarantees(t *testing.T) {
+	organisation := func(bound int) []json.RawMessage {
+		return []json.RawMessage{raw(fmt.Sprintf(`{'schemaVersion':2,'type':'organisation','id':'o','quota':{'accelerators':%d},'weight':1,
+			'guarantees':[{'az':'a','shape':{'tasks':2,'accelerators':4,'adjacency':'rack'},'count':2},
+				{'az':'b','shape':{'tasks':1,'accelerators':8,'adjacency':'any'},'count':1}]}`, bound))}
+	}
+	findings := Check(nil, organisation(15), nil)
+	assert.Equal(t, len(findings), 1)
+	assert.Equal(t, findings[0].Field, "maxAccelerators")
+	assert.Equal(t, findings[0].Record, 1)
+	assert.NilError(t, Check(nil, organisation(16), nil).Err())
+	assert.NilError(t, Check(nil, organisation(0), nil).Err())
+}
--- a/internal/httpapi/requests.go
+++ b/internal/httpapi/requests.go
@@ -34,11 +34,7 @@
 	if in.DeadlineMS > 0 {
 		request.Deadline = s.Now().Add(time.Duration(in.DeadlineMS) * time.Millisecond)
 	}
-	result, err := s.Commands.Run(r.Context(), request)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
+	result := s.Commands.Run(r.Context(), request)
 	setRetryAfter(w, result.RetryAfter)
 	writeJSON(w, outcomeStatus(result.Outcome), outcomeReply(result))
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -23,7 +23,8 @@
 const (
 	dialTimeout         = 500 * time.Millisecond
 	idleTimeout         = 30 * time.Second
-	connectionsPerPeer  = 64
+	controlConnections  = 4
+	dispatchConnections = 64
 	idlePerPeer         = 8
 	maxCachedPeers      = 256
 	heartbeatPathSuffix = "/Heartbeat"
@@ -35,10 +36,11 @@
 	dispatch peerpb.Dispatch
 }
 
-// Clients holds the connections to other VMs, by address. It is safe for
-// concurrent use.
+// Clients holds the connections to other VMs, by address. Control traffic has its
+// own, so that slow requests never hold up heartbeats. It is safe for concurrent use.
 type Clients struct {
-	http *http.Client
+	control  *http.Client
+	dispatch *http.Client
 
 	mu    sync.Mutex
 	stubs map[string]stubs
@@ -46,14 +48,22 @@
 
 // NewClients returns an empty set of connections.
 func NewClients() *Clients {
+	return &Clients{
+		control:  newClient(controlConnections),
+		dispatch: newClient(dispatchConnections),
+		stubs:    make(map[string]stubs),
+	}
+}
+
+// newClient returns a traced client with a bound on the connections to one VM.
+func newClient(connections int) *http.Client {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxConnsPerHost:     connectionsPerPeer,
-		MaxIdleConnsPerHost: idlePerPeer,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: min(connections, idlePerPeer),
 		IdleConnTimeout:     idleTimeout,
 	}
-	traced := otelhttp.NewTransport(transport, otelhttp.WithFilter(notHeartbeat))
-	return &Clients{http: &http.Client{Transport: traced}, stubs: make(map[string]stubs)}
+	return &http.Client{Transport: otelhttp.NewTransport(transport, otelhttp.WithFilter(notHeartbeat))}
 }
 
 func notHeartbeat(r *http.Request) bool {
@@ -73,8 +83,8 @@
 	}
 	base := "http://" + address
 	s := stubs{
-		control:  peerpb.NewControlProtobufClient(base, c.http),
-		dispatch: peerpb.NewDispatchProtobufClient(base, c.http),
+		control:  peerpb.NewControlProtobufClient(base, c.control),
+		dispatch: peerpb.NewDispatchProtobufClient(base, c.dispatch),
 	}
 	c.stubs[address] = s
 	return s
