--- a/internal/control/check.go
+++ b/internal/control/check.go
@@ -54,3 +54,17 @@
 		}
 	}
 }
+
+// checkNoneLeaving reports a gang that is about to be held on a leaving backend server.
+func (s *State) checkNoneLeaving(g *gang) {
+	for _, m := range g.members {
+		if v := s.servers[m.server]; v != nil && v.leaving {
+			s.violated(invariant.Violation{
+				Promise: invariant.NoNewWorkOnLeaving,
+				Job:     g.job.ID,
+				Server:  m.server,
+				Detail:  "placed on a leaving backend server",
+			})
+		}
+	}
+}
--- a/internal/control/gang.go
+++ b/internal/control/gang.go
@@ -165,6 +165,7 @@
 
 // hold asks every member's backend server to reserve accelerators.
 func (s *State) hold(g *gang) {
+	s.checkNoneLeaving(g)
 	for _, m := range g.members {
 		s.command(m, platform.TaskCommand{
 			Verb:         platform.VerbHold,
