--- a/test/e2e/jobfaults_test.go
+++ b/test/e2e/jobfaults_test.go
@@ -121,3 +121,34 @@
 	})
 	return found
 }
+
+// TestUnrecordedJobOutlivesHolder kills the term holder while it runs a gang that
+// only it knows of, since the log is down. The successor finds it on the backend
+// servers, lets it run whole, and records it once the log is back.
+func TestUnrecordedJobOutlivesHolder(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, zone{"a", 2, 2})
+	holder := c.holder(t, "a", c.vms)
+	rest := c.without(holder)
+	cutLog(t, c)
+	receipt := submit(t, holder, gang("gang-1", "a", 7000))
+	assert.Assert(t, !receipt.Durable)
+	awaitJob(t, holder, "gang-1", control.JobRunning)
+	holder.kill()
+	c.holder(t, "a", rest)
+	eventually(t, func() string {
+		if list := c.attempts(t)["gang-1"]; len(list) != 1 || !list[0].whole() {
+			return fmt.Sprintf("gang-1 did not run whole: %s", describeAttempts(list))
+		}
+		return ""
+	})
+	c.links["a"].heal(t)
+	submit(t, rest[0], smallJob("later"))
+	awaitDurable(t, rest[0], "later")
+	c.checkGangs(t)
+	assert.Equal(t, len(c.attempts(t)["gang-1"]), 1)
+	c.noViolations(t, rest)
+	status, err := rest[0].client.Job(t.Context(), "gang-1")
+	assert.NilError(t, err) // a caller that is told not found submits the job again
+	assert.Equal(t, status.State, control.JobDone)
+}
