A job that was stopped is as old as its return to the queue

Cause: placement sets Gang.Queued apart from Gang.Submitted, so that a gang that was preempted is not at once overdue and preempts others; control never set it. Change: the replica keeps the log's time of the end of the last attempt.

--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -155,6 +155,7 @@
 	}
 	if j := s.replica.Job(job.ID); j != nil {
 		c.Submitted = j.AcceptedAt
+		c.Queued = j.QueuedAt
 		c.Avoid = s.avoid(j)
 	}
 	return c
--- a/internal/replica/job.go
+++ b/internal/replica/job.go
@@ -36,6 +36,8 @@
 	Acceptor   model.Incarnation `json:"acceptor"`
 	Accepted   int64             `json:"accepted"` // offset
 	AcceptedAt time.Time         `json:"acceptedAt"`
+	// QueuedAt is when the last attempt ended without ending the job; zero before.
+	QueuedAt time.Time `json:"queuedAt,omitzero"`
 	// HomeRevision is the offset of the entry that set the home availability zone.
 	HomeRevision int64                   `json:"homeRevision"`
 	Attempt      Attempt                 `json:"attempt"`
@@ -147,6 +149,7 @@
 		return conflict(j.Accepted, "an attempt is open")
 	}
 	j.Attempt.Open = false
+	j.QueuedAt = l.Time
 	if e.Checkpoint != "" {
 		j.Checkpoint = e.Checkpoint
 	}
--- a/internal/replica/state_test.go
+++ b/internal/replica/state_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -147,3 +148,17 @@
 	}
 	assert.Equal(t, s.Job("j").Result, ResultCancelled)
 }
+
+// A job whose attempt ended goes back to the queue at the time that the log stored.
+func TestQueuedAt(t *testing.T) {
+	s := New(config.NewState())
+	s.Apply(located(1, "t", journal.KindTerm, journal.TermClaimed{AZ: "a", Holder: "h"}))
+	s.Apply(located(2, "a", journal.KindJobAccepted, journal.JobAccepted{Job: model.Job{ID: "j", HomeAZ: "a"}}))
+	claim := journal.AttemptClaimed{Job: "j", Attempt: "1", Number: 1, Term: model.Token{Offset: 1}}
+	assert.Equal(t, s.Apply(located(3, "c", journal.KindAttempt, claim)).Verdict, journal.VerdictAccepted)
+	assert.Assert(t, s.Job("j").QueuedAt.IsZero())
+	ended := located(4, "e", journal.KindJobEnded, journal.JobEnded{Job: "j", Attempt: "1"})
+	ended.Time = time.Unix(100, 0)
+	s.Apply(ended)
+	assert.Assert(t, s.Job("j").QueuedAt.Equal(ended.Time))
+}
