--- a/internal/control/random_test.go
+++ b/internal/control/random_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,33 +10,16 @@
 	"pgregory.net/rapid"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/rapidseed"
 )
 
 const actionsPerRun = 100
 
-// TestMain fixes the seed and the number of random actions; SEED and N choose others.
+// TestMain fixes the seed and the length of a run; the default of 100 runs makes
+// 10,000 random actions.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed, n := "1", 10_000
-	if v := os.Getenv("SEED"); v != "" {
-		seed = v
-	}
-	if v := os.Getenv("N"); v != "" {
-		_, _ = fmt.Sscan(v, &n)
-	}
-	setDefaultFlag("rapid.seed", seed)
-	setDefaultFlag("rapid.steps", fmt.Sprint(actionsPerRun))
-	setDefaultFlag("rapid.checks", fmt.Sprint(max(1, n/actionsPerRun)))
-	os.Exit(m.Run())
-}
-
-// setDefaultFlag sets a flag that the command line left out.
-func setDefaultFlag(name, value string) {
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
-	if !given {
-		_ = flag.Set(name, value)
-	}
+	_ = flag.Set("rapid.steps", fmt.Sprint(actionsPerRun))
+	rapidseed.Main(m)
 }
 
 // machine is the randomised run of one cluster.
--- /dev/null
+++ b/internal/dispatch/main_test.go
@@ -0,0 +1,9 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/rapidseed"
+)
+
+func TestMain(m *testing.M) { rapidseed.Main(m) }
--- a/internal/placement/builders_test.go
+++ b/internal/placement/builders_test.go
@@ -1,9 +1,7 @@
 package placement_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -12,14 +10,10 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/placement"
 	"github.com/eelgrassreach/eelgrassreach/internal/placement/replay"
+	"github.com/eelgrassreach/eelgrassreach/internal/rapidseed"
 )
 
-// TestMain fixes the seed of the randomised tests; -rapid.seed chooses another.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.Main(m) }
 
 const testAZ model.AZ = "harju-a"
 
--- /dev/null
+++ b/internal/ticket/main_test.go
@@ -0,0 +1,9 @@
+package ticket
+
+import (
+	"testing"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/rapidseed"
+)
+
+func TestMain(m *testing.M) { rapidseed.Main(m) }
