A gang that was taken over and ran to its end is recorded though the log never had its job

Cause: with the log down and the acceptor killed, the successor let the gang run whole and then dropped its outcome, since neither the log nor this VM knew the job. A caller was told that nobody knows it, and a second submission ran it twice. Ruled out: the adoption itself; the gang ran whole once. Change: the VM that took the gang over keeps the outcome, shows it, records the job as far as the backend servers list it together with its attempt, and then the end. A submission of a job that is known only so is answered, not started.

--- a/internal/control/outcome.go
+++ b/internal/control/outcome.go
@@ -10,6 +10,9 @@
 type outcome struct {
 	ended journal.JobEnded
 	job   model.Job
+	// adopted is set for a gang that another VM started; its job is then known only
+	// as far as its backend servers list it.
+	adopted bool
 }
 
 func endEntryID(a model.AttemptID) string { return "end-" + string(a) }
@@ -32,7 +35,8 @@
 			Checkpoint: checkpoint,
 			FailedOn:   why.failedOn,
 		},
-		job: g.job,
+		job:     g.job,
+		adopted: g.adopted,
 	}
 	if !g.startSent {
 		s.returnPermit(g)
@@ -47,9 +51,7 @@
 		j := s.replica.Job(id)
 		switch {
 		case j == nil:
-			if s.local[id] == nil {
-				delete(s.outcomes, id)
-			}
+			s.recordUnknown(id, o)
 		case j.Attempt.ID == o.ended.Attempt && j.Attempt.Open:
 			s.submitEntry(endEntryID(o.ended.Attempt), journal.KindJobEnded, o.ended, true)
 		case s.entries[claimEntryID(o.ended.Attempt)] == nil:
@@ -59,6 +61,22 @@
 	}
 }
 
+// recordUnknown keeps the outcome of a job that the log does not know: its acceptor
+// will record it or, when this VM took the gang over and it ran to its end, this VM
+// does, so that a caller that submits the job again does not run it twice.
+func (s *State) recordUnknown(id model.JobID, o *outcome) {
+	if s.local[id] != nil {
+		return
+	}
+	done := o.ended.Final && o.ended.Result == string(replica.ResultDone)
+	if !o.adopted || !done {
+		delete(s.outcomes, id)
+		return
+	}
+	accepted := journal.JobAccepted{Job: o.job, Acceptor: s.self.Incarnation, Attempt: o.ended.Attempt}
+	s.submitEntry(acceptEntryID(id), journal.KindJobAccepted, accepted, true)
+}
+
 // endReplayed follows the end of an attempt that was read back.
 func (s *State) endReplayed(e journal.JobEnded) {
 	if o := s.outcomes[e.Job]; o != nil && o.ended.Attempt == e.Attempt {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -16,6 +16,11 @@
 	if g := s.gangs[id]; g != nil {
 		return s.gangStatus(g), true
 	}
+	if o := s.outcomes[id]; o != nil {
+		st := JobStatus{Job: o.job, Attempts: 1}
+		describeOutcome(&st, o)
+		return st, true
+	}
 	return JobStatus{}, false
 }
 
--- a/internal/control/submit.go
+++ b/internal/control/submit.go
@@ -51,6 +51,10 @@
 		s.emit(SubmitReply{Reply: e.Reply, Receipt: receipt})
 		return
 	}
+	if s.local[job.ID] == nil && (s.gangs[job.ID] != nil || s.outcomes[job.ID] != nil) {
+		s.emit(SubmitReply{Reply: e.Reply, Receipt: receipt}) // taken over from another VM
+		return
+	}
 	s.addLocal(job, s.self.Incarnation)
 	w := submitWaiter{id: e.Reply, receipt: receipt, deadline: s.now.Add(s.settings.SubmitWait)}
 	s.wait(acceptEntryID(job.ID), w)
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -154,6 +154,9 @@
 	for id := range s.gangs {
 		add(id)
 	}
+	for id := range s.outcomes {
+		add(id)
+	}
 	v.JobsByState = make(map[JobState]int)
 	for _, st := range jobs {
 		v.JobsByState[st.State]++
