A job that may not run twice ends when a restarted backend server forgot its tasks

Cause: a restarted backend server no longer lists a task that ended as done between two polls; control took it for lapsed and ran the job again, although it may not run twice (TestServerForgetsEndedTask). Ruled out: asking other backend servers or VMs; nobody else knows the result. Change: when every member is done or forgotten, such a job ends as failed with its own reason; otherwise the attempt is certainly incomplete and runs again. A server that never comes back is as before.

--- a/internal/control/gang.go
+++ b/internal/control/gang.go
@@ -58,6 +58,7 @@
 	server       model.BackendServerID
 	accelerators int
 	state        platform.TaskState // empty: not held
+	forgotten    bool               // started, and its backend server no longer knows it
 	pending      platform.Verb      // sent and not answered
 	sent         time.Time
 	// until is the time after which the task certainly does not run, whatever
@@ -289,7 +290,7 @@
 		return
 	}
 	if all(g, func(m *member) bool { return m.ended() || s.lapsed(g, m) }) {
-		s.finish(g, g.ending)
+		s.finish(g, s.endingOf(g))
 		return
 	}
 	for _, m := range g.members {
@@ -299,6 +300,19 @@
 	}
 }
 
+// endingOf returns why a stopped gang ends. A gang of which every member is done or
+// was forgotten by a restarted backend server may have run to its end: a job that may
+// not run twice is then not tried again.
+func (s *State) endingOf(g *gang) ending {
+	if g.ending.final || g.job.Idempotent || len(g.members) != g.size {
+		return g.ending
+	}
+	if !all(g, func(m *member) bool { return m.forgotten || isDone(m) }) {
+		return g.ending
+	}
+	return ending{final: true, result: replica.ResultFailed, reason: ReasonMayHaveRun}
+}
+
 // finish removes a gang whose members have all ended and records the outcome.
 func (s *State) finish(g *gang, why ending) {
 	delete(s.gangs, g.job.ID)
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -67,14 +67,23 @@
 		}
 		s.stop(g, ending{result: replica.ResultRetry, reason: ReasonHoldRefused})
 	case platform.VerbStart, platform.VerbRenew:
+		if r.Refused == platform.RefusedNoTask {
+			s.memberForgotten(g, m)
+			return
+		}
 		s.memberChanged(g, m, ended)
 	case platform.VerbCheckpoint:
 		m.saved = true
 	case platform.VerbStop:
 		// A hold in doubt may arrive after the stop; its bound decides.
-		if m.state != "" || !s.now.Before(m.until) {
-			s.memberChanged(g, m, ended)
+		if m.state == "" && s.now.Before(m.until) {
+			return
+		}
+		if r.Refused == platform.RefusedNoTask {
+			s.memberForgotten(g, m)
+			return
 		}
+		s.memberChanged(g, m, ended)
 	}
 }
 
@@ -109,6 +118,15 @@
 	}
 }
 
+// memberForgotten follows up a task that its backend server, restarted since, no
+// longer knows.
+func (s *State) memberForgotten(g *gang, m *member) {
+	inDoubt := m.state == platform.TaskHeld && !m.doubted.IsZero()
+	started := g.startSent && (m.state == platform.TaskRunning || inDoubt)
+	m.forgotten = m.forgotten || started
+	s.memberChanged(g, m, platform.TaskLapsed)
+}
+
 // expireMembers stops a gang of which a member's lease may have lapsed or whose
 // backend server is gone.
 func (s *State) expireMembers(g *gang) {
@@ -200,7 +218,7 @@
 		ref := s.tasks[id][task]
 		m := ref.member
 		if !listed[task] && m.state.Active() && m.pending == "" && e.Sent.After(m.sent) {
-			s.memberChanged(ref.gang, m, platform.TaskLapsed)
+			s.memberForgotten(ref.gang, m)
 		}
 	}
 }
--- a/internal/control/reason.go
+++ b/internal/control/reason.go
@@ -27,6 +27,7 @@
 	ReasonHoldRefused      model.Reason = "a backend server refused to hold a member"
 	ReasonStartRefused     model.Reason = "a backend server refused to start a member"
 	ReasonMemberLost       model.Reason = "a member was lost"
+	ReasonMayHaveRun       model.Reason = "a restarted backend server forgot a task that may have run to its end"
 	ReasonTaskFailed       model.Reason = "a task failed"
 	ReasonPermitRefused    model.Reason = "the start permit was refused in replay"
 	ReasonHolderLost       model.Reason = "the term holder was lost before the gang started"
