--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -47,7 +47,7 @@
 	Stalled  string            `json:"stalled,omitempty"`
 }
 
-// ConfigHistoryReply lists the decisions on changes, the newest last.
+// ConfigHistoryReply lists the decisions on changes, the newest first.
 type ConfigHistoryReply struct {
 	Decisions []journal.Decision `json:"decisions"`
 }
