--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	$(GO) build -o $(BIN)/standin ./cmd/standin
 
 test:
-	$(GO) test -race -timeout 20m ./...
+	$(GO) test -race -count=1 -timeout 20m ./...
 
 demo: build
 	bash scripts/demo.sh
