The peers of the settings are asked for the log

Cause: -peers was checked and then used by nothing, so a VM that started while the platform was down knew no peer and never became ready. The state before the change was read from the code, not run.

--- a/internal/vm/node.go
+++ b/internal/vm/node.go
@@ -40,6 +40,7 @@
 type node struct {
 	identity   control.Identity
 	logger     *zap.Logger
+	seeds      []string // addresses of VMs from the settings
 	control    *control.Loop
 	dispatch   *dispatch.Dispatcher
 	publisher  *journal.Publisher
@@ -61,6 +62,7 @@
 			Region:      s.Region,
 		},
 		logger: logger,
+		seeds:  s.Peers,
 		gate:   command.NewGate(),
 	}
 	n.violations = invariant.NewCounter(metrics.Scope, logger)
@@ -141,15 +143,22 @@
 	return finished
 }
 
-// freshestPeers returns the addresses of live peers, the one that applied most first.
+// freshestPeers returns the addresses of live peers, the one that applied most first,
+// then those of the settings: a VM that starts while the platform is down knows no
+// others.
 func (n *node) freshestPeers() []string {
 	peers := slices.Clone(n.control.View().Peers)
 	slices.SortStableFunc(peers, func(a, b control.PeerState) int { return cmp.Compare(b.Applied, a.Applied) })
-	addresses := make([]string, 0, len(peers))
+	addresses := make([]string, 0, len(peers)+len(n.seeds))
 	for _, p := range peers {
 		if p.Alive {
 			addresses = append(addresses, p.Address)
 		}
 	}
+	for _, seed := range n.seeds {
+		if seed != n.identity.Address && !slices.Contains(addresses, seed) {
+			addresses = append(addresses, seed)
+		}
+	}
 	return addresses
 }
