One condition of a backend server for status, logs and metrics

Cause: reading the whole change found the order lost, leaving, quarantined, live written twice, in the status counts and in the watcher. Change: BackendState.Condition, a typed value that both use. Behaviour is as before.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -73,6 +73,31 @@
 	LastSeen    time.Time           `json:"lastSeen"`
 }
 
+// Condition sums a BackendState up.
+type Condition string
+
+// The conditions of a backend server.
+const (
+	ConditionLive        Condition = "live"
+	ConditionLeaving     Condition = "leaving"
+	ConditionQuarantined Condition = "quarantined"
+	ConditionLost        Condition = "lost"
+)
+
+// Condition returns what keeps the backend server from new work, or ConditionLive.
+func (b BackendState) Condition() Condition {
+	switch {
+	case !b.Live:
+		return ConditionLost
+	case b.Leaving:
+		return ConditionLeaving
+	case b.Quarantined:
+		return ConditionQuarantined
+	default:
+		return ConditionLive
+	}
+}
+
 // TermState is the term of an availability zone as this VM sees it.
 type TermState struct {
 	AZ      model.AZ          `json:"az"`
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -106,12 +106,12 @@
 }
 
 func countBackend(counts *api.BackendCounts, b control.BackendState) {
-	switch {
-	case !b.Live:
+	switch b.Condition() {
+	case control.ConditionLost:
 		counts.Lost++
-	case b.Leaving:
+	case control.ConditionLeaving:
 		counts.Leaving++
-	case b.Quarantined:
+	case control.ConditionQuarantined:
 		counts.Quarantined++
 	default:
 		counts.Live++
--- a/internal/watch/compare.go
+++ b/internal/watch/compare.go
@@ -53,20 +53,6 @@
 	}
 }
 
-// backendCondition names the state of a backend server in logs and metrics.
-func backendCondition(b control.BackendState) string {
-	switch {
-	case !b.Live:
-		return "lost"
-	case b.Leaving:
-		return "leaving"
-	case b.Quarantined:
-		return "quarantined"
-	default:
-		return "live"
-	}
-}
-
 // compareBackends logs the servers of the own availability zone.
 func (w *Watcher) compareBackends(last, next *control.View) {
 	for id, b := range next.Backends {
@@ -74,11 +60,11 @@
 			continue
 		}
 		before, known := last.Backends[id]
-		now := backendCondition(b)
-		if known && backendCondition(before) == now || !known && now == "lost" {
+		now := b.Condition()
+		if known && before.Condition() == now || !known && now == control.ConditionLost {
 			continue
 		}
-		w.logger.Info("backend server changed", zap.String("server", string(id)), zap.String("condition", now))
+		w.logger.Info("backend server changed", zap.String("server", string(id)), zap.String("condition", string(now)))
 	}
 }
 
--- a/internal/watch/gauges.go
+++ b/internal/watch/gauges.go
@@ -13,7 +13,9 @@
 }
 
 // conditions lists the conditions of backend servers that have a gauge.
-var conditions = []string{"live", "leaving", "quarantined", "lost"}
+var conditions = []control.Condition{
+	control.ConditionLive, control.ConditionLeaving, control.ConditionQuarantined, control.ConditionLost,
+}
 
 // gauges are the metrics of the control state.
 type gauges struct {
@@ -21,7 +23,7 @@
 	applied, revision, atRisk       tally.Gauge
 	fragmentation, peersAlive       tally.Gauge
 	jobs                            map[control.JobState]tally.Gauge
-	backends                        map[string]tally.Gauge
+	backends                        map[control.Condition]tally.Gauge
 }
 
 func newGauges(scope tally.Scope) gauges {
@@ -36,13 +38,13 @@
 		fragmentation: scope.Gauge("fragmentation_ratio"),
 		peersAlive:    scope.Gauge("peers_alive"),
 		jobs:          make(map[control.JobState]tally.Gauge),
-		backends:      make(map[string]tally.Gauge),
+		backends:      make(map[control.Condition]tally.Gauge),
 	}
 	for _, state := range jobStates {
 		g.jobs[state] = scope.Tagged(map[string]string{"state": string(state)}).Gauge("jobs")
 	}
 	for _, c := range conditions {
-		g.backends[c] = scope.Tagged(map[string]string{"condition": c}).Gauge("backend_servers")
+		g.backends[c] = scope.Tagged(map[string]string{"condition": string(c)}).Gauge("backend_servers")
 	}
 	return g
 }
@@ -73,10 +75,10 @@
 	for state, gauge := range g.jobs {
 		gauge.Update(float64(v.JobsByState[state]))
 	}
-	counts := make(map[string]int)
+	counts := make(map[control.Condition]int)
 	for _, b := range v.Backends {
 		if b.Server.AZ == v.AZ {
-			counts[backendCondition(b)]++
+			counts[b.Condition()]++
 		}
 	}
 	for condition, gauge := range g.backends {
