--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -141,6 +141,7 @@
 		FlagSet:    a.flagSet("eelgrassreach"),
 		Subcommands: []*ffcli.Command{
 			a.serveCommand(),
+			a.fleetCommand(),
 			a.configCommand(),
 			a.jobCommand(),
 			a.requestCommand(),
--- /dev/null
+++ b/internal/fleet/follow.go
@@ -0,0 +1,162 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/boottime"
+)
+
+const (
+	followRetry   = 100 * time.Millisecond // after a failed read
+	pageTimeout   = 2 * time.Second        // one page of up to 1 MB from a slow store
+	answerTimeout = 1500 * time.Millisecond
+)
+
+// follower reads a partition of keyed records: the newest of each key, then what is appended.
+type follower struct {
+	store     Store
+	partition Partition
+	// wait is how long a read waits for records, pause the time between reads.
+	wait  time.Duration
+	pause func() time.Duration
+	sink  func(followed)
+	log   *zap.Logger
+}
+
+// followed is what one read brought. AsOf is when the read was sent: everything that
+// was stored before is included if Synced is set.
+type followed struct {
+	Records []StoredRecord
+	Initial bool
+	Synced  bool
+	Next    int64
+	AsOf    time.Time
+}
+
+// run follows until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	failed := 0
+	for ctx.Err() == nil {
+		next, newest, err := f.initial(ctx)
+		if err == nil {
+			if failed > 0 {
+				f.log.Info("store answers again", zap.String("topic", f.partition.Topic), zap.Int("failed_reads", failed))
+			}
+			failed = 0
+			f.tail(ctx, next, newest)
+			continue
+		}
+		failed++
+		f.failed(ctx, err, failed)
+	}
+}
+
+func (f *follower) failed(ctx context.Context, err error, failed int) {
+	if ctx.Err() != nil {
+		return
+	}
+	if failed == 1 {
+		f.log.Warn("store does not answer", zap.String("topic", f.partition.Topic), zap.Int("partition", f.partition.Number), zap.Error(err))
+	}
+	sleep(ctx, followRetry)
+}
+
+// initial reads the newest record of each key. It returns the offset from which to
+// read on, and the offsets of the keys read that lie beyond it.
+func (f *follower) initial(ctx context.Context) (next int64, newest map[string]int64, err error) {
+	newest = make(map[string]int64)
+	next = -1
+	after := ""
+	var all []StoredRecord
+	asOf := boottime.Now()
+	for {
+		page, err := f.page(ctx, after)
+		if err != nil {
+			return 0, nil, err
+		}
+		if next < 0 {
+			next = page.End
+		}
+		for _, r := range page.Records {
+			if r.Offset >= next {
+				newest[r.Key] = r.Offset
+			}
+			after = r.Key
+		}
+		all = append(all, page.Records...)
+		if !page.More || len(page.Records) == 0 {
+			break
+		}
+	}
+	f.sink(followed{Records: all, Initial: true, Synced: len(newest) == 0, Next: next, AsOf: asOf})
+	return next, newest, nil
+}
+
+func (f *follower) page(ctx context.Context, after string) (NewestPage, error) {
+	call, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
+	return f.store.Newest(call, f.partition, after)
+}
+
+// tail reads from next on until the history was dropped under it or ctx ends.
+func (f *follower) tail(ctx context.Context, next int64, newest map[string]int64) {
+	failed := 0
+	for ctx.Err() == nil {
+		asOf := boottime.Now()
+		read, err := f.read(ctx, next)
+		if err != nil {
+			failed++
+			f.failed(ctx, err, failed)
+			continue
+		}
+		if read.Trimmed {
+			f.log.Warn("history dropped; newest records are read", zap.String("topic", f.partition.Topic),
+				zap.Int64("next", next), zap.Int64("first_kept", read.First))
+			return
+		}
+		if failed > 0 {
+			f.log.Info("store answers again", zap.String("topic", f.partition.Topic), zap.Int("failed_reads", failed))
+		}
+		failed = 0
+		next = read.Next
+		f.sink(followed{Records: fresh(read.Records, newest), Synced: next >= read.End, Next: next, AsOf: asOf})
+		if d := f.pause(); d > 0 {
+			sleep(ctx, d)
+		}
+	}
+}
+
+func (f *follower) read(ctx context.Context, next int64) (Reading, error) {
+	call, cancel := context.WithTimeout(ctx, f.wait+answerTimeout)
+	defer cancel()
+	return f.store.Read(call, f.partition, next, f.wait)
+}
+
+// fresh drops records that are older than what the initial read brought of their key.
+func fresh(records []StoredRecord, newest map[string]int64) []StoredRecord {
+	if len(newest) == 0 {
+		return records
+	}
+	kept := records[:0]
+	for _, r := range records {
+		if at, ok := newest[r.Key]; ok && r.Offset < at {
+			continue
+		}
+		delete(newest, r.Key)
+		kept = append(kept, r)
+	}
+	return kept
+}
+
+// sleep returns early when ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/fleet/health.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+)
+
+const (
+	refusedPause = 700 * time.Millisecond // lets a report correct what is thought free
+	busyPause    = 2 * time.Second        // an unhealthy backend server's usual recovery
+	// suspectFailures by different jobs without a success between them take a backend
+	// server out of use.
+	suspectFailures = 2
+	quarantine      = 8 * time.Second // a little more than troubles of backend servers usually last
+	// stallLimit without progress means that a task hangs; reports come every second.
+	stallLimit = 2500 * time.Millisecond
+)
+
+// health is what results tell of a backend server.
+type health struct {
+	pausedUntil time.Time
+	// failures counts jobs that failed here since the last success, the last one's ID kept.
+	failures int
+	lastJob  string
+	// quarantinedUntil is the time before which it takes no work.
+	quarantinedUntil time.Time
+}
+
+func (h *health) refused(now time.Time, reason Refusal) {
+	pause := refusedPause
+	if reason == RefusedBusy {
+		pause = busyPause
+	}
+	h.pausedUntil = now.Add(pause)
+}
+
+func (h *health) succeeded() {
+	h.failures = 0
+	h.quarantinedUntil = time.Time{}
+}
+
+func (h *health) usable(now time.Time) bool {
+	return !now.Before(h.pausedUntil) && !now.Before(h.quarantinedUntil)
+}
+
+func (h *health) suspect() bool { return h.failures > 0 }
+
+// noteFailure blames a failure on the backend server as long as no success speaks for it.
+func (s *State) noteFailure(v *server, g *job.Group, index int, _ *run) {
+	id := string(g.State.Job.ID)
+	if v.health.lastJob != id || v.health.failures == 0 {
+		v.health.failures++
+		v.health.lastJob = id
+	}
+	if v.health.failures >= suspectFailures {
+		v.health.quarantinedUntil = s.now.Add(quarantine)
+		s.log.Warn("backend server out of use", zap.String("server", string(v.entry.ID)),
+			zap.Int("failures", v.health.failures), zap.String("task", g.Key().TaskName(index)))
+	}
+}
+
+// stalled reports whether a run makes no progress.
+func (s *State) stalled(r *run) bool {
+	if r.phase != runRunning || r.step().LongRunning || r.step().Fills || r.percent >= 100 {
+		return false
+	}
+	return s.now.Sub(r.progressAt) > stallLimit
+}
+
+// stopStalled stops a run that hangs and takes its backend server out of use.
+func (s *State) stopStalled(v *server, r *run) {
+	v.health.quarantinedUntil = s.now.Add(quarantine)
+	s.log.Warn("backend server out of use", zap.String("server", string(v.entry.ID)), zap.String("task", r.name),
+		zap.Int("percent", r.percent), zap.Duration("without_progress", s.now.Sub(r.progressAt)))
+	s.wantStop(r, "no progress")
+}
--- /dev/null
+++ b/internal/fleet/loop.go
@@ -0,0 +1,420 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/boottime"
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+const (
+	eventQueue = 4096
+	eventBatch = 512
+
+	recordsWait  = 1 * time.Second // a read waits this long; bounds how old "synced" is
+	serversPause = 400 * time.Millisecond
+	idlePause    = 3 * time.Second // a VM without the term needs only capacities
+
+	appendTimeout  = 800 * time.Millisecond // three times a slow store's answer
+	orderTimeout   = 700 * time.Millisecond
+	holdTimeout    = 900 * time.Millisecond // beyond the time that the report waits
+	adviceTimeout  = 3 * time.Second
+	maxHeartbeat   = 4096 // bytes
+	configKey      = "config"
+	configTopic    = "keyed.op"
+	serversTopic   = "keyed.servers"
+	memberInterval = 20 * time.Second // the announcement is repeated in case it was lost
+)
+
+// Datagrams carries heartbeats between VMs.
+type Datagrams interface {
+	Send(address string, payload []byte) error
+	// Receive waits for a datagram and returns its size.
+	Receive(buffer []byte) (int, error)
+}
+
+// Advisor asks a queue's policy.
+type Advisor interface {
+	Advise(ctx context.Context, step string, servers []model.BackendServerID) (map[model.BackendServerID]string, time.Duration, error)
+}
+
+// Decoder reads the records that operators and backend servers write.
+type Decoder interface {
+	Config(value []byte) (*Config, error)
+	Server(id model.BackendServerID, value []byte) (ServerEntry, error)
+}
+
+// Options are what a Loop works with.
+type Options struct {
+	Identity  Identity
+	Bounds    Bounds
+	Store     Store
+	Servers   BackendServers
+	Advisor   Advisor
+	Decoder   Decoder
+	Datagrams Datagrams
+	Log       *zap.Logger
+	Counters  Counters
+}
+
+// Loop runs the State in one goroutine and carries out its actions in others.
+type Loop struct {
+	options Options
+	state   *State
+	events  chan Event
+	stopped chan struct{}
+	work    sync.WaitGroup
+	config  atomic.Pointer[Config]
+	// configAsOf is up to when the configuration is known to be the newest.
+	configAsOf    atomic.Pointer[time.Time]
+	holding       atomic.Bool
+	stopFollowers context.CancelFunc
+}
+
+// New returns a loop that does nothing until Run.
+func New(o Options) *Loop {
+	return &Loop{
+		options: o,
+		state:   NewState(o.Identity, o.Bounds, o.Log, o.Counters),
+		events:  make(chan Event, eventQueue),
+		stopped: make(chan struct{}),
+	}
+}
+
+// Run applies events until ctx ends, and returns when all work has stopped.
+func (l *Loop) Run(ctx context.Context) {
+	l.work.Go(func() { l.followConfig(ctx) })
+	l.work.Go(func() { l.followServers(ctx) })
+	l.work.Go(func() { l.announce(ctx) })
+	go l.receive(ctx) // ends when its socket is closed
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	l.step(ctx, nil)
+	for {
+		select {
+		case <-ctx.Done():
+			close(l.stopped)
+			l.work.Wait()
+			return
+		case e := <-l.events:
+			l.step(ctx, l.batch(e))
+		case <-ticker.C:
+			l.step(ctx, l.batch(Ticked{}))
+		}
+	}
+}
+
+// batch adds the events that are waiting to the first.
+func (l *Loop) batch(first Event) []Event {
+	events := []Event{first}
+	for len(events) < eventBatch {
+		select {
+		case e := <-l.events:
+			events = append(events, e)
+		default:
+			return events
+		}
+	}
+	return events
+}
+
+func (l *Loop) step(ctx context.Context, events []Event) {
+	actions := l.state.Step(events, Clock{Now: boottime.Now(), Wall: time.Now()})
+	l.holding.Store(l.state.acting())
+	for _, a := range actions {
+		l.carryOut(ctx, a)
+	}
+}
+
+// post gives an event to the loop, unless it has stopped.
+func (l *Loop) post(ctx context.Context, e Event) {
+	select {
+	case l.events <- e:
+	case <-l.stopped:
+	case <-ctx.Done():
+	}
+}
+
+// Query runs f in the loop's goroutine and waits for it; f must not keep the State.
+func (l *Loop) Query(ctx context.Context, f func(*State)) error {
+	done := make(chan struct{})
+	l.post(ctx, Asked{Query: func(s *State) {
+		f(s)
+		close(done)
+	}})
+	select {
+	case <-done:
+		return nil
+	case <-l.stopped:
+		return errors.New("the control loop has stopped")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Config returns the configuration in force, nil before the first, and up to when it
+// is known to be the newest.
+func (l *Loop) Config() (*Config, time.Time) {
+	asOf := l.configAsOf.Load()
+	if asOf == nil {
+		return nil, time.Time{}
+	}
+	return l.config.Load(), *asOf
+}
+
+// Drain begins the planned stop.
+func (l *Loop) Drain(ctx context.Context) { l.post(ctx, DrainBegun{}) }
+
+// Holding reports whether this VM holds the term.
+func (l *Loop) Holding() bool { return l.holding.Load() }
+
+func noPause() time.Duration { return 0 }
+
+// follow restarts the reads of all partitions for a generation of the state.
+func (l *Loop) follow(ctx context.Context, generation int) {
+	if l.stopFollowers != nil {
+		l.stopFollowers()
+	}
+	ctx, l.stopFollowers = context.WithCancel(ctx)
+	for _, p := range Partitions() {
+		f := &follower{store: l.options.Store, partition: p, wait: recordsWait, pause: noPause, log: l.options.Log}
+		f.sink = func(b followed) {
+			l.post(ctx, RecordsRead{
+				Generation: generation, Partition: p, Records: b.Records,
+				Initial: b.Initial, Synced: b.Synced, Next: b.Next,
+			})
+		}
+		l.work.Go(func() { f.run(ctx) })
+	}
+}
+
+func (l *Loop) followConfig(ctx context.Context) {
+	f := &follower{store: l.options.Store, partition: Partition{Topic: configTopic}, wait: recordsWait, pause: noPause, log: l.options.Log}
+	f.sink = func(b followed) {
+		for _, r := range b.Records {
+			if r.Key == configKey {
+				l.configRead(ctx, r)
+			}
+		}
+		if b.Synced && l.config.Load() != nil {
+			l.configAsOf.Store(&b.AsOf)
+		}
+	}
+	f.run(ctx)
+}
+
+func (l *Loop) configRead(ctx context.Context, r StoredRecord) {
+	c, err := l.options.Decoder.Config(r.Value)
+	if err != nil {
+		l.options.Log.Error("configuration skipped: it cannot be read", zap.Int64("offset", r.Offset), zap.Error(err))
+		return
+	}
+	if old := l.config.Load(); old != nil && c.Version <= old.Version {
+		return
+	}
+	l.config.Store(c)
+	l.post(ctx, ConfigChanged{Config: c})
+}
+
+func (l *Loop) followServers(ctx context.Context) {
+	entries := make(map[model.BackendServerID]ServerEntry)
+	f := &follower{store: l.options.Store, partition: Partition{Topic: serversTopic}, log: l.options.Log}
+	f.pause = func() time.Duration { return l.serversPause(ctx) }
+	f.sink = func(b followed) {
+		if b.Initial {
+			clear(entries)
+		}
+		for _, r := range b.Records {
+			l.serverRead(entries, r)
+		}
+		if len(b.Records) > 0 || b.Initial {
+			list := make([]ServerEntry, 0, len(entries))
+			for _, e := range entries {
+				list = append(list, e)
+			}
+			l.post(ctx, ServersListed{Servers: list})
+		}
+	}
+	f.run(ctx)
+}
+
+// serversPause waits less at the holder, also when the term was taken meanwhile.
+func (l *Loop) serversPause(ctx context.Context) time.Duration {
+	for waited := time.Duration(0); waited < idlePause && !l.Holding(); waited += serversPause {
+		sleep(ctx, serversPause)
+	}
+	return serversPause
+}
+
+// serverRead takes an entry over. One that cannot be read names no backend server.
+func (l *Loop) serverRead(entries map[model.BackendServerID]ServerEntry, r StoredRecord) {
+	id := model.BackendServerID(r.Key)
+	if len(r.Value) == 0 {
+		delete(entries, id)
+		return
+	}
+	e, err := l.options.Decoder.Server(id, r.Value)
+	if err != nil {
+		if _, known := entries[id]; !known {
+			l.options.Log.Warn("entry of a backend server skipped", zap.String("server", r.Key), zap.Error(err))
+		}
+		return
+	}
+	entries[id] = e
+}
+
+// announce tells the other VMs of this one through the store.
+func (l *Loop) announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := memberInterval
+		if err := l.announceOnce(ctx); err != nil {
+			l.options.Log.Info("announcement of this VM not confirmed", zap.Error(err))
+			pause = time.Second
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func (l *Loop) announceOnce(ctx context.Context) error {
+	r, err := MemberRecord(l.options.Identity)
+	if err != nil {
+		return err
+	}
+	call, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err = l.options.Store.Append(call, Appending{Partition: Partition{Topic: submissionsTopic}, Records: []job.Record{r}, At: -1})
+	return err
+}
+
+func (l *Loop) receive(ctx context.Context) {
+	buffer := make([]byte, maxHeartbeat)
+	for ctx.Err() == nil {
+		n, err := l.options.Datagrams.Receive(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				l.options.Log.Warn("heartbeats cannot be received", zap.Error(err))
+				sleep(ctx, followRetry)
+			}
+			continue
+		}
+		var h Heartbeat
+		if err := json.Unmarshal(buffer[:n], &h); err != nil {
+			l.options.Log.Debug("datagram skipped", zap.Error(err))
+			continue
+		}
+		l.post(ctx, HeartbeatHeard{Heartbeat: h})
+	}
+}
+
+// carryOut starts one action.
+func (l *Loop) carryOut(ctx context.Context, a Action) {
+	switch a := a.(type) {
+	case Append:
+		l.work.Go(func() {
+			offset, err := l.append(ctx, a.Appending)
+			l.post(ctx, AppendAnswered{Number: a.Number, Offset: offset, Err: err})
+		})
+	case Claim:
+		l.work.Go(func() {
+			_, err := l.append(ctx, a.Appending)
+			l.post(ctx, ClaimAnswered{Err: err})
+		})
+	case OrderStart:
+		l.work.Go(func() { l.post(ctx, l.start(ctx, a.Start)) })
+	case OrderStop:
+		l.work.Go(func() { l.post(ctx, l.stop(ctx, a.Stop)) })
+	case OrderHold:
+		l.work.Go(func() { l.post(ctx, l.hold(ctx, a.Hold)) })
+	case AskAdvice:
+		l.work.Go(func() { l.post(ctx, l.advise(ctx, a)) })
+	case SendHeartbeat:
+		l.sendHeartbeat(a)
+	case Resync:
+		l.follow(ctx, a.Generation)
+	}
+}
+
+func (l *Loop) append(ctx context.Context, a Appending) (int64, error) {
+	call, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	return l.options.Store.Append(call, a)
+}
+
+func (l *Loop) start(ctx context.Context, o Start) Event {
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	clock, err := l.options.Servers.Start(call, o)
+	return StartAnswered{Order: o, Clock: clock, Err: err}
+}
+
+func (l *Loop) stop(ctx context.Context, o Stop) Event {
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	clock, err := l.options.Servers.Stop(call, o)
+	return StopAnswered{Order: o, Clock: clock, Err: err}
+}
+
+func (l *Loop) hold(ctx context.Context, o Hold) Event {
+	sent := boottime.Now()
+	call, cancel := context.WithTimeout(ctx, o.Wait+holdTimeout)
+	defer cancel()
+	report, err := l.options.Servers.Hold(call, o)
+	return HoldAnswered{Order: o, Sent: sent, Report: report, Err: err}
+}
+
+func (l *Loop) advise(ctx context.Context, a AskAdvice) Event {
+	call, cancel := context.WithTimeout(ctx, adviceTimeout)
+	defer cancel()
+	tickets, valid, err := l.options.Advisor.Advise(call, a.Step, a.Servers)
+	return AdviceAnswered{Step: a.Step, Asked: a.Servers, Tickets: tickets, Valid: valid, Err: err}
+}
+
+func (l *Loop) sendHeartbeat(a SendHeartbeat) {
+	payload, err := json.Marshal(a.Heartbeat)
+	if err != nil {
+		l.options.Log.Error("heartbeat not encoded", zap.Error(err))
+		return
+	}
+	for _, address := range a.To {
+		if err := l.options.Datagrams.Send(address, payload); err != nil {
+			l.options.Log.Debug("heartbeat not sent", zap.String("to", address), zap.Error(err))
+		}
+	}
+}
+
+// Find looks for a job's submission in the store itself, beyond what this VM has read.
+func (l *Loop) Find(ctx context.Context, id model.JobID) (found bool, err error) {
+	p := SubmissionPartition(id)
+	var next int64
+	if err := l.Query(ctx, func(s *State) { next = s.nextOf[p] }); err != nil {
+		return false, err
+	}
+	for {
+		read, err := l.options.Store.Read(ctx, p, next, 0)
+		if err != nil {
+			return false, err
+		}
+		if read.Trimmed {
+			return false, fmt.Errorf("history of %s was dropped: %w", p.Topic, ErrNothingDone)
+		}
+		for _, r := range read.Records {
+			if isSubmission(r, id) {
+				return true, nil
+			}
+		}
+		if next = read.Next; next >= read.End {
+			break
+		}
+	}
+	err = l.Query(ctx, func(s *State) { _, found = s.JobStatus(id) })
+	return found, err
+}
--- /dev/null
+++ b/internal/fleet/plan.go
@@ -0,0 +1,272 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/sched"
+)
+
+const (
+	// planInterval bounds how long a round waits when only time has passed.
+	planInterval = 200 * time.Millisecond
+	// surveyLimit bounds the wait for the first reports after a take-over; then only
+	// backend servers that have reported take work.
+	surveyLimit = 600 * time.Millisecond
+	// restartCost is the time that a stop costs a task which loses no work.
+	restartCost = 300 * time.Millisecond
+)
+
+// plan decides a round and has its placements recorded.
+func (s *State) plan() {
+	if !s.replan && s.now.Sub(s.planned) < planInterval || s.leaving || !s.mayPlan() {
+		return
+	}
+	s.replan, s.planned = false, s.now
+	began := time.Now()
+	snapshot := s.snapshot()
+	if len(snapshot.Wants) == 0 {
+		return
+	}
+	p := sched.Decide(snapshot)
+	s.count.RoundLatency.RecordDuration(time.Since(began))
+	s.applyPlacements(p.Placements)
+	for _, e := range p.Evictions {
+		s.evict(e)
+	}
+}
+
+// mayPlan reports whether enough is known to place tasks.
+func (s *State) mayPlan() bool {
+	if s.config == nil || len(s.servers) == 0 {
+		return false
+	}
+	if s.now.Sub(s.term.actedAt) >= surveyLimit {
+		return true
+	}
+	for _, v := range s.servers {
+		if v.listed && !v.surveyed {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *State) snapshot() sched.Snapshot {
+	snap := sched.Snapshot{Now: s.now, FarFactor: s.bounds.FarFactor}
+	for _, id := range sortedKeys(s.servers) {
+		if v := s.servers[id]; s.usable(v) {
+			snap.Servers = append(snap.Servers, serverView(v))
+		}
+	}
+	covered := s.covered()
+	for _, st := range s.openJobs() {
+		s.addWants(&snap, st, covered[st])
+	}
+	if slices.ContainsFunc(snap.Wants, func(w sched.Want) bool { return w.Guaranteed }) {
+		snap.Held = s.held(covered)
+	}
+	return snap
+}
+
+// usable reports whether a backend server may take new tasks.
+func (s *State) usable(v *server) bool {
+	return v.listed && v.surveyed && v.failing == 0 && !v.entry.Draining && v.clock != 0 && v.health.usable(s.now)
+}
+
+func serverView(v *server) sched.Server {
+	free := v.entry.Capacity
+	var releasing job.Resources
+	for _, r := range v.runs {
+		need := r.step().Reserved()
+		free = free.Sub(need)
+		if r.stopping {
+			releasing = releasing.Add(need)
+		}
+	}
+	return sched.Server{
+		ID: v.entry.ID, Service: v.entry.Service, Rack: v.entry.Rack, Labels: v.entry.Labels,
+		Free: free, Releasing: releasing, Slow: v.health.suspect(),
+	}
+}
+
+// openJobs lists the jobs that may still need placements, the oldest first.
+func (s *State) openJobs() []*job.State {
+	var open []*job.State
+	s.jobs.All(func(st *job.State) {
+		if !st.Recorded.Final() && !st.Cancelled {
+			open = append(open, st)
+		}
+	})
+	slices.SortFunc(open, func(a, b *job.State) int {
+		if d := a.Seen.Compare(b.Seen); d != 0 {
+			return d
+		}
+		return strings.Compare(string(a.Job.ID), string(b.Job.ID))
+	})
+	return open
+}
+
+// covered tells which jobs an organisation's guarantee covers: its most urgent ones,
+// oldest first, while their accelerators fit in it.
+func (s *State) covered() map[*job.State]bool {
+	left := make(map[model.OrganisationID]int, len(s.config.Organisations))
+	for id, o := range s.config.Organisations {
+		left[id] = o.Guaranteed
+	}
+	covered := make(map[*job.State]bool)
+	for _, st := range s.openJobs() {
+		need := st.Job.Accelerators()
+		if st.Job.Priority == 0 && need <= left[st.Job.Organisation] && s.config.Organisations[st.Job.Organisation].Guaranteed > 0 {
+			left[st.Job.Organisation] -= need
+			covered[st] = true
+		}
+	}
+	return covered
+}
+
+// addWants adds the steps of a job of which tasks wait and may start.
+func (s *State) addWants(snap *sched.Snapshot, st *job.State, covered bool) {
+	for k := range st.Job.OccurrenceCount() {
+		if st.Job.Due(k).After(s.wall) && st.Job.Occurrences > 0 {
+			return
+		}
+		for i := range st.Job.Steps {
+			g := st.Group(k, i)
+			if g.Failed() {
+				return
+			}
+			if !g.Done() && g.Ready() {
+				s.addWant(snap, g, covered)
+			}
+		}
+	}
+}
+
+func (s *State) addWant(snap *sched.Snapshot, g *job.Group, covered bool) {
+	st, step := g.State, g.Step()
+	w := sched.Want{
+		Key: g.Key(), Service: s.serviceOf(st.Job), Step: step, Priority: st.Job.Priority, Guaranteed: covered,
+		Due: s.dueAt(g), Remaining: st.Job.LongestChain(), On: make(map[model.BackendServerID]int),
+	}
+	w.Objective = w.Due.Add(st.Job.Objective())
+	for i := range g.Tasks {
+		if g.Tasks[i].Phase == job.Waiting && !s.occupied(g, i) {
+			w.Tasks = append(w.Tasks, i)
+		}
+		if g.Tasks[i].Phase == job.Placed {
+			w.On[g.Tasks[i].Server]++
+			if v := s.servers[g.Tasks[i].Server]; v != nil && step.SameRack {
+				w.Rack = v.entry.Rack
+			}
+		}
+	}
+	if len(w.Tasks) == 0 || step.Gang && len(w.Tasks) < len(g.Tasks) {
+		return
+	}
+	if st.Job.Advised && !s.addAdvice(&w, g) {
+		return
+	}
+	snap.Wants = append(snap.Wants, w)
+}
+
+// occupied reports whether an older run of a task may still be somewhere.
+func (s *State) occupied(g *job.Group, index int) bool {
+	t := &g.Tasks[index]
+	if t.Server == "" {
+		return false
+	}
+	v := s.servers[t.Server]
+	return v != nil && v.runs[g.Key().TaskName(index)] != nil
+}
+
+// serviceOf is the service that the queue's configuration names now, or the one at
+// the time of submission when the queue is gone.
+func (s *State) serviceOf(j *job.Job) string {
+	if q := s.config.Queue(j.Queue); q != nil {
+		return q.Service
+	}
+	return j.Service
+}
+
+// dueAt is when an occurrence became due, on the clock that is not stepped.
+func (s *State) dueAt(g *job.Group) time.Time {
+	if g.State.Job.Occurrences == 0 {
+		return g.State.Seen
+	}
+	return s.now.Add(g.State.Job.Due(g.Occurrence).Sub(s.wall))
+}
+
+// held lists the runs that may be stopped for a guarantee.
+func (s *State) held(covered map[*job.State]bool) []sched.Held {
+	var list []sched.Held
+	for _, id := range sortedKeys(s.servers) {
+		for _, r := range s.servers[id].runs {
+			if r.stopping || !r.current() || r.step().LongRunning || covered[r.group.State] {
+				continue
+			}
+			list = append(list, sched.Held{
+				Key: r.group.Key(), Index: r.index, Server: r.server, Need: r.step().Reserved(), Gang: r.step().Gang,
+				Priority: r.group.State.Job.Priority, Unsaved: s.unsaved(r),
+			})
+		}
+	}
+	slices.SortFunc(list, func(a, b sched.Held) int {
+		return cmp.Or(cmp.Compare(a.Unsaved, b.Unsaved), strings.Compare(a.Key.TaskName(a.Index), b.Key.TaskName(b.Index)))
+	})
+	return list
+}
+
+// unsaved is the work that a stop throws away, in core-seconds.
+func (s *State) unsaved(r *run) float64 {
+	weight := r.step().Need.CoreWeight()
+	if r.phase != runRunning || r.step().Checkpoints {
+		return weight * restartCost.Seconds()
+	}
+	return weight * (s.now.Sub(r.startedAt) + restartCost).Seconds()
+}
+
+// applyPlacements places tasks; the members of a gang share the run's number.
+func (s *State) applyPlacements(list []sched.Placement) {
+	numbers := make(map[job.GroupKey]int64)
+	for _, p := range list {
+		g := s.jobs.Job(p.Key.Job).Group(p.Key.Occurrence, p.Key.Step)
+		number, ok := numbers[p.Key]
+		if !ok || !g.Step().Gang {
+			number = g.NextRun(p.Index)
+			numbers[p.Key] = number
+		}
+		s.placeTask(g, p, number)
+	}
+}
+
+func (s *State) placeTask(g *job.Group, p sched.Placement, number int64) {
+	t := &g.Tasks[p.Index]
+	t.Phase, t.Run, t.Server = job.Placed, number, p.Server
+	r := &run{
+		group: g, index: p.Index, name: g.Key().TaskName(p.Index), number: number, server: p.Server,
+		phase: runRecording, far: p.Far, checkpoint: t.Checkpoint,
+	}
+	s.servers[p.Server].runs[r.name] = r
+	s.writer.started = append(s.writer.started, r)
+	s.dirty(g)
+	s.replan = false
+	s.count.Placed.Inc(1)
+	s.log.Info("task placed", zap.String("task", r.name), zap.Int64("run", number), zap.String("server", string(p.Server)),
+		zap.Bool("far", p.Far), zap.Duration("age", s.now.Sub(s.dueAt(g))), zap.Int64("config", s.config.Version))
+}
+
+func (s *State) evict(e sched.Eviction) {
+	g := s.jobs.Job(e.Key.Job).Group(e.Key.Occurrence, e.Key.Step)
+	if r := s.currentRun(g, e.Index); r != nil {
+		r.evicted = true
+		s.count.Preempted.Inc(1)
+		s.wantStop(r, "makes room for "+e.For.String())
+	}
+}
--- /dev/null
+++ b/internal/fleet/records.go
@@ -0,0 +1,148 @@
+package fleet
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+const (
+	submissionsTopic = "keyed.submissions"
+	progressTopic    = "keyed.progress"
+
+	// submissionPartitions spreads submissions, since a slow store takes one append
+	// of a partition at a time.
+	submissionPartitions = 4
+
+	claimKey     = "term"
+	notedPrefix  = "noted/"
+	memberPrefix = "vm/"
+
+	// maxAge bounds how old a job that is read at the start counts, so that a wrong
+	// time of day does no harm.
+	maxAge = time.Hour
+)
+
+// progress is where the holder of the term records what it decides.
+var progress = Partition{Topic: progressTopic}
+
+// SubmissionPartition holds the submission and the cancellation of a job.
+func SubmissionPartition(id model.JobID) Partition {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // a hash's Write never fails
+	return Partition{Topic: submissionsTopic, Number: int(h.Sum32() % submissionPartitions)}
+}
+
+// Partitions lists all partitions that a VM follows.
+func Partitions() []Partition {
+	list := []Partition{progress}
+	for i := range submissionPartitions {
+		list = append(list, Partition{Topic: submissionsTopic, Number: i})
+	}
+	return list
+}
+
+// MemberRecord announces a VM to the others.
+func MemberRecord(self Identity) (job.Record, error) {
+	value, err := json.Marshal(Peer{Node: self.Node, Incarnation: self.Incarnation, Address: self.Address, Forward: self.Forward})
+	return job.Record{Key: memberPrefix + self.Node, Value: value}, err
+}
+
+func isSubmission(r StoredRecord, id model.JobID) bool {
+	return len(r.Value) > 0 && r.Key == job.SubmissionKey(id)
+}
+
+// recordsRead applies what was read, in order. The holder skips the records of its
+// own term, which it made itself.
+func (s *State) recordsRead(e RecordsRead) {
+	s.storeSeen = s.now
+	if e.Generation != s.generation {
+		return
+	}
+	target := s.replicated
+	if s.incoming != nil {
+		target = s.incoming
+	}
+	for _, r := range e.Records {
+		if e.Partition == progress && s.acting() && r.Offset >= s.term.token-1 && r.Key != claimKey {
+			continue
+		}
+		s.apply(target, r, e.Initial)
+	}
+	s.nextOf[e.Partition] = e.Next
+	if e.Synced && s.unsynced[e.Partition] {
+		delete(s.unsynced, e.Partition)
+		s.finishSync()
+	}
+}
+
+// finishSync puts the state that was read anew in force once it is whole.
+func (s *State) finishSync() {
+	if len(s.unsynced) > 0 || s.incoming == nil {
+		return
+	}
+	s.replicated, s.incoming = s.incoming, nil
+	s.log.Info("stored records read", zap.Int("jobs", s.jobs.Len()), zap.Int64("progress_offset", s.nextOf[progress]))
+}
+
+func (s *State) apply(target *replicated, r StoredRecord, initial bool) {
+	changed, known, err := target.jobs.Apply(r.Record, s.now)
+	if err != nil {
+		s.log.Error("record skipped: it cannot be read", zap.String("key", r.Key), zap.Int64("offset", r.Offset), zap.Error(err))
+		return
+	}
+	if known {
+		s.jobChanged(changed, initial)
+		return
+	}
+	if err := s.applyOther(target, r); err != nil {
+		s.log.Error("record skipped: it cannot be read", zap.String("key", r.Key), zap.Int64("offset", r.Offset), zap.Error(err))
+	}
+}
+
+func (s *State) jobChanged(changed *job.State, initial bool) {
+	if changed == nil {
+		return
+	}
+	if initial && changed.Seen.Equal(s.now) {
+		age := min(max(s.wall.Sub(changed.Job.Accepted), 0), maxAge)
+		changed.Seen = s.now.Add(-age)
+	}
+	s.replan = true
+}
+
+func (s *State) applyOther(target *replicated, r StoredRecord) error {
+	switch {
+	case r.Key == claimKey:
+		c := claim{Offset: r.Offset}
+		if err := json.Unmarshal(r.Value, &c); err != nil {
+			return err
+		}
+		c.Offset = r.Offset
+		s.claimRead(target, c)
+	case strings.HasPrefix(r.Key, notedPrefix):
+		id := model.BackendServerID(strings.TrimPrefix(r.Key, notedPrefix))
+		if len(r.Value) == 0 {
+			delete(target.noted, id)
+			return nil
+		}
+		var n noted
+		if err := json.Unmarshal(r.Value, &n); err != nil {
+			return err
+		}
+		target.noted[id] = n
+	case strings.HasPrefix(r.Key, memberPrefix):
+		var p Peer
+		if err := json.Unmarshal(r.Value, &p); err != nil {
+			return err
+		}
+		target.peers[p.Node] = p
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/server.go
@@ -0,0 +1,336 @@
+package fleet
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// server is a backend server as the holder sees it under its token.
+type server struct {
+	entry    ServerEntry
+	listed   bool
+	listedAt time.Time // when it was last listed
+	// surveyed tells that it has reported under this token.
+	surveyed bool
+	born     int64
+	heard    time.Time // when the newest report was received
+	// clock is its clock at clockAt; deadline is the latest that was sent to it.
+	clock    int64
+	clockAt  time.Time
+	deadline int64
+	// leaseEnd bounds what an older holder may have granted, until the first report.
+	leaseEnd time.Time
+	holding  bool // a Hold is on its way
+	nextHold time.Time
+	failing  int // calls without an answer since the newest report
+
+	seen     int64 // ends up to this number are applied
+	recorded int64 // ends up to this number are recorded
+	told     int64 // the newest number that it was told to forget
+	runs     map[string]*run
+	health   health
+}
+
+func (s *State) serversListed(entries []ServerEntry) {
+	present := make(map[model.BackendServerID]bool, len(entries))
+	for _, e := range entries {
+		present[e.ID] = true
+		s.serverListed(e)
+	}
+	for id, v := range s.servers {
+		if v.listed && !present[id] {
+			v.listed = false
+			s.replan = true
+			s.log.Info("backend server no longer listed", zap.String("server", string(id)),
+				zap.Int("runs", len(v.runs)), zap.Duration("heard_before", s.now.Sub(v.heard)))
+		}
+		if !v.listed && len(v.runs) == 0 && s.now.Sub(v.listedAt) > unlistedLimit {
+			delete(s.servers, id)
+		}
+	}
+}
+
+func (s *State) serverListed(e ServerEntry) {
+	v := s.servers[e.ID]
+	if v == nil {
+		v = &server{runs: make(map[string]*run)}
+		s.servers[e.ID] = v
+		s.replan = true
+	}
+	if e.Draining && !v.entry.Draining {
+		s.log.Info("backend server drains", zap.String("server", string(e.ID)), zap.Duration("remaining", e.Remaining))
+		s.replan = true
+	}
+	v.listed, v.listedAt, v.entry = true, s.now, e
+	if s.acting() && v.surveyed && e.Born > v.born {
+		s.reborn(e.ID, v, e.Born)
+		v.surveyed = false
+		v.leaseEnd = s.now.Add(time.Duration(float64(s.bounds.LeaseMax) * slowClock))
+		v.nextHold = s.now
+	}
+}
+
+// reborn drops what ran in the older incarnation. A start whose answer is missing may
+// still reach the new one: it is stopped there before the task may run elsewhere.
+func (s *State) reborn(id model.BackendServerID, v *server, born int64) {
+	s.log.Info("backend server restarted", zap.String("server", string(id)), zap.Int64("born", born), zap.Int("runs_lost", len(v.runs)))
+	v.born, v.seen, v.recorded, v.told, v.deadline, v.clock = born, 0, 0, 0, 0, 0
+	for _, name := range sortedKeys(v.runs) {
+		r := v.runs[name]
+		switch {
+		case r.phase == runRecording:
+		case r.doubt && !r.fencedOff:
+			s.wantStop(r, "restarted with a start in doubt")
+		default:
+			s.release(v, r, "backend server restarted")
+		}
+	}
+}
+
+// pollServers sends the reports that are due.
+func (s *State) pollServers() {
+	for id, v := range s.servers {
+		if v.holding || s.now.Before(v.nextHold) || v.entry.Address == "" {
+			continue
+		}
+		if !v.listed && v.failing > 0 && len(v.runs) == 0 {
+			continue
+		}
+		s.hold(id, v)
+	}
+}
+
+func (s *State) hold(id model.BackendServerID, v *server) {
+	o := Hold{Server: id, Address: v.entry.Address, Token: s.term.token}
+	if v.surveyed {
+		o.Noted = v.recorded
+		if len(v.runs) > 0 && v.told == v.recorded {
+			o.Wait = holdWait
+		}
+		if !s.isolated() {
+			o.Deadline = s.extend(v, lease)
+		}
+	}
+	v.holding = true
+	s.emit(OrderHold{o})
+}
+
+// extend returns the deadline that lies d ahead on the backend server's clock, or 0
+// when its clock is not known.
+func (s *State) extend(v *server, d time.Duration) int64 {
+	if v.clock == 0 {
+		return 0
+	}
+	d = min(d, s.bounds.LeaseMax)
+	deadline := v.clock + (s.now.Sub(v.clockAt) + d).Milliseconds()
+	v.deadline = max(v.deadline, deadline)
+	return deadline
+}
+
+// clockTold takes a reading of the backend server's clock.
+func (s *State) clockTold(v *server, clock int64) {
+	if clock > v.clock {
+		v.clock, v.clockAt = clock, s.now
+	}
+}
+
+// leasesOver is when everything that runs there has certainly lapsed.
+func (v *server) leasesOver() time.Time {
+	if v.clock == 0 || !v.surveyed {
+		return v.leaseEnd
+	}
+	left := time.Duration(max(v.deadline-v.clock, 0)) * time.Millisecond
+	over := v.clockAt.Add(time.Duration(float64(left)*slowClock) + clockSlack)
+	if v.leaseEnd.After(over) {
+		return v.leaseEnd
+	}
+	return over
+}
+
+// expireLeases gives up what ran on backend servers that have been silent for longer
+// than any lease there can last.
+func (s *State) expireLeases() {
+	for id, v := range s.servers {
+		if len(v.runs) == 0 || s.now.Before(v.leasesOver()) || v.surveyed && v.failing == 0 {
+			continue
+		}
+		s.log.Warn("leases ended on a silent backend server", zap.String("server", string(id)),
+			zap.Int("runs", len(v.runs)), zap.Duration("heard_before", s.now.Sub(v.heard)))
+		for _, name := range sortedKeys(v.runs) {
+			if r := v.runs[name]; r.phase != runRecording {
+				s.release(v, r, "lease ended")
+			}
+		}
+	}
+}
+
+func (s *State) holdAnswered(e HoldAnswered) {
+	if !s.acting() || e.Order.Token != s.term.token {
+		return
+	}
+	v := s.servers[e.Order.Server]
+	if v == nil {
+		return
+	}
+	v.holding = false
+	if e.Err != nil {
+		s.holdFailed(e, v)
+		return
+	}
+	if v.failing > 0 {
+		s.log.Info("backend server answers again", zap.String("server", string(e.Order.Server)), zap.Int("failed_calls", v.failing))
+	}
+	v.failing = 0
+	v.heard = s.now
+	first := !v.surveyed
+	if e.Report.Born != v.born {
+		if v.born != 0 && e.Report.Born < v.born {
+			return // from an incarnation that is gone
+		}
+		if v.born != 0 {
+			s.reborn(e.Order.Server, v, e.Report.Born)
+		}
+		v.born = e.Report.Born
+	}
+	s.clockTold(v, e.Report.Clock)
+	v.told = max(v.told, e.Order.Noted)
+	if first {
+		s.firstReport(e.Order.Server, v)
+	}
+	s.applyReport(v, e)
+	v.nextHold = s.nextHold(v)
+}
+
+// firstReport prepares for the first report under this token.
+func (s *State) firstReport(id model.BackendServerID, v *server) {
+	v.surveyed = true
+	v.leaseEnd = time.Time{}
+	if n := s.noted[id]; n.Born == v.born {
+		v.seen, v.recorded = max(v.seen, n.Number), max(v.recorded, n.Number)
+	}
+	s.replan = true
+}
+
+// nextHold is when a backend server is asked again: at once when something runs there
+// or has to be acknowledged.
+func (s *State) nextHold(v *server) time.Time {
+	if len(v.runs) > 0 || v.recorded > v.told {
+		return s.now
+	}
+	return s.now.Add(idleHold)
+}
+
+func (s *State) holdFailed(e HoldAnswered, v *server) {
+	var refused *RefusedError
+	if errors.As(e.Err, &refused) {
+		if refused.Reason == RefusedFence {
+			s.stepDown("fenced by a backend server", string(e.Order.Server))
+			return
+		}
+		v.nextHold = s.now.Add(holdRetry)
+		return
+	}
+	v.failing++
+	v.nextHold = s.now.Add(holdRetry)
+	if v.failing == 1 {
+		s.log.Info("backend server does not answer", zap.String("server", string(e.Order.Server)),
+			zap.Int("runs", len(v.runs)), zap.Error(e.Err))
+		s.replan = true
+	}
+}
+
+// applyReport compares a report with what the holder expects.
+func (s *State) applyReport(v *server, e HoldAnswered) {
+	for _, end := range e.Report.Ended {
+		s.endReported(v, end)
+	}
+	running := make(map[string]bool, len(e.Report.Running))
+	for _, row := range e.Report.Running {
+		running[row.Task] = true
+		s.runReported(v, row)
+	}
+	if len(e.Report.Ended) >= endsPerReport {
+		return
+	}
+	for _, name := range sortedKeys(v.runs) {
+		if r := v.runs[name]; r != nil && !running[name] {
+			s.runMissing(v, r, e.Sent)
+		}
+	}
+}
+
+// runReported takes over what a report says of a running task.
+func (s *State) runReported(v *server, row RunReport) {
+	r := v.runs[row.Task]
+	if r == nil || r.number != row.Run {
+		s.unexpectedRun(v, row)
+		return
+	}
+	if r.phase == runAdopting {
+		r.startedAt = s.now.Add(-s.workDone(r, row.Percent))
+		r.phase = runRunning
+	}
+	if r.phase == runOrdered {
+		r.phase = runRunning
+	}
+	r.doubt = false
+	if row.Percent != r.percent {
+		r.percent, r.progressAt = row.Percent, s.now
+	}
+	r.load = row.Load
+	if row.Checkpoint != "" {
+		s.checkpointed(r.group, r.index, row.Run, row.Checkpoint)
+		if row.Checkpoint != r.checkpoint {
+			r.checkpoint, r.savedAt = row.Checkpoint, s.now
+		}
+	}
+}
+
+// unexpectedRun stops a run that should not be there.
+func (s *State) unexpectedRun(v *server, row RunReport) {
+	key, index, err := job.ParseTaskName(row.Task)
+	if err != nil {
+		s.log.Error("a backend server runs an unknown task", zap.String("server", string(v.entry.ID)), zap.Error(err))
+		return
+	}
+	var g *job.Group
+	if st := s.jobs.Job(key.Job); st != nil {
+		g = st.Group(key.Occurrence, key.Step)
+	}
+	if g == nil || index >= len(g.Tasks) {
+		s.log.Warn("a backend server runs a task of a job that is not known", zap.String("server", string(v.entry.ID)), zap.String("task", row.Task))
+		return
+	}
+	if old := v.runs[row.Task]; old != nil {
+		if old.number > row.Run {
+			return // its newer run has been ordered; the report is older
+		}
+		delete(v.runs, row.Task)
+	}
+	r := &run{group: g, index: index, name: row.Task, number: row.Run, server: v.entry.ID, phase: runRunning, stray: true, startedAt: s.now, progressAt: s.now}
+	v.runs[row.Task] = r
+	s.wantStop(r, "not expected there")
+}
+
+// runMissing follows up a run that a report sent at sent does not list.
+func (s *State) runMissing(v *server, r *run, sent time.Time) {
+	if r.phase == runRecording || r.inFlight || !sent.After(r.answered) {
+		return
+	}
+	if r.doubt && !r.fencedOff {
+		s.wantStop(r, "start in doubt")
+		return
+	}
+	s.release(v, r, "no longer there")
+}
+
+func sortedKeys[K ~string, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/internal/fleet/settings.go
@@ -0,0 +1,59 @@
+package fleet
+
+import "time"
+
+// Bounds are the deployment's figures that the loop keeps to.
+type Bounds struct {
+	// LeaseMax is the longest lease that a backend server grants.
+	LeaseMax time.Duration
+	// StopTimeout is the longest that a stop takes on a backend server.
+	StopTimeout time.Duration
+	// FarFactor is how much longer tasks take away from their data.
+	FarFactor float64
+	// KeepFinal is how long a job's final state is told.
+	KeepFinal time.Duration
+}
+
+// Timings of the loop.
+const (
+	tickInterval = 50 * time.Millisecond // decisions that depend on time alone
+
+	heartbeatInterval = 250 * time.Millisecond // a third of holderTimeout
+	// holderTimeout is the silence after which the holder counts as gone; a
+	// take-over then fits in the 2 s goal.
+	holderTimeout = 900 * time.Millisecond
+	claimStagger  = 150 * time.Millisecond // between VMs, so that one claims first
+	claimRetry    = 1 * time.Second        // an append's timeout
+	// holderStoreTimeout is how long a holder may miss the store before a VM that
+	// reaches it takes over.
+	holderStoreTimeout = 2 * time.Second
+	// pauseLimit is the gap between two steps after which the VM was frozen.
+	pauseLimit = 700 * time.Millisecond
+
+	// lease bounds what a cut-off backend server goes on with; it outlasts a
+	// take-over and the usual cut of 5.5 s.
+	lease = 6500 * time.Millisecond
+	// firstLease bounds how long a start without an answer stays in doubt.
+	firstLease = 2500 * time.Millisecond
+	// slowClock is how much longer a backend server's clock may take than ours.
+	slowClock = 1.03
+	// holderAuthority bounds how long a holder that was replaced may go on unnoticed.
+	holderAuthority = 1 * time.Second
+
+	holdWait      = 1 * time.Second        // a report waits this long for an end
+	holdRetry     = 150 * time.Millisecond // after a failed call
+	idleHold      = 5 * time.Second        // reports of backend servers without tasks
+	startRetryFor = 1200 * time.Millisecond
+	stopRetry     = 300 * time.Millisecond // StopTimeout and a round trip
+	unlistedLimit = 3 * time.Second        // entries of live backend servers are back within 2 s of an outage
+
+	// clockSlack covers round trips when a deadline is worked out.
+	clockSlack = 50 * time.Millisecond
+	// endsPerReport is the most ends that one report lists.
+	endsPerReport = 500
+	// dropDelay is added to KeepFinal before a job's records are dropped.
+	dropDelay    = 60 * time.Second
+	dropInterval = 5 * time.Second
+	// maxBatchRecords keeps an append below the store's size limit of a call.
+	maxBatchRecords = 200
+)
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,321 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/boottime"
+	"github.com/eelgrassreach/eelgrassreach/internal/fleet"
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// Result is what became of a call.
+type Result int
+
+// The results.
+const (
+	OK             Result = iota
+	NoSuchQueue           // the configuration has no queue for the call
+	NoSuchJob             // certain: no such job was accepted
+	UnknownKey            // no organisation holds the key
+	Invalid               // the job can not be read or never run
+	TooLarge              // the body is over the configured size
+	Unavailable           // certain: the call had no effect; it may be repeated
+	OutcomeInDoubt        // the call may have had its effect
+	Elsewhere             // this VM cannot decide the call; another one may
+)
+
+// Answer is the result of a call with what it is based on.
+type Answer struct {
+	Result  Result
+	Reason  string
+	Status  job.Status
+	Pending int
+	// RetryAfter is when a refused call may be repeated.
+	RetryAfter time.Duration
+}
+
+// Call is a submitter's call as far as every kind has it.
+type Call struct {
+	Host, Path, Key string
+	// Patience is how long the submitter waits.
+	Patience time.Duration
+	// Passed tells that another VM has passed the call on.
+	Passed bool
+}
+
+// Target is what a call is about.
+type Target struct {
+	Queue        fleet.Queue
+	Organisation model.OrganisationID
+	Job          model.JobID // empty for the queue itself
+	MaxBody      int64
+}
+
+const (
+	// answerMargin is kept of a submitter's patience to deliver the answer.
+	answerMargin = 250 * time.Millisecond
+	maxPatience  = 2500 * time.Millisecond
+	// storeRetryAfter is when the store is likely to be back: outages last seconds.
+	storeRetryAfter = 1 * time.Second
+	// silentStore without an answer means that nothing can be stored now.
+	silentStore = 2500 * time.Millisecond
+	// findTimeout bounds the look into the store for a job that is not known here.
+	findTimeout = 700 * time.Millisecond
+	// keyMargin is kept of the bound on revoked keys for clocks and delivery.
+	keyMargin = 500 * time.Millisecond
+)
+
+// Options are what a Service works with.
+type Options struct {
+	Loop  *fleet.Loop
+	Store fleet.Store
+	// RevokeBound is how long a revoked key may still be honoured.
+	RevokeBound time.Duration
+	Log         *zap.Logger
+	Counters    Counters
+}
+
+// Service answers submitters' calls.
+type Service struct {
+	options   Options
+	appenders map[fleet.Partition]*appender
+}
+
+// New returns a service that stores nothing until Run.
+func New(o Options) *Service {
+	s := &Service{options: o, appenders: make(map[fleet.Partition]*appender)}
+	for _, p := range fleet.Partitions() {
+		s.appenders[p] = newAppender(o.Store, p)
+	}
+	return s
+}
+
+// Run stores what is accepted until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	for _, a := range s.appenders {
+		go a.run(ctx)
+	}
+	<-ctx.Done()
+}
+
+// Ready reports whether this VM can serve new callers.
+func (s *Service) Ready(ctx context.Context) bool {
+	c, asOf := s.options.Loop.Config()
+	if c == nil || s.stale(asOf) {
+		return false
+	}
+	ready := false
+	err := s.options.Loop.Query(ctx, func(st *fleet.State) { ready = st.Synced() && st.StoreSilence() < silentStore })
+	return err == nil && ready
+}
+
+func (s *Service) stale(asOf time.Time) bool {
+	return boottime.Now().Sub(asOf) > s.options.RevokeBound-keyMargin
+}
+
+// Route finds the queue and checks the key. The answer's result is OK when the target is valid.
+func (s *Service) Route(c Call) (Target, Answer) {
+	config, asOf := s.options.Loop.Config()
+	if config == nil {
+		return Target{}, Answer{Result: Unavailable, Reason: "no configuration yet", RetryAfter: storeRetryAfter}
+	}
+	stale := s.stale(asOf)
+	q, rest := config.QueueFor(c.Host, c.Path)
+	if q == nil {
+		if stale {
+			return Target{}, s.staleAnswer(asOf)
+		}
+		return Target{}, Answer{Result: NoSuchQueue, Reason: "no queue for this host and path"}
+	}
+	t := Target{Queue: *q, Job: model.JobID(rest), MaxBody: config.MaxBody}
+	owner, known := config.Owner(c.Key)
+	t.Organisation = owner
+	if known || q.Public {
+		if !q.Public && stale {
+			return t, s.staleAnswer(asOf)
+		}
+		return t, Answer{}
+	}
+	if stale {
+		return t, s.staleAnswer(asOf)
+	}
+	return t, Answer{Result: UnknownKey, Reason: "no organisation holds this key"}
+}
+
+func (s *Service) staleAnswer(asOf time.Time) Answer {
+	age := boottime.Now().Sub(asOf)
+	return Answer{
+		Result: Elsewhere, RetryAfter: storeRetryAfter,
+		Reason: fmt.Sprintf("the configuration was last confirmed %v ago, too long to honour keys", age.Round(time.Millisecond)),
+	}
+}
+
+// Submit stores a job and acknowledges it.
+func (s *Service) Submit(ctx context.Context, c Call, t Target, j *job.Job) Answer {
+	if a := s.checkJob(ctx, t, j); a.Result != OK {
+		return a
+	}
+	record, err := job.SubmissionRecord(j)
+	if err != nil {
+		return Answer{Result: Invalid, Reason: err.Error()}
+	}
+	if a := s.storeAnswers(ctx); a.Result != OK {
+		return a
+	}
+	return s.store(ctx, c, j.ID, record)
+}
+
+// checkJob completes a job with the terms of its queue and refuses one that can never run.
+func (s *Service) checkJob(ctx context.Context, t Target, j *job.Job) Answer {
+	if !validID(t.Job) {
+		return Answer{Result: Invalid, Reason: fmt.Sprintf("job ID %q is not 16 hexadecimal digits", t.Job)}
+	}
+	q := t.Queue
+	j.ID, j.Queue, j.Service, j.Organisation = t.Job, q.Name, q.Service, t.Organisation
+	j.Priority, j.Attempts, j.Stretch, j.Grace, j.Advised = q.Priority, max(q.Attempts, 1), q.Stretch, q.Grace, q.Advised
+	j.Accepted = time.Now().UTC()
+	if err := j.Check(); err != nil {
+		return Answer{Result: Invalid, Reason: strings.ReplaceAll(err.Error(), "\n", "; ")}
+	}
+	var findings []string
+	err := s.options.Loop.Query(ctx, func(st *fleet.State) {
+		for i := range j.Steps {
+			if !st.CouldFit(j.Service, &j.Steps[i]) {
+				findings = append(findings, fmt.Sprintf("steps[%d]: no backend server of service %s can hold a task of %+v", i, j.Service, j.Steps[i].Need))
+			}
+		}
+	})
+	if err != nil {
+		return Answer{Result: Unavailable, Reason: err.Error(), RetryAfter: storeRetryAfter}
+	}
+	if len(findings) > 0 {
+		return Answer{Result: Invalid, Reason: strings.Join(findings, "; ")}
+	}
+	return Answer{}
+}
+
+// validID reports whether id is 16 hexadecimal digits.
+func validID(id model.JobID) bool {
+	if len(id) != 16 {
+		return false
+	}
+	return strings.Trim(string(id), "0123456789abcdefABCDEF") == ""
+}
+
+// storeAnswers refuses at once what could not be stored before the submitter gives up.
+func (s *Service) storeAnswers(ctx context.Context) Answer {
+	var silence time.Duration
+	if err := s.options.Loop.Query(ctx, func(st *fleet.State) { silence = st.StoreSilence() }); err != nil {
+		return Answer{Result: Unavailable, Reason: err.Error(), RetryAfter: storeRetryAfter}
+	}
+	if silence > silentStore {
+		reason := fmt.Sprintf("the store has not answered for %v", silence.Round(time.Millisecond))
+		return Answer{Result: Elsewhere, Reason: reason, RetryAfter: storeRetryAfter}
+	}
+	return Answer{}
+}
+
+func (s *Service) store(ctx context.Context, c Call, id model.JobID, r job.Record) Answer {
+	patience := min(c.Patience-answerMargin, maxPatience)
+	call, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	began := boottime.Now()
+	err := s.appenders[fleet.SubmissionPartition(id)].add(call, r)
+	s.options.Counters.StoreLatency.RecordDuration(boottime.Now().Sub(began))
+	switch {
+	case err == nil:
+		return Answer{}
+	case errors.Is(err, fleet.ErrNothingDone):
+		return Answer{Result: Unavailable, Reason: "not stored: " + err.Error(), RetryAfter: storeRetryAfter}
+	default:
+		return Answer{Result: OutcomeInDoubt, Reason: "storing: " + err.Error()}
+	}
+}
+
+// Status returns a job's recorded state.
+func (s *Service) Status(ctx context.Context, t Target) Answer {
+	status, known := job.Status(""), false
+	err := s.options.Loop.Query(ctx, func(st *fleet.State) { status, known = st.JobStatus(t.Job) })
+	if err != nil {
+		return Answer{Result: Unavailable, Reason: err.Error(), RetryAfter: storeRetryAfter}
+	}
+	if known {
+		return Answer{Status: status}
+	}
+	if !validID(t.Job) {
+		return Answer{Result: NoSuchJob, Reason: "not a job ID"}
+	}
+	return s.find(ctx, t.Job)
+}
+
+// find looks into the store before a job is called unknown.
+func (s *Service) find(ctx context.Context, id model.JobID) Answer {
+	call, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	synced := false
+	if err := s.options.Loop.Query(call, func(st *fleet.State) { synced = st.Synced() }); err != nil || !synced {
+		return Answer{Result: Elsewhere, Reason: "the stored jobs have not been read yet", RetryAfter: storeRetryAfter}
+	}
+	found, err := s.options.Loop.Find(call, id)
+	switch {
+	case err != nil:
+		return Answer{Result: Elsewhere, Reason: "job not known here, and the store does not answer: " + err.Error(), RetryAfter: storeRetryAfter}
+	case found:
+		return Answer{Status: job.StatusQueued}
+	default:
+		return Answer{Result: NoSuchJob, Reason: "the store has no such job"}
+	}
+}
+
+// Cancel stores a cancellation and acknowledges it.
+func (s *Service) Cancel(ctx context.Context, c Call, t Target) Answer {
+	status := s.Status(ctx, t)
+	if status.Result != OK || status.Status.Final() {
+		return status
+	}
+	if a := s.storeAnswers(ctx); a.Result != OK {
+		return a
+	}
+	return s.store(ctx, c, t.Job, job.CancellationRecord(t.Job))
+}
+
+// Pending counts the jobs of a queue that have not begun.
+func (s *Service) Pending(ctx context.Context, t Target) Answer {
+	a := Answer{}
+	err := s.options.Loop.Query(ctx, func(st *fleet.State) {
+		a.Pending = st.Pending(t.Queue.Name)
+		if !st.Synced() {
+			a.Result, a.Reason, a.RetryAfter = Elsewhere, "the stored jobs have not been read yet", storeRetryAfter
+		}
+	})
+	if err != nil {
+		return Answer{Result: Unavailable, Reason: err.Error(), RetryAfter: storeRetryAfter}
+	}
+	return a
+}
+
+// PassOn lists the VMs that may decide a call which this one cannot, the likeliest first.
+func (s *Service) PassOn(ctx context.Context) []string {
+	var list []string
+	err := s.options.Loop.Query(ctx, func(st *fleet.State) {
+		if h := st.Holder(); h != "" {
+			list = append(list, h)
+		}
+		for _, p := range st.PeerForwards() {
+			if len(list) == 0 || p != list[0] {
+				list = append(list, p)
+			}
+		}
+	})
+	if err != nil {
+		s.options.Log.Debug("no peers to pass a call on to", zap.Error(err))
+	}
+	return list
+}
--- /dev/null
+++ b/internal/job/record.go
@@ -0,0 +1,110 @@
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// The prefixes of record keys. A record holds the whole state of its key, so that
+// the newest record of a key is all that has to last.
+const (
+	submissionPrefix   = "job/"
+	cancellationPrefix = "cancel/"
+	progressPrefix     = "step/"
+)
+
+// Record is a key with its value; without a value the key is dropped.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// SubmissionKey is the key of a job's submission.
+func SubmissionKey(id model.JobID) string { return submissionPrefix + string(id) }
+
+// SubmissionRecord stores a job.
+func SubmissionRecord(j *Job) (Record, error) {
+	value, err := json.Marshal(j)
+	if err != nil {
+		return Record{}, fmt.Errorf("encode job %s: %w", j.ID, err)
+	}
+	return Record{Key: SubmissionKey(j.ID), Value: value}, nil
+}
+
+// CancellationRecord stores that a job was cancelled.
+func CancellationRecord(id model.JobID) Record {
+	return Record{Key: cancellationPrefix + string(id), Value: []byte("1")}
+}
+
+// ProgressRecord stores the tasks of a group.
+func ProgressRecord(g *Group) (Record, error) {
+	value, err := json.Marshal(g.Tasks)
+	if err != nil {
+		return Record{}, fmt.Errorf("encode progress of %s: %w", g.Key(), err)
+	}
+	return Record{Key: progressPrefix + g.Key().String(), Value: value}, nil
+}
+
+// Apply brings a record into the table. It returns the job that changed, if it is
+// known, and false for a record of another kind.
+func (t *Table) Apply(r Record, now time.Time) (changed *State, known bool, err error) {
+	switch {
+	case strings.HasPrefix(r.Key, submissionPrefix):
+		changed, err = t.applySubmission(r, now)
+	case strings.HasPrefix(r.Key, cancellationPrefix):
+		if len(r.Value) == 0 {
+			return nil, true, nil
+		}
+		changed = t.Cancel(model.JobID(strings.TrimPrefix(r.Key, cancellationPrefix)), now)
+	case strings.HasPrefix(r.Key, progressPrefix):
+		changed, err = t.applyProgress(r, now)
+	default:
+		return nil, false, nil
+	}
+	return changed, true, err
+}
+
+func (t *Table) applySubmission(r Record, now time.Time) (*State, error) {
+	id := model.JobID(strings.TrimPrefix(r.Key, submissionPrefix))
+	if len(r.Value) == 0 {
+		t.Drop(id)
+		return nil, nil
+	}
+	j := new(Job)
+	if err := json.Unmarshal(r.Value, j); err != nil {
+		return nil, fmt.Errorf("record %s: %w", r.Key, err)
+	}
+	if err := j.Check(); err != nil || j.ID != id {
+		return nil, fmt.Errorf("record %s: job %q: %w", r.Key, j.ID, err)
+	}
+	s, _ := t.Submit(j, now)
+	return s, nil
+}
+
+func (t *Table) applyProgress(r Record, now time.Time) (*State, error) {
+	key, err := ParseGroupKey(strings.TrimPrefix(r.Key, progressPrefix))
+	if err != nil {
+		return nil, err
+	}
+	if len(r.Value) == 0 {
+		return nil, nil // dropped together with its job
+	}
+	var tasks []Task
+	if err := json.Unmarshal(r.Value, &tasks); err != nil {
+		return nil, fmt.Errorf("record %s: %w", r.Key, err)
+	}
+	t.Progress(key, tasks, now)
+	return t.jobs[key.Job], nil
+}
+
+// DroppedJob drops the records of a job's submission and cancellation.
+func DroppedJob(id model.JobID) []Record {
+	return []Record{{Key: cancellationPrefix + string(id)}, {Key: submissionPrefix + string(id)}}
+}
+
+// DroppedProgress drops the record of a group.
+func DroppedProgress(key GroupKey) Record { return Record{Key: progressPrefix + key.String()} }
--- /dev/null
+++ b/internal/sched/round.go
@@ -0,0 +1,103 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// round is the state of one decision.
+type round struct {
+	now       time.Time
+	farFactor float64
+	rooms     []*room
+	byID      map[model.BackendServerID]*room
+	capacity  map[model.BackendServerID]job.Resources
+	held      []Held
+	evicted   map[heldID]bool
+	plan      Plan
+}
+
+type heldID struct {
+	key   job.GroupKey
+	index int
+}
+
+// Decide plans one round over a snapshot.
+func Decide(s Snapshot) Plan {
+	d := newRound(s)
+	Order(s.Wants, s.Now)
+	for i := range s.Wants {
+		d.serve(&s.Wants[i])
+	}
+	return d.plan
+}
+
+func newRound(s Snapshot) *round {
+	d := &round{
+		now:       s.Now,
+		farFactor: s.FarFactor,
+		byID:      make(map[model.BackendServerID]*room, len(s.Servers)),
+		capacity:  make(map[model.BackendServerID]job.Resources, len(s.Servers)),
+		held:      s.Held,
+		evicted:   make(map[heldID]bool),
+	}
+	for i := range s.Servers {
+		v := &s.Servers[i]
+		r := &room{Server: v, free: v.Free, promised: v.Releasing}
+		d.rooms = append(d.rooms, r)
+		d.byID[v.ID] = r
+		d.capacity[v.ID] = v.Free.Add(v.Releasing)
+	}
+	for i := range s.Held {
+		h := &s.Held[i]
+		d.capacity[h.Server] = d.capacity[h.Server].Add(h.Need)
+	}
+	return d
+}
+
+// serve places a want, or has room made for it when a guarantee covers it.
+func (d *round) serve(w *Want) {
+	a := d.fit(w, false)
+	d.place(w, a)
+	if !w.Guaranteed || len(a.rooms) == len(w.Tasks) {
+		return
+	}
+	rest := *w
+	rest.Tasks = w.Tasks[len(a.rooms):]
+	if coming := d.fit(&rest, true); len(coming.rooms) == len(rest.Tasks) {
+		d.promise(&rest, coming)
+		return
+	}
+	d.preempt(&rest)
+}
+
+// place starts the want's first tasks on the rooms.
+func (d *round) place(w *Want, a assignment) {
+	need := w.Step.Reserved()
+	for i, r := range a.rooms {
+		r.free = r.free.Sub(need)
+		d.plan.Placements = append(d.plan.Placements, Placement{Key: w.Key, Index: w.Tasks[i], Server: r.ID, Far: a.far})
+	}
+}
+
+// promise keeps room that is free or being released from later wants.
+func (d *round) promise(w *Want, a assignment) {
+	need := w.Step.Reserved()
+	for _, r := range a.rooms {
+		r.free, r.promised = take(r.free, r.promised, need)
+	}
+}
+
+// take subtracts need from free and, where that is not enough, from promised.
+func take(free, promised, need job.Resources) (job.Resources, job.Resources) {
+	split := func(f, p, n int) (int, int) {
+		fromFree := min(f, n)
+		return f - fromFree, p - (n - fromFree)
+	}
+	free.MilliCPU, promised.MilliCPU = split(free.MilliCPU, promised.MilliCPU, need.MilliCPU)
+	free.MemoryMB, promised.MemoryMB = split(free.MemoryMB, promised.MemoryMB, need.MemoryMB)
+	free.Accelerators, promised.Accelerators = split(free.Accelerators, promised.Accelerators, need.Accelerators)
+	return free, promised
+}
--- /dev/null
+++ b/internal/vm/fleet.go
@@ -0,0 +1,189 @@
+package vm
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/fleet"
+	"github.com/eelgrassreach/eelgrassreach/internal/intake"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/telemetry"
+	"github.com/eelgrassreach/eelgrassreach/platform"
+)
+
+const (
+	// rotationTime is how long the platform may still send new connections to a VM
+	// that is not ready: two questions, a second apart.
+	rotationTime = 2500 * time.Millisecond
+	// stopMargin is kept of the grace period to end the process.
+	stopMargin = 1200 * time.Millisecond
+	// handoverTime is how long a holder goes on for the VM that follows it.
+	handoverTime = 1500 * time.Millisecond
+
+	metricsOffset = 1 // of the metrics port from the first port between VMs
+)
+
+// FleetOptions are the settings of RunFleet that do not come from the platform.
+type FleetOptions struct {
+	SettingsPath string
+	LogLevel     string
+	MetricsPort  int // 0 for the second port between VMs
+}
+
+// RunFleet runs a VM of a prepared platform until ctx ends, then stops it gracefully.
+func RunFleet(ctx context.Context, o FleetOptions, stdout io.Writer) error {
+	settings, err := platform.ReadSettings(o.SettingsPath)
+	if err != nil {
+		return err
+	}
+	logger, err := telemetry.NewLogger(o.LogLevel, stdout)
+	if err != nil {
+		return err
+	}
+	logger = logger.With(zap.String("node", settings.Node))
+	metrics, err := telemetry.NewMetrics(settings.AZ)
+	if err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	defer func() {
+		if err := metrics.Close(); err != nil {
+			logger.Warn("metrics not closed", zap.Error(err))
+		}
+	}()
+	n, err := newFleetNode(settings, logger, metrics)
+	if err != nil {
+		return err
+	}
+	return n.run(ctx, o)
+}
+
+// fleetNode is a VM with its listeners.
+type fleetNode struct {
+	settings platform.Settings
+	log      *zap.Logger
+	metrics  *telemetry.Metrics
+	store    *platform.Store
+	loop     *fleet.Loop
+	service  *intake.Service
+	ingress  *platform.Ingress
+	socket   *datagrams
+}
+
+func newFleetNode(s platform.Settings, log *zap.Logger, metrics *telemetry.Metrics) (*fleetNode, error) {
+	peerAddress := net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort))
+	socket, err := listenDatagrams(peerAddress)
+	if err != nil {
+		return nil, err
+	}
+	store := platform.NewStore(s.StoreAddress)
+	loop := fleet.New(fleet.Options{
+		Identity: fleet.Identity{
+			Node: s.Node, Incarnation: model.Incarnation(model.RandomID()), Address: peerAddress, Forward: peerAddress,
+		},
+		Bounds:    fleet.Bounds{LeaseMax: s.LeaseMax, StopTimeout: s.StopTimeout, FarFactor: s.FarFactor, KeepFinal: s.StatusKept},
+		Store:     store,
+		Servers:   platform.NewServers(),
+		Advisor:   platform.NewAdvisor(s.AdviceAddress),
+		Decoder:   platform.Decoder{},
+		Datagrams: socket,
+		Log:       log,
+		Counters:  fleet.NewCounters(metrics.Scope.SubScope("fleet")),
+	})
+	counters := intake.NewCounters(metrics.Scope.SubScope("intake"))
+	service := intake.New(intake.Options{Loop: loop, Store: store, RevokeBound: s.RevokeBound, Log: log, Counters: counters})
+	return &fleetNode{
+		settings: s, log: log, metrics: metrics, store: store, loop: loop, service: service,
+		ingress: platform.NewIngress(service, log, counters), socket: socket,
+	}, nil
+}
+
+// run serves until ctx ends and the planned stop is over.
+func (n *fleetNode) run(ctx context.Context, o FleetOptions) error {
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	looped := make(chan struct{})
+	go func() {
+		defer close(looped)
+		n.loop.Run(work)
+	}()
+	go n.service.Run(work)
+	go n.watchSettings(work, o.SettingsPath)
+
+	metricsPort := o.MetricsPort
+	if metricsPort == 0 {
+		metricsPort = n.settings.FirstPort + metricsOffset
+	}
+	servers := map[string]http.Handler{
+		n.settings.Front:     n.ingress.Handler(),
+		n.settings.Readiness: n.ingress.Readiness(),
+		net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.FirstPort)): n.ingress.Handler(),
+		net.JoinHostPort(n.settings.IP, strconv.Itoa(metricsPort)):          n.metrics.Handler,
+	}
+	running, failed, err := serveAll(servers)
+	if err != nil {
+		return err
+	}
+	n.log.Info("started", zap.String("front", n.settings.Front), zap.String("store", n.settings.StoreAddress), zap.Int("metrics_port", metricsPort))
+	select {
+	case err = <-failed:
+		n.log.Error("a listener failed", zap.Error(err))
+	case <-ctx.Done():
+		n.stop(running)
+	}
+	stopWork()
+	err = errors.Join(err, n.socket.Close())
+	<-looped
+	n.log.Info("stopped")
+	return err
+}
+
+// stop takes this VM out of rotation, lets another one take the term, and closes the
+// listeners once open connections have been served.
+func (n *fleetNode) stop(running []*http.Server) {
+	began := time.Now()
+	n.log.Info("stopping", zap.Duration("grace", n.settings.Grace))
+	n.ingress.Drain()
+	n.loop.Drain(context.Background())
+	time.Sleep(min(rotationTime, n.settings.Grace/2))
+	for n.loop.Holding() && time.Since(began) < rotationTime+handoverTime {
+		time.Sleep(handoverTime / 10)
+	}
+	limit, cancel := context.WithDeadline(context.Background(), began.Add(n.settings.Grace-stopMargin))
+	defer cancel()
+	for _, s := range running {
+		if err := s.Shutdown(limit); err != nil {
+			n.log.Warn("connections still open at the end of the grace period", zap.String("address", s.Addr), zap.Error(err))
+		}
+	}
+}
+
+// serveAll listens on every address before it serves any.
+func serveAll(handlers map[string]http.Handler) ([]*http.Server, <-chan error, error) {
+	failed := make(chan error, len(handlers))
+	var servers []*http.Server
+	var listeners []net.Listener
+	for address, handler := range handlers {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, nil, fmt.Errorf("listen: %w", err)
+		}
+		listeners = append(listeners, l)
+		servers = append(servers, &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout})
+	}
+	for i, s := range servers {
+		go func() {
+			if err := s.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		}()
+	}
+	return servers, failed, nil
+}
--- /dev/null
+++ b/internal/vm/reload.go
@@ -0,0 +1,62 @@
+package vm
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/eelgrassreach/eelgrassreach/platform"
+)
+
+// settingsInterval is how often the settings file is compared, since it may change
+// without a signal.
+const settingsInterval = time.Second
+
+// watchSettings follows changes of the settings file, on SIGHUP and at intervals.
+func (n *fleetNode) watchSettings(ctx context.Context, path string) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	last, err := os.ReadFile(path)
+	if err != nil {
+		n.log.Warn("settings not read", zap.Error(err))
+	}
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			signalled = true
+		case <-ticker.C:
+		}
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			n.log.Warn("settings not read; the old ones stay in force", zap.Error(err))
+			continue
+		}
+		if bytes.Equal(raw, last) && !signalled {
+			continue
+		}
+		last = raw
+		n.reload(string(raw), signalled)
+	}
+}
+
+// reload puts the settings that can change at run time in force: the store's address.
+func (n *fleetNode) reload(raw string, signalled bool) {
+	s, err := platform.ParseSettings(raw)
+	if err != nil {
+		n.log.Error("changed settings are not valid; the old ones stay in force", zap.Error(err))
+		return
+	}
+	n.store.SetAddress(s.StoreAddress)
+	n.log.Info("settings reloaded", zap.Bool("signalled", signalled), zap.String("store", s.StoreAddress))
+}
