One fit serves placement and preemption; a stale configuration decides no call

Change: fit takes a supply (free, being released, reclaimable) and a price; a run has one place where it is confirmed; peers are asked with the oldest version that may answer.

--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -59,7 +59,7 @@
 }
 
 func (s *State) snapshot() sched.Snapshot {
-	snap := sched.Snapshot{Now: s.now, FarFactor: s.bounds.FarFactor}
+	snap := sched.Snapshot{Now: s.now}
 	for _, id := range sortedKeys(s.servers) {
 		if v := s.servers[id]; s.usable(v) {
 			snap.Servers = append(snap.Servers, serverView(v))
@@ -92,7 +92,7 @@
 	}
 	return sched.Server{
 		ID: v.entry.ID, Service: v.entry.Service, Rack: v.entry.Rack, Labels: v.entry.Labels,
-		Free: free, Releasing: releasing, Slow: v.health.suspect(),
+		Capacity: v.entry.Capacity, Free: free, Releasing: releasing, Slow: v.health.suspect(),
 	}
 }
 
@@ -212,8 +212,7 @@
 				continue
 			}
 			list = append(list, sched.Held{
-				Key: r.group.Key(), Index: r.index, Server: r.server, Need: r.step().Reserved(), Gang: r.step().Gang,
-				Priority: r.group.State.Job.Priority, Unsaved: s.unsaved(r),
+				Key: r.group.Key(), Index: r.index, Server: r.server, Need: r.step().Reserved(), Gang: r.step().Gang, Unsaved: s.unsaved(r),
 			})
 		}
 	}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -177,15 +178,18 @@
 	s.log.Info("run is stopped", zap.String("task", r.name), zap.Int64("run", r.number),
 		zap.String("server", string(r.server)), zap.String("reason", reason))
 	if r.step().Gang && r.current() {
-		s.stopGang(r.group, r.number, "gang member stopped: "+reason)
+		s.stopGang(r.group, r.number, reason)
 	}
 }
 
+// gangReason begins the reason of a stop that another member caused.
+const gangReason = "gang member: "
+
 // stopGang stops all members of a gang's run.
 func (s *State) stopGang(g *job.Group, number int64, reason string) {
 	for i := range g.Tasks {
 		if m := s.currentRun(g, i); m != nil && m.number == number {
-			s.wantStop(m, reason)
+			s.wantStop(m, gangReason+strings.TrimPrefix(reason, gangReason))
 		}
 	}
 }
@@ -220,7 +224,7 @@
 	s.log.Info("task waits again", zap.String("task", r.name), zap.Int64("run", r.number),
 		zap.String("server", string(r.server)), zap.String("reason", reason))
 	if r.step().Gang {
-		s.stopGang(r.group, r.number, "gang member lost: "+reason)
+		s.stopGang(r.group, r.number, reason)
 	}
 }
 
@@ -237,7 +241,7 @@
 		s.clockTold(v, e.Clock)
 		r.doubt = false
 		if r.phase == runOrdered {
-			r.phase, r.startedAt, r.progressAt, r.savedAt = runRunning, s.now, s.now, s.now
+			s.confirmed(r, 0)
 		}
 	case errors.As(e.Err, &refused):
 		s.clockTold(v, refused.Clock)
@@ -250,6 +254,13 @@
 	}
 }
 
+// confirmed takes note that a run is there and has worked for a while.
+func (s *State) confirmed(r *run, worked time.Duration) {
+	r.phase = runRunning
+	r.startedAt = s.now.Add(-worked)
+	r.progressAt, r.savedAt = s.now, s.now
+}
+
 func (s *State) startRefused(v *server, r *run, refused *RefusedError) {
 	s.count.StartsRefused.Inc(1)
 	s.log.Info("start refused", zap.String("task", r.name), zap.Int64("run", r.number),
@@ -368,7 +379,7 @@
 	if isCurrent {
 		t.Phase = job.Waiting
 		if g.Step().Gang {
-			s.stopGang(g, e.Run, "gang member "+string(e.How))
+			s.stopGang(g, e.Run, string(e.How))
 		}
 	}
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -273,12 +273,8 @@
 		s.unexpectedRun(v, row)
 		return
 	}
-	if r.phase == runAdopting {
-		r.startedAt = s.now.Add(-s.workDone(r, row.Percent))
-		r.phase = runRunning
-	}
-	if r.phase == runOrdered {
-		r.phase = runRunning
+	if r.phase != runRunning {
+		s.confirmed(r, s.workDone(r, row.Percent))
 	}
 	r.doubt = false
 	if row.Percent != r.percent {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,6 +36,7 @@
 type Answer struct {
 	Result  Result
 	Reason  string
+	Version int64 // of the configuration that decided, when one did
 	Status  job.Status
 	Pending int
 	// RetryAfter is when a refused call may be repeated.
@@ -46,8 +48,10 @@
 	Host, Path, Key string
 	// Patience is how long the submitter waits.
 	Patience time.Duration
-	// Passed tells that another VM has passed the call on.
-	Passed bool
+	// Passed tells that another VM has passed the call on; MinVersion is then the oldest
+	// configuration that may decide it.
+	Passed     bool
+	MinVersion int64
 }
 
 // Target is what a call is about.
@@ -84,7 +88,9 @@
 
 // Service answers submitters' calls.
 type Service struct {
-	options   Options
+	options Options
+	// newest is the newest version that other VMs have answered with.
+	newest    atomic.Int64
 	appenders map[fleet.Partition]*appender
 }
 
@@ -124,36 +130,47 @@
 func (s *Service) Route(c Call) (Target, Answer) {
 	config, asOf := s.options.Loop.Config()
 	if config == nil {
-		return Target{}, Answer{Result: Unavailable, Reason: "no configuration yet", RetryAfter: storeRetryAfter}
+		return Target{}, Answer{Result: Elsewhere, Reason: "no configuration yet", RetryAfter: storeRetryAfter}
+	}
+	if s.stale(asOf) || config.Version < c.MinVersion || config.Version < s.newest.Load() {
+		return Target{}, s.staleAnswer(config, asOf)
 	}
-	stale := s.stale(asOf)
 	q, rest := config.QueueFor(c.Host, c.Path)
 	if q == nil {
-		if stale {
-			return Target{}, s.staleAnswer(asOf)
-		}
-		return Target{}, Answer{Result: NoSuchQueue, Reason: "no queue for this host and path"}
+		return Target{}, Answer{Result: NoSuchQueue, Version: config.Version, Reason: "no queue for this host and path"}
 	}
-	t := Target{Queue: *q, Job: model.JobID(rest), MaxBody: config.MaxBody}
 	owner, known := config.Owner(c.Key)
-	t.Organisation = owner
-	if known || q.Public {
-		if !q.Public && stale {
-			return t, s.staleAnswer(asOf)
+	t := Target{Queue: *q, Organisation: owner, Job: model.JobID(rest), MaxBody: config.MaxBody}
+	if !known && !q.Public {
+		return t, Answer{Result: UnknownKey, Version: config.Version, Reason: "no organisation holds this key"}
+	}
+	return t, Answer{Version: config.Version}
+}
+
+// SawVersion takes note that a caller of this VM has seen the effect of a version, at
+// another VM: older ones are not applied any more.
+func (s *Service) SawVersion(version int64) {
+	for {
+		old := s.newest.Load()
+		if version <= old || s.newest.CompareAndSwap(old, version) {
+			return
 		}
-		return t, Answer{}
 	}
-	if stale {
-		return t, s.staleAnswer(asOf)
+}
+
+// NewestSeen is the newest version that a caller of this VM may have seen.
+func (s *Service) NewestSeen() int64 {
+	if c, _ := s.options.Loop.Config(); c != nil {
+		return max(c.Version, s.newest.Load())
 	}
-	return t, Answer{Result: UnknownKey, Reason: "no organisation holds this key"}
+	return s.newest.Load()
 }
 
-func (s *Service) staleAnswer(asOf time.Time) Answer {
+func (s *Service) staleAnswer(c *fleet.Config, asOf time.Time) Answer {
 	age := boottime.Now().Sub(asOf)
 	return Answer{
-		Result: Elsewhere, RetryAfter: storeRetryAfter,
-		Reason: fmt.Sprintf("the configuration was last confirmed %v ago, too long to honour keys", age.Round(time.Millisecond)),
+		Result: Elsewhere, RetryAfter: storeRetryAfter, Version: c.Version,
+		Reason: fmt.Sprintf("configuration %d may be old: it was last confirmed %v ago", c.Version, age.Round(time.Millisecond)),
 	}
 }
 
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -12,8 +12,33 @@
 type room struct {
 	*Server
 	free job.Resources
-	// promised is what tasks still running hold and a guaranteed step waits for.
+	// promised is being released and not yet kept for a want.
 	promised job.Resources
+	// held are the tasks that may be stopped, the cheapest first.
+	held []*Held
+}
+
+// supply is what a fit may count on.
+type supply int
+
+const (
+	freeNow     supply = iota // what no task holds
+	freeSoon                  // and what is being released
+	reclaimable               // and what running tasks would release if stopped
+)
+
+// available is what a room offers under a supply.
+func (r *room) available(s supply) job.Resources {
+	a := r.free
+	if s >= freeSoon {
+		a = a.Add(r.promised)
+	}
+	if s == reclaimable {
+		for _, h := range r.held {
+			a = a.Add(h.Need)
+		}
+	}
+	return a
 }
 
 // suits reports whether the backend server may run the step at all.
@@ -30,182 +55,188 @@
 // near reports whether the backend server is where the step's data is.
 func (r *room) near(w *Want) bool { return w.Step.DataRack == "" || r.Rack == w.Step.DataRack }
 
-// assignment is a trial placement of tasks on rooms.
+// assignment is a trial placement of a want's tasks, one room each.
 type assignment struct {
 	rooms []*room
+	price float64
 	far   bool
 }
 
-// assign places as many of n tasks as fit among candidates, the tightest first, and
-// takes their resources from available. The caller gives a copy of what is free.
-func assign(w *Want, n int, candidates []*room, available map[*room]job.Resources) []*room {
-	need := w.Step.Reserved()
-	on := make(map[*room]int, len(candidates))
-	var chosen []*room
-	for len(chosen) < n {
-		best := tightest(w, need, candidates, available, on)
+// trial counts what an assignment has used so far.
+type trial struct {
+	want   *Want
+	supply supply
+	used   map[*room]int // tasks
+}
+
+// assign places as many of n more tasks as fit among candidates, the cheapest first.
+func (d *round) assign(t trial, n int, candidates []*room) assignment {
+	var a assignment
+	for len(a.rooms) < n {
+		best, price := d.cheapest(t, candidates)
 		if best == nil {
-			return chosen
+			return a
 		}
-		on[best]++
-		available[best] = available[best].Sub(need)
-		chosen = append(chosen, best)
+		t.used[best]++
+		a.rooms = append(a.rooms, best)
+		a.price += price
 	}
-	return chosen
+	return a
 }
 
-// tightest returns the room that is left with the least accelerators and processors,
-// so that whole backend servers stay free for tasks that need all of one.
-func tightest(w *Want, need job.Resources, candidates []*room, available map[*room]job.Resources, on map[*room]int) *room {
+// cheapest returns the room where one more task costs least: where the least room is
+// left, so that whole backend servers stay free for tasks that need all of one, or,
+// when others make room, where the least work is thrown away.
+func (d *round) cheapest(t trial, candidates []*room) (*room, float64) {
+	need := t.want.Step.Reserved()
 	var best *room
-	var bestLeft float64
+	var bestPrice float64
 	for _, r := range candidates {
-		free := available[r]
-		if !need.Fits(free) {
+		used := t.used[r]
+		if limit := t.want.Step.MaxPerServer; limit > 0 && t.want.On[r.ID]+used >= limit {
 			continue
 		}
-		if w.Step.MaxPerServer > 0 && w.On[r.ID]+on[r] >= w.Step.MaxPerServer {
+		left := r.available(t.supply).Sub(need.Times(used))
+		if !need.Fits(left) {
 			continue
 		}
-		left := free.Sub(need).CoreWeight()
-		if best == nil || better(r, left, best, bestLeft) {
-			best, bestLeft = r, left
+		price := left.Sub(need).CoreWeight()
+		if t.supply == reclaimable {
+			price = d.stopPrice(r, need.Times(used+1)) - d.stopPrice(r, need.Times(used))
 		}
-	}
-	return best
-}
-
-func better(r *room, left float64, best *room, bestLeft float64) bool {
-	if r.Slow != best.Slow {
-		return !r.Slow
-	}
-	return left < bestLeft
-}
-
-// freeOf copies what is free in the rooms.
-func freeOf(rooms []*room, withPromised bool) map[*room]job.Resources {
-	m := make(map[*room]job.Resources, len(rooms))
-	for _, r := range rooms {
-		m[r] = r.free
-		if withPromised {
-			m[r] = r.free.Add(r.promised)
+		if best == nil || r.Slow != best.Slow && !r.Slow || r.Slow == best.Slow && price < bestPrice {
+			best, bestPrice = r, price
 		}
 	}
-	return m
+	return best, bestPrice
 }
 
 // fit finds room for a want's tasks: all of a gang or nothing, else as many as fit.
-func (d *round) fit(w *Want, withPromised bool) assignment {
-	suitable := d.suitable(w)
-	if w.Step.Gang {
-		return d.fitGang(w, suitable, withPromised)
-	}
+func (d *round) fit(w *Want, s supply) assignment {
+	suitable := filter(d.rooms, func(r *room) bool { return r.suits(w) })
 	near := filter(suitable, func(r *room) bool { return r.near(w) })
-	if w.Step.SameRack {
-		return d.fitRack(w, near, withPromised)
-	}
-	available := freeOf(suitable, withPromised)
-	chosen := assign(w, len(w.Tasks), near, available)
-	if len(chosen) == len(w.Tasks) || !d.mayGoFar(w) {
-		return assignment{rooms: chosen}
+	n := len(w.Tasks)
+	fresh := func() trial { return trial{want: w, supply: s, used: make(map[*room]int)} }
+	switch {
+	case w.Step.Gang:
+		return d.fitGang(w, fresh, suitable, near)
+	case w.Step.SameRack:
+		best := d.fullestRack(w, fresh, near)
+		if len(best.rooms) == n || !d.mayGoFar(w) {
+			return best
+		}
+		a := d.assign(fresh(), n, suitable)
+		a.far = true
+		return a
+	default:
+		t := fresh()
+		a := d.assign(t, n, near)
+		if len(a.rooms) == n || !d.mayGoFar(w) {
+			return a
+		}
+		rest := d.assign(t, n-len(a.rooms), suitable)
+		return assignment{rooms: append(a.rooms, rest.rooms...), price: a.price + rest.price, far: len(rest.rooms) > 0}
 	}
-	rest := assign(w, len(w.Tasks)-len(chosen), suitable, available)
-	return assignment{rooms: append(chosen, rest...), far: len(rest) > 0}
 }
 
-// fitRack places tasks of a step that runs best on one rack, preferably the one
-// where its other tasks run.
-func (d *round) fitRack(w *Want, near []*room, withPromised bool) assignment {
-	var best []*room
-	for _, rack := range racksOf(near) {
+// fullestRack places as many tasks as fit on one rack, the one where the step's other
+// tasks run if there are any.
+func (d *round) fullestRack(w *Want, fresh func() trial, rooms []*room) assignment {
+	var best assignment
+	for _, rack := range racksOf(rooms) {
 		if w.Rack != "" && rack != w.Rack {
 			continue
 		}
-		rooms := filter(near, func(r *room) bool { return r.Rack == rack })
-		if chosen := assign(w, len(w.Tasks), rooms, freeOf(rooms, withPromised)); len(chosen) > len(best) {
-			best = chosen
+		members := filter(rooms, func(r *room) bool { return r.Rack == rack })
+		if a := d.assign(fresh(), len(w.Tasks), members); len(a.rooms) > len(best.rooms) {
+			best = a
 		}
 	}
-	if len(best) == len(w.Tasks) || !d.mayGoFar(w) {
-		return assignment{rooms: best}
-	}
-	suitable := d.suitable(w)
-	return assignment{rooms: assign(w, len(w.Tasks), suitable, freeOf(suitable, withPromised)), far: true}
+	return best
 }
 
-// fitGang places all tasks or none: on the data's rack, on any one rack, anywhere.
-func (d *round) fitGang(w *Want, suitable []*room, withPromised bool) assignment {
-	whole := func(rooms []*room) []*room {
-		chosen := assign(w, len(w.Tasks), rooms, freeOf(rooms, withPromised))
-		if len(chosen) < len(w.Tasks) {
-			return nil
+// fitGang places all tasks or none: near the data and on one rack, else, when the step
+// may go far, on any rack or anywhere.
+func (d *round) fitGang(w *Want, fresh func() trial, suitable, near []*room) assignment {
+	place := func(rooms []*room) (assignment, bool) {
+		if w.Step.SameRack {
+			return d.cheapestRack(w, fresh, rooms)
 		}
-		return chosen
+		return d.whole(w, fresh, rooms)
 	}
-	near := filter(suitable, func(r *room) bool { return r.near(w) })
-	if !w.Step.SameRack {
-		if chosen := whole(near); chosen != nil {
-			return assignment{rooms: chosen}
-		}
-	} else if chosen := d.wholeRack(near, whole); chosen != nil {
-		return assignment{rooms: chosen}
+	if a, ok := place(near); ok {
+		return a
 	}
 	if !d.mayGoFar(w) && d.couldBeNear(w, near) {
 		return assignment{}
 	}
-	if w.Step.SameRack {
-		if chosen := d.wholeRack(suitable, whole); chosen != nil {
-			return assignment{rooms: chosen, far: true}
-		}
+	a, ok := place(suitable)
+	if !ok {
+		a, _ = d.whole(w, fresh, suitable)
 	}
-	return assignment{rooms: whole(suitable), far: true}
+	a.far = true
+	return a
 }
 
-// wholeRack returns the placement on the rack that is left with the least room.
-func (d *round) wholeRack(rooms []*room, whole func([]*room) []*room) []*room {
-	var best []*room
-	var bestFree float64
+// whole places all tasks or none.
+func (d *round) whole(w *Want, fresh func() trial, rooms []*room) (assignment, bool) {
+	a := d.assign(fresh(), len(w.Tasks), rooms)
+	if len(a.rooms) < len(w.Tasks) {
+		return assignment{}, false
+	}
+	return a, true
+}
+
+// cheapestRack places all tasks on the rack that has the least to spare.
+func (d *round) cheapestRack(w *Want, fresh func() trial, rooms []*room) (best assignment, ok bool) {
 	for _, rack := range racksOf(rooms) {
-		members := filter(rooms, func(r *room) bool { return r.Rack == rack })
-		chosen := whole(members)
-		if chosen == nil {
-			continue
-		}
-		free := 0.0
-		for _, r := range members {
-			free += r.free.CoreWeight()
-		}
-		if best == nil || free < bestFree {
-			best, bestFree = chosen, free
+		a, whole := d.whole(w, fresh, filter(rooms, func(r *room) bool { return r.Rack == rack }))
+		if whole && (!ok || a.price < best.price) {
+			best, ok = a, true
 		}
 	}
-	return best
+	return best, ok
 }
 
 // couldBeNear reports whether the gang would fit near its data and on one rack if
 // nothing else ran, so that waiting for it makes sense.
 func (d *round) couldBeNear(w *Want, near []*room) bool {
-	fits := func(rooms []*room) bool {
-		whole := make(map[*room]job.Resources, len(rooms))
-		for _, r := range rooms {
-			whole[r] = d.capacity[r.ID]
-		}
-		return len(assign(w, len(w.Tasks), rooms, whole)) == len(w.Tasks)
-	}
-	if !w.Step.SameRack {
-		return fits(near)
+	racks := []model.RackID{""}
+	if w.Step.SameRack {
+		racks = racksOf(near)
 	}
-	for _, rack := range racksOf(near) {
-		if fits(filter(near, func(r *room) bool { return r.Rack == rack })) {
+	for _, rack := range racks {
+		n := 0
+		for _, r := range near {
+			if rack == "" || r.Rack == rack {
+				n += timesIn(w.Step, d.capacity[r.ID])
+			}
+		}
+		if n >= len(w.Tasks) {
 			return true
 		}
 	}
 	return false
 }
 
+// timesIn is how many tasks of a step an empty backend server holds.
+func timesIn(step *job.Step, capacity job.Resources) int {
+	need := step.Reserved()
+	n := step.Count
+	for _, c := range [][2]int{{need.MilliCPU, capacity.MilliCPU}, {need.MemoryMB, capacity.MemoryMB}, {need.Accelerators, capacity.Accelerators}} {
+		if c[0] > 0 {
+			n = min(n, c[1]/c[0])
+		}
+	}
+	if step.MaxPerServer > 0 {
+		n = min(n, step.MaxPerServer)
+	}
+	return n
+}
+
 // mayGoFar reports whether a step need not wait for the rack that it runs best on.
-// Away from it tasks take FarFactor times as long: worth it only when there is time
-// for that, or when waiting longer would miss the objective anyway.
+// Away from it tasks take FarFactor times as long: worth it only when waiting longer
+// would miss the objective anyway.
 func (d *round) mayGoFar(w *Want) bool {
 	if w.Guaranteed && d.now.Sub(w.Due) > guaranteedNearWait {
 		return true
@@ -220,11 +251,6 @@
 	nearMargin = 200 * time.Millisecond
 )
 
-// suitable returns the rooms that may run the step, in the order of the snapshot.
-func (d *round) suitable(w *Want) []*room {
-	return filter(d.rooms, func(r *room) bool { return r.suits(w) })
-}
-
 func filter(rooms []*room, keep func(*room) bool) []*room {
 	var kept []*room
 	for _, r := range rooms {
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -9,19 +9,12 @@
 
 // round is the state of one decision.
 type round struct {
-	now       time.Time
-	farFactor float64
-	rooms     []*room
-	byID      map[model.BackendServerID]*room
-	capacity  map[model.BackendServerID]job.Resources
-	held      []Held
-	evicted   map[heldID]bool
-	plan      Plan
-}
-
-type heldID struct {
-	key   job.GroupKey
-	index int
+	now      time.Time
+	rooms    []*room
+	byID     map[model.BackendServerID]*room
+	capacity map[model.BackendServerID]job.Resources
+	gangCost map[job.GroupKey]float64
+	plan     Plan
 }
 
 // Decide plans one round over a snapshot.
@@ -36,43 +29,51 @@
 
 func newRound(s Snapshot) *round {
 	d := &round{
-		now:       s.Now,
-		farFactor: s.FarFactor,
-		byID:      make(map[model.BackendServerID]*room, len(s.Servers)),
-		capacity:  make(map[model.BackendServerID]job.Resources, len(s.Servers)),
-		held:      s.Held,
-		evicted:   make(map[heldID]bool),
+		now:      s.Now,
+		byID:     make(map[model.BackendServerID]*room, len(s.Servers)),
+		capacity: make(map[model.BackendServerID]job.Resources, len(s.Servers)),
+		gangCost: make(map[job.GroupKey]float64),
 	}
 	for i := range s.Servers {
 		v := &s.Servers[i]
 		r := &room{Server: v, free: v.Free, promised: v.Releasing}
 		d.rooms = append(d.rooms, r)
 		d.byID[v.ID] = r
-		d.capacity[v.ID] = v.Free.Add(v.Releasing)
-	}
-	for i := range s.Held {
-		h := &s.Held[i]
-		d.capacity[h.Server] = d.capacity[h.Server].Add(h.Need)
+		d.capacity[v.ID] = v.Capacity
 	}
+	d.addHeld(s.Held)
 	return d
 }
 
 // serve places a want, or has room made for it when a guarantee covers it.
 func (d *round) serve(w *Want) {
-	a := d.fit(w, false)
+	a := d.fit(w, freeNow)
 	d.place(w, a)
 	if !w.Guaranteed || len(a.rooms) == len(w.Tasks) {
 		return
 	}
 	rest := *w
 	rest.Tasks = w.Tasks[len(a.rooms):]
-	if coming := d.fit(&rest, true); len(coming.rooms) == len(rest.Tasks) {
-		d.promise(&rest, coming)
+	rest.On = d.withPlaced(w, a)
+	if coming := d.fit(&rest, freeSoon); len(coming.rooms) == len(rest.Tasks) {
+		d.keep(&rest, coming)
 		return
 	}
 	d.preempt(&rest)
 }
 
+// withPlaced counts a step's tasks with those just placed.
+func (d *round) withPlaced(w *Want, a assignment) map[model.BackendServerID]int {
+	on := make(map[model.BackendServerID]int, len(w.On)+len(a.rooms))
+	for id, n := range w.On {
+		on[id] = n
+	}
+	for _, r := range a.rooms {
+		on[r.ID]++
+	}
+	return on
+}
+
 // place starts the want's first tasks on the rooms.
 func (d *round) place(w *Want, a assignment) {
 	need := w.Step.Reserved()
@@ -82,8 +83,8 @@
 	}
 }
 
-// promise keeps room that is free or being released from later wants.
-func (d *round) promise(w *Want, a assignment) {
+// keep takes room that is free or being released away from later wants.
+func (d *round) keep(w *Want, a assignment) {
 	need := w.Step.Reserved()
 	for _, r := range a.rooms {
 		r.free, r.promised = take(r.free, r.promised, need)
@@ -93,7 +94,7 @@
 // take subtracts need from free and, where that is not enough, from promised.
 func take(free, promised, need job.Resources) (job.Resources, job.Resources) {
 	split := func(f, p, n int) (int, int) {
-		fromFree := min(f, n)
+		fromFree := min(max(f, 0), n)
 		return f - fromFree, p - (n - fromFree)
 	}
 	free.MilliCPU, promised.MilliCPU = split(free.MilliCPU, promised.MilliCPU, need.MilliCPU)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -16,6 +16,8 @@
 	Service string
 	Rack    model.RackID
 	Labels  []string
+	// Capacity is what it has when nothing runs.
+	Capacity job.Resources
 	// Free is what no task holds.
 	Free job.Resources
 	// Releasing is held by tasks that have been told to stop.
@@ -50,15 +52,13 @@
 	Advised map[model.BackendServerID]bool
 }
 
-// Held is a running task that may be stopped to make room.
+// Held is a running task that may be stopped to make room for a guarantee.
 type Held struct {
-	Key        job.GroupKey
-	Index      int
-	Server     model.BackendServerID
-	Need       job.Resources
-	Gang       bool
-	Priority   int
-	Guaranteed bool
+	Key    job.GroupKey
+	Index  int
+	Server model.BackendServerID
+	Need   job.Resources
+	Gang   bool
 	// Unsaved is the work that a stop throws away, in core-seconds.
 	Unsaved float64
 }
@@ -69,8 +69,6 @@
 	Servers []Server
 	Wants   []Want
 	Held    []Held
-	// FarFactor is how much longer tasks take away from their data or spread over racks.
-	FarFactor float64
 }
 
 // Placement starts a task on a backend server.
