--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -77,3 +77,28 @@
 		zap.Int("percent", r.percent), zap.Duration("without_progress", s.now.Sub(r.progressAt)))
 	s.wantStop(r, "no progress")
 }
+
+// drainMargin is how much longer than told a draining backend server usually stays.
+const drainMargin = 500 * time.Millisecond
+
+// outlasts reports whether a run will not end before its draining backend server leaves.
+func (s *State) outlasts(v *server, r *run) bool {
+	if r.phase != runRunning || r.step().LongRunning {
+		return r.step().LongRunning
+	}
+	return s.now.Add(s.remaining(r)).After(v.drainingSince.Add(v.entry.Remaining + drainMargin))
+}
+
+// remaining estimates how long a run still takes: from its progress once that says
+// something, else from its submitter's estimate.
+func (s *State) remaining(r *run) time.Duration {
+	worked := s.now.Sub(r.startedAt)
+	if r.percent >= measurablePercent && worked > 0 {
+		rest := time.Duration(float64(worked) * float64(100-r.percent) / float64(r.percent))
+		return max(rest-s.now.Sub(r.progressAt), 0)
+	}
+	return max(r.step().EstimatedRuntime-worked, 0)
+}
+
+// measurablePercent of progress is enough to estimate a run's speed.
+const measurablePercent = 10
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -116,6 +116,10 @@
 		}
 		return
 	}
+	if v.entry.Draining && s.outlasts(v, r) {
+		s.wantStop(r, "backend server leaves before its end")
+		return
+	}
 	if s.stalled(r) {
 		s.stopStalled(v, r)
 		return
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -17,6 +17,8 @@
 	entry    ServerEntry
 	listed   bool
 	listedAt time.Time // when it was last listed
+	// drainingSince is when it was first listed as draining.
+	drainingSince time.Time
 	// surveyed tells that it has reported under this token.
 	surveyed bool
 	born     int64
@@ -65,6 +67,7 @@
 		s.replan = true
 	}
 	if e.Draining && !v.entry.Draining {
+		v.drainingSince = s.now
 		s.log.Info("backend server drains", zap.String("server", string(e.ID)), zap.Duration("remaining", e.Remaining))
 		s.replan = true
 	}
@@ -107,6 +110,8 @@
 	}
 }
 
+// hold asks for a report. A backend server that does not answer has its leases extended
+// no more, so that it is certain when they end.
 func (s *State) hold(id model.BackendServerID, v *server) {
 	o := Hold{Server: id, Address: v.entry.Address, Token: s.term.token}
 	if v.surveyed {
@@ -114,7 +119,7 @@
 		if len(v.runs) > 0 && v.told == v.recorded {
 			o.Wait = holdWait
 		}
-		if !s.isolated() {
+		if v.failing == 0 && !s.isolated() {
 			o.Deadline = s.extend(v, lease)
 		}
 	}
