A guaranteed step has room made near its data before it goes far; hung tasks found sooner

Cause: a guaranteed step past 600 ms went over several racks, where it takes three times as long, though stopping two tasks would have given it one rack; a short task that hangs was found only after 2.5 s.

--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -15,8 +15,11 @@
 	// server out of use.
 	suspectFailures = 2
 	quarantine      = 8 * time.Second // a little more than troubles of backend servers usually last
-	// stallLimit without progress means that a task hangs; reports come every second.
-	stallLimit = 2500 * time.Millisecond
+	// stallLimit without progress means that a task hangs, however long it takes; a
+	// shorter task hangs after stallShare of its estimate, but not before stallMinimum.
+	stallLimit   = 2500 * time.Millisecond
+	stallMinimum = 900 * time.Millisecond
+	stallShare   = 0.3
 )
 
 // health is what results tell of a backend server.
@@ -67,7 +70,8 @@
 	if r.phase != runRunning || r.step().LongRunning || r.step().Fills || r.percent >= 100 {
 		return false
 	}
-	return s.now.Sub(r.progressAt) > stallLimit
+	limit := time.Duration(stallShare * float64(r.step().EstimatedRuntime))
+	return r.reportedAt.Sub(r.progressAt) > min(max(limit, stallMinimum), stallLimit)
 }
 
 // stopStalled stops a run that hangs and takes its backend server out of use.
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -62,7 +62,7 @@
 	snap := sched.Snapshot{Now: s.now}
 	for _, id := range sortedKeys(s.servers) {
 		if v := s.servers[id]; s.usable(v) {
-			snap.Servers = append(snap.Servers, serverView(v))
+			snap.Servers = append(snap.Servers, s.serverView(v))
 		}
 	}
 	covered := s.covered()
@@ -80,13 +80,13 @@
 	return v.listed && v.surveyed && v.failing == 0 && !v.entry.Draining && v.clock != 0 && v.health.usable(s.now)
 }
 
-func serverView(v *server) sched.Server {
+func (s *State) serverView(v *server) sched.Server {
 	free := v.entry.Capacity
 	var releasing job.Resources
 	for _, r := range v.runs {
 		need := r.step().Reserved()
 		free = free.Sub(need)
-		if r.stopping {
+		if s.releases(r) {
 			releasing = releasing.Add(need)
 		}
 	}
@@ -96,6 +96,15 @@
 	}
 }
 
+// releases reports whether a run has been told to stop and should end at once. One
+// that does not is no room to count on.
+func (s *State) releases(r *run) bool {
+	return r.stopping && s.now.Sub(r.stopSince) < s.bounds.StopTimeout+stopDelivery
+}
+
+// stopDelivery is the time for the order of a stop and the report of its end.
+const stopDelivery = 400 * time.Millisecond
+
 // openJobs lists the jobs that may still need placements, the oldest first.
 func (s *State) openJobs() []*job.State {
 	var open []*job.State
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -39,10 +39,12 @@
 	// that a stop was confirmed after it, so that it can not.
 	doubt, fencedOff bool
 	stopping         bool
+	stopSince        time.Time
 	stray            bool // not the task's current run
 
 	percent    int
 	progressAt time.Time
+	reportedAt time.Time // when a report last listed it
 	load       float64
 	checkpoint string
 	savedAt    time.Time
@@ -177,7 +179,7 @@
 	if r.stopping {
 		return
 	}
-	r.stopping = true
+	r.stopping, r.stopSince = true, s.now
 	r.nextCall = time.Time{}
 	s.log.Info("run is stopped", zap.String("task", r.name), zap.Int64("run", r.number),
 		zap.String("server", string(r.server)), zap.String("reason", reason))
@@ -262,7 +264,7 @@
 func (s *State) confirmed(r *run, worked time.Duration) {
 	r.phase = runRunning
 	r.startedAt = s.now.Add(-worked)
-	r.progressAt, r.savedAt = s.now, s.now
+	r.progressAt, r.reportedAt, r.savedAt = s.now, s.now, s.now
 }
 
 func (s *State) startRefused(v *server, r *run, refused *RefusedError) {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -117,7 +117,7 @@
 	if v.surveyed {
 		o.Noted = v.recorded
 		if len(v.runs) > 0 && v.told == v.recorded {
-			o.Wait = holdWait
+			o.Wait = s.reportWait(v)
 		}
 		if v.failing == 0 && !s.isolated() {
 			o.Deadline = s.extend(v, lease)
@@ -127,6 +127,17 @@
 	s.emit(OrderHold{o})
 }
 
+// reportWait is shorter while a run there has not shown progress yet, so that one that
+// hangs is found early.
+func (s *State) reportWait(v *server) time.Duration {
+	for _, r := range v.runs {
+		if r.percent == 0 && !r.step().LongRunning && s.now.Sub(r.startedAt) < 2*stallMinimum {
+			return earlyHoldWait
+		}
+	}
+	return holdWait
+}
+
 // extend returns the deadline that lies d ahead on the backend server's clock, or 0
 // when its clock is not known.
 func (s *State) extend(v *server, d time.Duration) int64 {
@@ -281,7 +292,7 @@
 	if r.phase != runRunning {
 		s.confirmed(r, s.workDone(r, row.Percent))
 	}
-	r.doubt = false
+	r.doubt, r.reportedAt = false, s.now
 	if row.Percent != r.percent {
 		r.percent, r.progressAt = row.Percent, s.now
 	}
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -41,6 +41,7 @@
 	holderAuthority = 1 * time.Second
 
 	holdWait      = 1 * time.Second        // a report waits this long for an end
+	earlyHoldWait = 450 * time.Millisecond // half of stallMinimum
 	holdRetry     = 150 * time.Millisecond // after a failed call
 	idleHold      = 5 * time.Second        // reports of backend servers without tasks
 	startRetryFor = 1200 * time.Millisecond
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -111,18 +111,19 @@
 	return best, bestPrice
 }
 
-// fit finds room for a want's tasks: all of a gang or nothing, else as many as fit.
-func (d *round) fit(w *Want, s supply) assignment {
+// fit finds room for a want's tasks: all of a gang or nothing, else as many as fit. Only
+// with far does it leave the rack that the step runs best on.
+func (d *round) fit(w *Want, s supply, far bool) assignment {
 	suitable := filter(d.rooms, func(r *room) bool { return r.suits(w) })
 	near := filter(suitable, func(r *room) bool { return r.near(w) })
 	n := len(w.Tasks)
 	fresh := func() trial { return trial{want: w, supply: s, used: make(map[*room]int)} }
 	switch {
 	case w.Step.Gang:
-		return d.fitGang(w, fresh, suitable, near)
+		return d.fitGang(w, fresh, suitable, near, far)
 	case w.Step.SameRack:
 		best := d.fullestRack(w, fresh, near)
-		if len(best.rooms) == n || !d.mayGoFar(w) {
+		if len(best.rooms) == n || !far {
 			return best
 		}
 		a := d.assign(fresh(), n, suitable)
@@ -131,7 +132,7 @@
 	default:
 		t := fresh()
 		a := d.assign(t, n, near)
-		if len(a.rooms) == n || !d.mayGoFar(w) {
+		if len(a.rooms) == n || !far {
 			return a
 		}
 		rest := d.assign(t, n-len(a.rooms), suitable)
@@ -157,7 +158,7 @@
 
 // fitGang places all tasks or none: near the data and on one rack, else, when the step
 // may go far, on any rack or anywhere.
-func (d *round) fitGang(w *Want, fresh func() trial, suitable, near []*room) assignment {
+func (d *round) fitGang(w *Want, fresh func() trial, suitable, near []*room, far bool) assignment {
 	place := func(rooms []*room) (assignment, bool) {
 		if w.Step.SameRack {
 			return d.cheapestRack(w, fresh, rooms)
@@ -167,7 +168,7 @@
 	if a, ok := place(near); ok {
 		return a
 	}
-	if !d.mayGoFar(w) && d.couldBeNear(w, near) {
+	if !far && d.couldBeNear(w, near) {
 		return assignment{}
 	}
 	a, ok := place(suitable)
@@ -238,15 +239,15 @@
 // Away from it tasks take FarFactor times as long: worth it only when waiting longer
 // would miss the objective anyway.
 func (d *round) mayGoFar(w *Want) bool {
-	if w.Guaranteed && d.now.Sub(w.Due) > guaranteedNearWait {
-		return true
+	if w.Guaranteed {
+		return d.now.Sub(w.Due) > guaranteedNearWait
 	}
 	return d.now.Add(w.Remaining).After(w.Objective.Add(-nearMargin))
 }
 
 const (
-	// guaranteedNearWait leaves a guaranteed step the larger part of its bound of 2.7 s to begin anywhere.
-	guaranteedNearWait = 600 * time.Millisecond
+	// guaranteedNearWait leaves a guaranteed step more than half of its bound of 2.7 s to begin anywhere.
+	guaranteedNearWait = 1200 * time.Millisecond
 	// nearMargin is the time before the last useful start near the data at which a step goes elsewhere.
 	nearMargin = 200 * time.Millisecond
 )
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -31,17 +31,17 @@
 	return h.Unsaved
 }
 
-// preempt has running tasks stopped until the want fits, or stops nothing when it
-// would not fit even then.
+// preempt has running tasks stopped until the want fits, or stops nothing and returns
+// false when it would not fit even then.
 //
 // It answers the reclaim: an organisation's guaranteed accelerators are lent to
 // others and asked back at once. Victims are those that lose the least unsaved work;
 // none is stopped that does not free what is needed. The same fit chooses the rooms
 // that will place the want once they are free, so that no second round of victims follows.
-func (d *round) preempt(w *Want) {
-	a := d.fit(w, reclaimable)
+func (d *round) preempt(w *Want, far bool) bool {
+	a := d.fit(w, reclaimable, far)
 	if len(a.rooms) < len(w.Tasks) && (w.Step.Gang || len(a.rooms) == 0) {
-		return
+		return false
 	}
 	count := make(map[*room]int)
 	for _, r := range a.rooms {
@@ -54,6 +54,7 @@
 		}
 	}
 	d.keep(w, a)
+	return len(a.rooms) == len(w.Tasks)
 }
 
 // stopPrice is what it costs to have need available on a room.
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -47,7 +47,7 @@
 
 // serve places a want, or has room made for it when a guarantee covers it.
 func (d *round) serve(w *Want) {
-	a := d.fit(w, freeNow)
+	a := d.fit(w, freeNow, !w.Guaranteed && d.mayGoFar(w))
 	d.place(w, a)
 	if !w.Guaranteed || len(a.rooms) == len(w.Tasks) {
 		return
@@ -55,11 +55,27 @@
 	rest := *w
 	rest.Tasks = w.Tasks[len(a.rooms):]
 	rest.On = d.withPlaced(w, a)
-	if coming := d.fit(&rest, freeSoon); len(coming.rooms) == len(rest.Tasks) {
-		d.keep(&rest, coming)
+	if d.makeRoom(&rest, false) || !d.mayGoFar(w) {
 		return
 	}
-	d.preempt(&rest)
+	a = d.fit(&rest, freeNow, true)
+	d.place(&rest, a)
+	if n := len(a.rooms); n < len(rest.Tasks) {
+		last := rest
+		last.Tasks = rest.Tasks[n:]
+		last.On = d.withPlaced(&rest, a)
+		d.makeRoom(&last, true)
+	}
+}
+
+// makeRoom keeps room that is being released for a want, or else has tasks stopped for
+// it. It returns false when the want would not fit even then.
+func (d *round) makeRoom(w *Want, far bool) bool {
+	if coming := d.fit(w, freeSoon, far); len(coming.rooms) == len(w.Tasks) {
+		d.keep(w, coming)
+		return true
+	}
+	return d.preempt(w, far)
 }
 
 // withPlaced counts a step's tasks with those just placed.
