--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -69,7 +69,7 @@
 	for _, st := range s.openJobs() {
 		s.addWants(&snap, st, covered[st])
 	}
-	if slices.ContainsFunc(snap.Wants, func(w sched.Want) bool { return w.Guaranteed }) {
+	if slices.ContainsFunc(snap.Wants, func(w sched.Want) bool { return w.Guaranteed || w.Urgent }) {
 		snap.Held = s.held(covered)
 	}
 	return snap
@@ -161,7 +161,7 @@
 func (s *State) addWant(snap *sched.Snapshot, g *job.Group, covered bool) {
 	st, step := g.State, g.Step()
 	w := sched.Want{
-		Key: g.Key(), Service: s.serviceOf(st.Job), Step: step, Priority: st.Job.Priority, Guaranteed: covered,
+		Key: g.Key(), Service: s.serviceOf(st.Job), Step: step, Priority: st.Job.Priority, Guaranteed: covered, Urgent: st.Job.Priority == 0,
 		Due: s.dueAt(g), Remaining: st.Job.LongestChain(), On: make(map[model.BackendServerID]int),
 	}
 	w.Objective = w.Due.Add(st.Job.Objective())
@@ -221,7 +221,8 @@
 				continue
 			}
 			list = append(list, sched.Held{
-				Key: r.group.Key(), Index: r.index, Server: r.server, Need: r.step().Reserved(), Gang: r.step().Gang, Unsaved: s.unsaved(r),
+				Key: r.group.Key(), Index: r.index, Server: r.server, Need: r.step().Reserved(), Gang: r.step().Gang,
+				Urgent: r.group.State.Job.Priority == 0, Unsaved: s.unsaved(r),
 			})
 		}
 	}
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -27,15 +27,17 @@
 	reclaimable               // and what running tasks would release if stopped
 )
 
-// available is what a room offers under a supply.
-func (r *room) available(s supply) job.Resources {
+// available is what a room offers a want under a supply.
+func (r *room) available(w *Want, s supply) job.Resources {
 	a := r.free
 	if s >= freeSoon {
 		a = a.Add(r.promised)
 	}
 	if s == reclaimable {
 		for _, h := range r.held {
-			a = a.Add(h.Need)
+			if w.displaces(h) {
+				a = a.Add(h.Need)
+			}
 		}
 	}
 	return a
@@ -96,13 +98,13 @@
 		if limit := t.want.Step.MaxPerServer; limit > 0 && t.want.On[r.ID]+used >= limit {
 			continue
 		}
-		left := r.available(t.supply).Sub(need.Times(used))
+		left := r.available(t.want, t.supply).Sub(need.Times(used))
 		if !need.Fits(left) {
 			continue
 		}
 		price := left.Sub(need).CoreWeight()
 		if t.supply == reclaimable {
-			price = d.stopPrice(r, need.Times(used+1)) - d.stopPrice(r, need.Times(used))
+			price = d.stopPrice(t.want, r, used+1) - d.stopPrice(t.want, r, used)
 		}
 		if best == nil || r.Slow != best.Slow && !r.Slow || r.Slow == best.Slow && price < bestPrice {
 			best, bestPrice = r, price
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -23,6 +23,12 @@
 	}
 }
 
+// displacing reports whether others make room for the want.
+func (w *Want) displacing() bool { return w.Guaranteed || w.Urgent }
+
+// displaces reports whether a running task makes room for the want.
+func (w *Want) displaces(h *Held) bool { return w.Guaranteed || w.Urgent && !h.Urgent }
+
 // stopCost is the unsaved work that stopping a task throws away, its gang's included.
 func (d *round) stopCost(h *Held) float64 {
 	if h.Gang {
@@ -47,34 +53,37 @@
 	for _, r := range a.rooms {
 		count[r]++
 	}
-	need := w.Step.Reserved()
 	for _, r := range d.rooms {
 		if n := count[r]; n > 0 {
-			d.evict(r, d.victims(r, need.Times(n)), w.Key)
+			d.evict(r, d.victims(w, r, n), w.Key)
 		}
 	}
 	d.keep(w, a)
 	return len(a.rooms) == len(w.Tasks)
 }
 
-// stopPrice is what it costs to have need available on a room.
-func (d *round) stopPrice(r *room, need job.Resources) float64 {
+// stopPrice is what it costs to have room for n tasks of the want.
+func (d *round) stopPrice(w *Want, r *room, n int) float64 {
 	price := 0.0
-	for _, h := range d.victims(r, need) {
+	for _, h := range d.victims(w, r, n) {
 		price += d.stopCost(h)
 	}
 	return price
 }
 
-// victims chooses tasks on a room whose stop makes need available there, leaving out
-// those, the dearest first, whose stop is not needed after all.
-func (d *round) victims(r *room, need job.Resources) []*Held {
-	free := r.available(freeSoon)
+// victims chooses tasks on a room whose stop makes room for n tasks of the want there,
+// leaving out those, the dearest first, whose stop is not needed after all.
+func (d *round) victims(w *Want, r *room, n int) []*Held {
+	need := w.Step.Reserved().Times(n)
+	free := r.available(w, freeSoon)
 	var chosen []*Held
 	for _, h := range r.held {
 		if need.Fits(free) {
 			break
 		}
+		if !w.displaces(h) {
+			continue
+		}
 		chosen = append(chosen, h)
 		free = free.Add(h.Need)
 	}
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -45,11 +45,11 @@
 	return d
 }
 
-// serve places a want, or has room made for it when a guarantee covers it.
+// serve places a want, or has room made for it when it is urgent or guaranteed.
 func (d *round) serve(w *Want) {
-	a := d.fit(w, freeNow, !w.Guaranteed && d.mayGoFar(w))
+	a := d.fit(w, freeNow, !w.displacing() && d.mayGoFar(w))
 	d.place(w, a)
-	if !w.Guaranteed || len(a.rooms) == len(w.Tasks) {
+	if !w.displacing() || len(a.rooms) == len(w.Tasks) {
 		return
 	}
 	rest := *w
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -35,9 +35,9 @@
 	Tasks []int
 	// Priority is 0 for the most urgent.
 	Priority int
-	// Guaranteed tells that the organisation's guarantee covers the job, so that
-	// others make room for it.
-	Guaranteed bool
+	// Guaranteed tells that the organisation's guarantee covers the job, so that all
+	// others make room for it. Urgent steps have only those of lower priority make room.
+	Guaranteed, Urgent bool
 	// Due is when the occurrence became due, and Objective when it should end.
 	Due, Objective time.Time
 	// Remaining is the estimated time to the end of the occurrence once the tasks run.
@@ -52,13 +52,15 @@
 	Advised map[model.BackendServerID]bool
 }
 
-// Held is a running task that may be stopped to make room for a guarantee.
+// Held is a running task that no guarantee covers; it may be stopped to make room.
 type Held struct {
 	Key    job.GroupKey
 	Index  int
 	Server model.BackendServerID
 	Need   job.Resources
 	Gang   bool
+	// Urgent tasks make room for a guarantee only.
+	Urgent bool
 	// Unsaved is the work that a stop throws away, in core-seconds.
 	Unsaved float64
 }
