--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -25,7 +25,8 @@
 
 // plan decides a round and has its placements recorded.
 func (s *State) plan() {
-	if !s.replan && s.now.Sub(s.planned) < planInterval || s.leaving || !s.mayPlan() {
+	since := s.now.Sub(s.planned)
+	if since < planGap || !s.replan && since < planInterval || s.leaving || !s.mayPlan() {
 		return
 	}
 	s.replan, s.planned = false, s.now
@@ -65,8 +66,9 @@
 			snap.Servers = append(snap.Servers, s.serverView(v))
 		}
 	}
-	covered := s.covered()
-	for _, st := range s.openJobs() {
+	open := s.openJobs()
+	covered := s.covered(open)
+	for _, st := range open {
 		s.addWants(&snap, st, covered[st])
 	}
 	if slices.ContainsFunc(snap.Wants, func(w sched.Want) bool { return w.Guaranteed || w.Urgent }) {
@@ -124,13 +126,13 @@
 
 // covered tells which jobs an organisation's guarantee covers: its most urgent ones,
 // oldest first, while their accelerators fit in it.
-func (s *State) covered() map[*job.State]bool {
+func (s *State) covered(open []*job.State) map[*job.State]bool {
 	left := make(map[model.OrganisationID]int, len(s.config.Organisations))
 	for id, o := range s.config.Organisations {
 		left[id] = o.Guaranteed
 	}
 	covered := make(map[*job.State]bool)
-	for _, st := range s.openJobs() {
+	for _, st := range open {
 		need := st.Job.Accelerators()
 		if st.Job.Priority == 0 && need <= left[st.Job.Organisation] && s.config.Organisations[st.Job.Organisation].Guaranteed > 0 {
 			left[st.Job.Organisation] -= need
@@ -215,8 +217,8 @@
 // held lists the runs that may be stopped for a guarantee.
 func (s *State) held(covered map[*job.State]bool) []sched.Held {
 	var list []sched.Held
-	for _, id := range sortedKeys(s.servers) {
-		for _, r := range s.servers[id].runs {
+	for _, v := range s.servers {
+		for _, r := range v.runs {
 			if r.stopping || !r.current() || r.step().LongRunning || covered[r.group.State] {
 				continue
 			}
@@ -227,7 +229,10 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b sched.Held) int {
-		return cmp.Or(cmp.Compare(a.Unsaved, b.Unsaved), strings.Compare(a.Key.TaskName(a.Index), b.Key.TaskName(b.Index)))
+		return cmp.Or(
+			cmp.Compare(a.Unsaved, b.Unsaved), strings.Compare(string(a.Key.Job), string(b.Key.Job)),
+			cmp.Compare(a.Key.Occurrence, b.Key.Occurrence), cmp.Compare(a.Key.Step, b.Key.Step), cmp.Compare(a.Index, b.Index),
+		)
 	})
 	return list
 }
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -94,22 +95,32 @@
 	}
 }
 
-// superviseRuns sends the starts and stops that are due.
-func (s *State) superviseRuns() {
-	for _, id := range sortedKeys(s.servers) {
-		v := s.servers[id]
-		for _, name := range sortedKeys(v.runs) {
-			s.superviseRun(v, v.runs[name])
+// superviseRuns sends the starts and stops that are due on a backend server.
+func (s *State) superviseRuns(v *server) {
+	var due []*run
+	for _, r := range v.runs {
+		if s.needsAttention(v, r) {
+			due = append(due, r)
 		}
 	}
+	slices.SortFunc(due, func(a, b *run) int { return strings.Compare(a.name, b.name) })
+	for _, r := range due {
+		s.superviseRun(v, r)
+	}
 }
 
-func (s *State) superviseRun(v *server, r *run) {
+// needsAttention reports whether anything has to be done about a run.
+func (s *State) needsAttention(v *server, r *run) bool {
 	if r.phase == runRecording || r.inFlight || s.now.Before(r.nextCall) {
-		return
+		return false
 	}
 	st := r.group.State
-	if !r.stopping && (st.Cancelled || r.group.Failed() || st.Status() == job.StatusFailed) {
+	return r.stopping || r.doubt || st.Cancelled || st.Recorded.Final() || v.entry.Draining || s.stalled(r) || r.group.Failed()
+}
+
+func (s *State) superviseRun(v *server, r *run) {
+	st := r.group.State
+	if !r.stopping && (st.Cancelled || r.group.Failed() || st.Recorded == job.StatusFailed) {
 		s.wantStop(r, "job ended")
 	}
 	if r.stopping {
@@ -181,6 +192,9 @@
 	}
 	r.stopping, r.stopSince = true, s.now
 	r.nextCall = time.Time{}
+	if v := s.servers[r.server]; v != nil {
+		s.touch(v)
+	}
 	s.log.Info("run is stopped", zap.String("task", r.name), zap.Int64("run", r.number),
 		zap.String("server", string(r.server)), zap.String("reason", reason))
 	if r.step().Gang && r.current() {
@@ -221,6 +235,7 @@
 	if v.runs[r.name] == r {
 		delete(v.runs, r.name)
 	}
+	s.touch(v)
 	s.replan = true
 	if !r.current() {
 		return
@@ -329,6 +344,7 @@
 	if r == nil || r.number != number {
 		return nil, nil
 	}
+	s.touch(v)
 	return v, r
 }
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -97,17 +97,15 @@
 	}
 }
 
-// pollServers sends the reports that are due.
-func (s *State) pollServers() {
-	for id, v := range s.servers {
-		if v.holding || s.now.Before(v.nextHold) || v.entry.Address == "" {
-			continue
-		}
-		if !v.listed && v.failing > 0 && len(v.runs) == 0 {
-			continue
-		}
-		s.hold(id, v)
+// poll asks a backend server for a report when that is due.
+func (s *State) poll(id model.BackendServerID, v *server) {
+	if v.holding || s.now.Before(v.nextHold) || v.entry.Address == "" {
+		return
+	}
+	if !v.listed && v.failing > 0 && len(v.runs) == 0 {
+		return
 	}
+	s.hold(id, v)
 }
 
 // hold asks for a report. A backend server that does not answer has its leases extended
@@ -170,19 +168,17 @@
 	return over
 }
 
-// expireLeases gives up what ran on backend servers that have been silent for longer
+// expireLeases gives up what ran on a backend server that has been silent for longer
 // than any lease there can last.
-func (s *State) expireLeases() {
-	for id, v := range s.servers {
-		if len(v.runs) == 0 || s.now.Before(v.leasesOver()) || v.surveyed && v.failing == 0 {
-			continue
-		}
-		s.log.Warn("leases ended on a silent backend server", zap.String("server", string(id)),
-			zap.Int("runs", len(v.runs)), zap.Duration("heard_before", s.now.Sub(v.heard)))
-		for _, name := range sortedKeys(v.runs) {
-			if r := v.runs[name]; r.phase != runRecording {
-				s.release(v, r, "lease ended")
-			}
+func (s *State) expireLeases(id model.BackendServerID, v *server) {
+	if len(v.runs) == 0 || v.surveyed && v.failing == 0 || s.now.Before(v.leasesOver()) {
+		return
+	}
+	s.log.Warn("leases ended on a silent backend server", zap.String("server", string(id)),
+		zap.Int("runs", len(v.runs)), zap.Duration("heard_before", s.now.Sub(v.heard)))
+	for _, name := range sortedKeys(v.runs) {
+		if r := v.runs[name]; r.phase != runRecording {
+			s.release(v, r, "lease ended")
 		}
 	}
 }
@@ -196,6 +192,7 @@
 		return
 	}
 	v.holding = false
+	s.touch(v)
 	if e.Err != nil {
 		s.holdFailed(e, v)
 		return
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -17,6 +17,8 @@
 // Timings of the loop.
 const (
 	tickInterval = 50 * time.Millisecond // decisions that depend on time alone
+	passInterval = 45 * time.Millisecond // a little less, so that each tick goes through all
+	planGap      = 15 * time.Millisecond // gathers the ends and submissions that come together
 
 	heartbeatInterval = 250 * time.Millisecond // a third of holderTimeout
 	// holderTimeout is the silence after which the holder counts as gone; a
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -72,8 +72,11 @@
 	advice  map[string]*advice
 	replan  bool
 	planned time.Time
-	dropped time.Time
-	leaving bool
+	// touched are the backend servers that events of this step were about.
+	touched  map[model.BackendServerID]*server
+	lastPass time.Time
+	dropped  time.Time
+	leaving  bool
 
 	actions []Action
 }
@@ -89,6 +92,7 @@
 		servers:    make(map[model.BackendServerID]*server),
 		advice:     make(map[string]*advice),
 		nextOf:     make(map[Partition]int64),
+		touched:    make(map[model.BackendServerID]*server),
 	}
 	s.resync()
 	return s
@@ -157,21 +161,37 @@
 	}
 }
 
-// settle makes the decisions that depend on the whole state.
+// settle makes the decisions that follow from the events. What depends on time alone
+// goes through all backend servers, but only at intervals; else only those that events
+// have touched are gone through.
 func (s *State) settle() {
 	s.superviseTerm()
 	s.sendHeartbeats()
 	if !s.acting() {
 		return
 	}
-	s.expireLeases()
-	s.superviseRuns()
+	due := s.touched
+	if s.now.Sub(s.lastPass) >= passInterval {
+		s.lastPass = s.now
+		due = s.servers
+		s.dropJobs()
+	}
+	for _, id := range sortedKeys(due) {
+		v := due[id]
+		s.expireLeases(id, v)
+		s.superviseRuns(v)
+	}
 	s.plan()
-	s.dropJobs()
 	s.flush()
-	s.pollServers()
+	for id, v := range due {
+		s.poll(id, v)
+	}
+	clear(s.touched)
 }
 
+// touch has a backend server gone through after the events.
+func (s *State) touch(v *server) { s.touched[v.entry.ID] = v }
+
 // checkPause handles that this VM did not run for a while: what it believes of peers
 // may be old, and it has to hear from the holder anew before it challenges it.
 func (s *State) checkPause() {
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -144,6 +144,7 @@
 	for id, n := range b.ends {
 		if v := s.servers[id]; v != nil && v.born == n.Born {
 			v.recorded = max(v.recorded, n.Number)
+			s.touch(v)
 			if !v.holding {
 				v.nextHold = s.now
 			}
--- /dev/null
+++ b/internal/sched/bench_test.go
@@ -0,0 +1,48 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// loaded is a snapshot of n backend servers that are nearly full, with a backlog.
+func loaded(n, backlog int) Snapshot {
+	now := time.Unix(1000, 0)
+	s := Snapshot{Now: now}
+	for i := range n {
+		id := model.BackendServerID(fmt.Sprintf("s%04d", i))
+		capacity := job.Resources{MilliCPU: 32000, MemoryMB: 65536, Accelerators: 8}
+		task := job.Resources{MilliCPU: 3500, MemoryMB: 7000, Accelerators: 1}
+		s.Servers = append(s.Servers, Server{
+			ID: id, Service: "desk", Rack: model.RackID(fmt.Sprintf("r%d", i/8)), Capacity: capacity, Free: capacity.Sub(task.Times(7)),
+		})
+		for k := range 7 {
+			s.Held = append(s.Held, Held{
+				Key: job.GroupKey{Job: model.JobID(fmt.Sprintf("held%04d", i))}, Index: k, Server: id, Need: task, Unsaved: float64(k),
+			})
+		}
+	}
+	for i := range backlog {
+		step := &job.Step{Count: 5, Need: job.Resources{MilliCPU: 3700, MemoryMB: 7600, Accelerators: 8}, Gang: i%2 == 0, SameRack: i%4 == 0}
+		s.Wants = append(s.Wants, Want{
+			Key: job.GroupKey{Job: model.JobID(fmt.Sprintf("want%04d", i))}, Service: "desk", Step: step, Tasks: []int{0, 1, 2, 3, 4},
+			Priority: i % 3, Urgent: i%3 == 0, Due: now, Objective: now.Add(4 * time.Second), Remaining: 2 * time.Second,
+		})
+	}
+	return s
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{48, 350, 2900} {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			s := loaded(n, 60)
+			for b.Loop() {
+				Decide(s)
+			}
+		})
+	}
+}
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -11,11 +11,14 @@
 // room is a backend server during a round.
 type room struct {
 	*Server
-	free job.Resources
+	index int
+	free  job.Resources
 	// promised is being released and not yet kept for a want.
 	promised job.Resources
-	// held are the tasks that may be stopped, the cheapest first.
-	held []*Held
+	// held are the tasks that may be stopped, the cheapest first; yields is what those
+	// release that make room for a guarantee, and for urgent steps.
+	held                           []*Held
+	yieldsGuaranteed, yieldsUrgent job.Resources
 }
 
 // supply is what a fit may count on.
@@ -29,18 +32,16 @@
 
 // available is what a room offers a want under a supply.
 func (r *room) available(w *Want, s supply) job.Resources {
-	a := r.free
-	if s >= freeSoon {
-		a = a.Add(r.promised)
-	}
-	if s == reclaimable {
-		for _, h := range r.held {
-			if w.displaces(h) {
-				a = a.Add(h.Need)
-			}
-		}
+	switch {
+	case s == freeNow:
+		return r.free
+	case s == freeSoon:
+		return r.free.Add(r.promised)
+	case w.Guaranteed:
+		return r.free.Add(r.promised).Add(r.yieldsGuaranteed)
+	default:
+		return r.free.Add(r.promised).Add(r.yieldsUrgent)
 	}
-	return a
 }
 
 // suits reports whether the backend server may run the step at all.
@@ -68,71 +69,157 @@
 type trial struct {
 	want   *Want
 	supply supply
-	used   map[*room]int // tasks
+	used   []int     // tasks on each room
+	priced []float64 // what those cost, where others make room
+}
+
+func (d *round) newTrial(w *Want, s supply) *trial {
+	return &trial{want: w, supply: s, used: make([]int, len(d.rooms)), priced: make([]float64, len(d.rooms))}
 }
 
 // assign places as many of n more tasks as fit among candidates, the cheapest first.
-func (d *round) assign(t trial, n int, candidates []*room) assignment {
+func (d *round) assign(t *trial, n int, candidates []*room) assignment {
 	var a assignment
-	for len(a.rooms) < n {
-		best, price := d.cheapest(t, candidates)
-		if best == nil {
-			return a
+	offers := make([]offer, 0, len(candidates))
+	for _, r := range candidates {
+		if o, ok := d.offer(t, r); ok {
+			offers = append(offers, o)
+		}
+	}
+	for len(a.rooms) < n && len(offers) > 0 {
+		best := 0
+		for i := range offers {
+			if offers[i].cheaper(&offers[best]) {
+				best = i
+			}
+		}
+		r := offers[best].room
+		t.used[r.index]++
+		t.priced[r.index] += offers[best].price
+		a.rooms = append(a.rooms, r)
+		a.price += offers[best].price
+		next, ok := d.offer(t, r)
+		if !ok {
+			offers[best] = offers[len(offers)-1]
+			offers = offers[:len(offers)-1]
+			continue
 		}
-		t.used[best]++
-		a.rooms = append(a.rooms, best)
-		a.price += price
+		offers[best] = next
 	}
 	return a
 }
 
-// cheapest returns the room where one more task costs least: where the least room is
-// left, so that whole backend servers stay free for tasks that need all of one, or,
-// when others make room, where the least work is thrown away.
-func (d *round) cheapest(t trial, candidates []*room) (*room, float64) {
+// offer is the price of one more task on a room.
+type offer struct {
+	room  *room
+	price float64
+}
+
+// cheaper prefers rooms that are not slow, then the lower price, then the order of the snapshot.
+func (o *offer) cheaper(p *offer) bool {
+	if o.room.Slow != p.room.Slow {
+		return !o.room.Slow
+	}
+	if o.price != p.price {
+		return o.price < p.price
+	}
+	return o.room.index < p.room.index
+}
+
+// offer returns what one more task costs on a room: the room that is left, so that whole
+// backend servers stay free for tasks that need all of one, or, when others make room,
+// the work that is thrown away.
+func (d *round) offer(t *trial, r *room) (offer, bool) {
+	used := t.used[r.index]
+	if limit := t.want.Step.MaxPerServer; limit > 0 && t.want.On[r.ID]+used >= limit {
+		return offer{}, false
+	}
 	need := t.want.Step.Reserved()
-	var best *room
-	var bestPrice float64
-	for _, r := range candidates {
-		used := t.used[r]
-		if limit := t.want.Step.MaxPerServer; limit > 0 && t.want.On[r.ID]+used >= limit {
-			continue
-		}
-		left := r.available(t.want, t.supply).Sub(need.Times(used))
-		if !need.Fits(left) {
-			continue
-		}
-		price := left.Sub(need).CoreWeight()
-		if t.supply == reclaimable {
-			price = d.stopPrice(t.want, r, used+1) - d.stopPrice(t.want, r, used)
-		}
-		if best == nil || r.Slow != best.Slow && !r.Slow || r.Slow == best.Slow && price < bestPrice {
-			best, bestPrice = r, price
+	left := r.available(t.want, t.supply).Sub(need.Times(used))
+	if !need.Fits(left) {
+		return offer{}, false
+	}
+	price := left.Sub(need).CoreWeight()
+	if t.supply == reclaimable {
+		price = d.stopPrice(t.want, r, used+1) - t.priced[r.index]
+	}
+	return offer{room: r, price: price}, true
+}
+
+// holds reports whether n tasks fit in the rooms together, without choosing any.
+func (d *round) holds(w *Want, s supply, n int, rooms []*room) bool {
+	for _, r := range rooms {
+		if n <= 0 {
+			return true
 		}
+		n -= timesIn(w.Step, r.available(w, s))
 	}
-	return best, bestPrice
+	return n <= 0
 }
 
 // fit finds room for a want's tasks: all of a gang or nothing, else as many as fit. Only
 // with far does it leave the rack that the step runs best on.
 func (d *round) fit(w *Want, s supply, far bool) assignment {
+	key, comparable := d.shapeOf(w, s, far)
+	if comparable && d.hopeless[key] {
+		return assignment{}
+	}
+	a := d.search(w, s, far)
+	if comparable && len(a.rooms) == 0 {
+		d.hopeless[key] = true
+	}
+	return a
+}
+
+// shape is all that decides whether a want finds any room. In a round room only gets
+// scarcer, except that stops add to what is being released.
+type shape struct {
+	need                   job.Resources
+	service, label         string
+	dataRack, rack         model.RackID
+	members                int // of a gang
+	gang, sameRack, far    bool
+	guaranteed, displacing bool
+	supply                 supply
+	evictions              int
+}
+
+// shapeOf returns the want's shape, unless it has limits of its own.
+func (d *round) shapeOf(w *Want, s supply, far bool) (shape, bool) {
+	k := shape{
+		need: w.Step.Reserved(), service: w.Service, label: w.Step.Label, dataRack: w.Step.DataRack, rack: w.Rack,
+		gang: w.Step.Gang, sameRack: w.Step.SameRack, far: far, guaranteed: w.Guaranteed, displacing: d.displacing(w), supply: s,
+	}
+	if w.Step.Gang {
+		k.members = len(w.Tasks)
+	}
+	if s == freeSoon {
+		k.evictions = len(d.plan.Evictions)
+	}
+	return k, w.Step.MaxPerServer == 0 && w.Avoid == nil && w.Advised == nil
+}
+
+// search is fit without the memory of what was hopeless.
+func (d *round) search(w *Want, s supply, far bool) assignment {
 	suitable := filter(d.rooms, func(r *room) bool { return r.suits(w) })
-	near := filter(suitable, func(r *room) bool { return r.near(w) })
+	near := suitable
+	if w.Step.DataRack != "" {
+		near = filter(suitable, func(r *room) bool { return r.near(w) })
+	}
 	n := len(w.Tasks)
-	fresh := func() trial { return trial{want: w, supply: s, used: make(map[*room]int)} }
 	switch {
 	case w.Step.Gang:
-		return d.fitGang(w, fresh, suitable, near, far)
+		return d.fitGang(w, s, suitable, near, far)
 	case w.Step.SameRack:
-		best := d.fullestRack(w, fresh, near)
+		best := d.fullestRack(w, s, near)
 		if len(best.rooms) == n || !far {
 			return best
 		}
-		a := d.assign(fresh(), n, suitable)
+		a := d.assign(d.newTrial(w, s), n, suitable)
 		a.far = true
 		return a
 	default:
-		t := fresh()
+		t := d.newTrial(w, s)
 		a := d.assign(t, n, near)
 		if len(a.rooms) == n || !far {
 			return a
@@ -144,14 +231,13 @@
 
 // fullestRack places as many tasks as fit on one rack, the one where the step's other
 // tasks run if there are any.
-func (d *round) fullestRack(w *Want, fresh func() trial, rooms []*room) assignment {
+func (d *round) fullestRack(w *Want, s supply, rooms []*room) assignment {
 	var best assignment
-	for _, rack := range racksOf(rooms) {
-		if w.Rack != "" && rack != w.Rack {
+	for _, members := range byRack(rooms) {
+		if w.Rack != "" && members[0].Rack != w.Rack {
 			continue
 		}
-		members := filter(rooms, func(r *room) bool { return r.Rack == rack })
-		if a := d.assign(fresh(), len(w.Tasks), members); len(a.rooms) > len(best.rooms) {
+		if a := d.assign(d.newTrial(w, s), len(w.Tasks), members); len(a.rooms) > len(best.rooms) {
 			best = a
 		}
 	}
@@ -160,12 +246,12 @@
 
 // fitGang places all tasks or none: near the data and on one rack, else, when the step
 // may go far, on any rack or anywhere.
-func (d *round) fitGang(w *Want, fresh func() trial, suitable, near []*room, far bool) assignment {
+func (d *round) fitGang(w *Want, s supply, suitable, near []*room, far bool) assignment {
 	place := func(rooms []*room) (assignment, bool) {
 		if w.Step.SameRack {
-			return d.cheapestRack(w, fresh, rooms)
+			return d.cheapestRack(w, s, rooms)
 		}
-		return d.whole(w, fresh, rooms)
+		return d.whole(w, s, rooms)
 	}
 	if a, ok := place(near); ok {
 		return a
@@ -175,15 +261,18 @@
 	}
 	a, ok := place(suitable)
 	if !ok {
-		a, _ = d.whole(w, fresh, suitable)
+		a, _ = d.whole(w, s, suitable)
 	}
 	a.far = true
 	return a
 }
 
 // whole places all tasks or none.
-func (d *round) whole(w *Want, fresh func() trial, rooms []*room) (assignment, bool) {
-	a := d.assign(fresh(), len(w.Tasks), rooms)
+func (d *round) whole(w *Want, s supply, rooms []*room) (assignment, bool) {
+	if !d.holds(w, s, len(w.Tasks), rooms) {
+		return assignment{}, false
+	}
+	a := d.assign(d.newTrial(w, s), len(w.Tasks), rooms)
 	if len(a.rooms) < len(w.Tasks) {
 		return assignment{}, false
 	}
@@ -191,9 +280,9 @@
 }
 
 // cheapestRack places all tasks on the rack that has the least to spare.
-func (d *round) cheapestRack(w *Want, fresh func() trial, rooms []*room) (best assignment, ok bool) {
-	for _, rack := range racksOf(rooms) {
-		a, whole := d.whole(w, fresh, filter(rooms, func(r *room) bool { return r.Rack == rack }))
+func (d *round) cheapestRack(w *Want, s supply, rooms []*room) (best assignment, ok bool) {
+	for _, members := range byRack(rooms) {
+		a, whole := d.whole(w, s, members)
 		if whole && (!ok || a.price < best.price) {
 			best, ok = a, true
 		}
@@ -204,16 +293,14 @@
 // couldBeNear reports whether the gang would fit near its data and on one rack if
 // nothing else ran, so that waiting for it makes sense.
 func (d *round) couldBeNear(w *Want, near []*room) bool {
-	racks := []model.RackID{""}
+	groups := [][]*room{near}
 	if w.Step.SameRack {
-		racks = racksOf(near)
+		groups = byRack(near)
 	}
-	for _, rack := range racks {
+	for _, rooms := range groups {
 		n := 0
-		for _, r := range near {
-			if rack == "" || r.Rack == rack {
-				n += timesIn(w.Step, d.capacity[r.ID])
-			}
+		for _, r := range rooms {
+			n += timesIn(w.Step, r.Capacity)
 		}
 		if n >= len(w.Tasks) {
 			return true
@@ -222,13 +309,13 @@
 	return false
 }
 
-// timesIn is how many tasks of a step an empty backend server holds.
-func timesIn(step *job.Step, capacity job.Resources) int {
+// timesIn is how many tasks of a step an amount holds.
+func timesIn(step *job.Step, amount job.Resources) int {
 	need := step.Reserved()
 	n := step.Count
-	for _, c := range [][2]int{{need.MilliCPU, capacity.MilliCPU}, {need.MemoryMB, capacity.MemoryMB}, {need.Accelerators, capacity.Accelerators}} {
+	for _, c := range [][2]int{{need.MilliCPU, amount.MilliCPU}, {need.MemoryMB, amount.MemoryMB}, {need.Accelerators, amount.Accelerators}} {
 		if c[0] > 0 {
-			n = min(n, c[1]/c[0])
+			n = min(n, max(c[1], 0)/c[0])
 		}
 	}
 	if step.MaxPerServer > 0 {
@@ -241,7 +328,7 @@
 // Away from it tasks take FarFactor times as long: worth it only when waiting longer
 // would miss the objective anyway.
 func (d *round) mayGoFar(w *Want) bool {
-	if w.Guaranteed {
+	if d.displacing(w) {
 		return d.now.Sub(w.Due) > guaranteedNearWait
 	}
 	return d.now.Add(w.Remaining).After(w.Objective.Add(-nearMargin))
@@ -255,7 +342,7 @@
 )
 
 func filter(rooms []*room, keep func(*room) bool) []*room {
-	var kept []*room
+	kept := make([]*room, 0, len(rooms))
 	for _, r := range rooms {
 		if keep(r) {
 			kept = append(kept, r)
@@ -264,15 +351,18 @@
 	return kept
 }
 
-// racksOf lists the racks in order of first appearance.
-func racksOf(rooms []*room) []model.RackID {
-	var racks []model.RackID
-	seen := make(map[model.RackID]bool)
+// byRack groups rooms by rack, in order of first appearance.
+func byRack(rooms []*room) [][]*room {
+	var groups [][]*room
+	at := make(map[model.RackID]int)
 	for _, r := range rooms {
-		if !seen[r.Rack] {
-			seen[r.Rack] = true
-			racks = append(racks, r.Rack)
+		i, ok := at[r.Rack]
+		if !ok {
+			i = len(groups)
+			at[r.Rack] = i
+			groups = append(groups, nil)
 		}
+		groups[i] = append(groups[i], r)
 	}
-	return racks
+	return groups
 }
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -16,6 +16,7 @@
 		}
 		if r := d.byID[h.Server]; r != nil {
 			r.held = append(r.held, h)
+			r.countYield(h.Need, h.Urgent)
 		}
 	}
 	for _, r := range d.rooms {
@@ -23,11 +24,29 @@
 	}
 }
 
-// displacing reports whether others make room for the want.
-func (w *Want) displacing() bool { return w.Guaranteed || w.Urgent }
+// countYield adds what a held task releases if it is stopped.
+func (r *room) countYield(need job.Resources, urgent bool) {
+	r.yieldsGuaranteed = r.yieldsGuaranteed.Add(need)
+	if !urgent {
+		r.yieldsUrgent = r.yieldsUrgent.Add(need)
+	}
+}
+
+// release promises what a held task takes to those that had it stopped.
+func (r *room) release(h *Held) {
+	r.promised = r.promised.Add(h.Need)
+	r.countYield(job.Resources{}.Sub(h.Need), h.Urgent)
+}
+
+// displacing reports whether others make room for the want. An urgent one that comes
+// too late does not displace: it is served after those whose tasks it would stop, and
+// they would take the room from each other in turn.
+func (d *round) displacing(w *Want) bool {
+	return w.Guaranteed || w.Urgent && !w.expired(d.now)
+}
 
-// displaces reports whether a running task makes room for the want.
-func (w *Want) displaces(h *Held) bool { return w.Guaranteed || w.Urgent && !h.Urgent }
+// displaces reports whether a running task makes room for a want that displaces.
+func (w *Want) displaces(h *Held) bool { return w.Guaranteed || !h.Urgent }
 
 // stopCost is the unsaved work that stopping a task throws away, its gang's included.
 func (d *round) stopCost(h *Held) float64 {
@@ -105,7 +124,7 @@
 			d.releaseGang(h.Key)
 			continue
 		}
-		r.promised = r.promised.Add(h.Need)
+		r.release(h)
 		r.held = slices.DeleteFunc(r.held, func(o *Held) bool { return o == h })
 	}
 }
@@ -114,7 +133,7 @@
 	for _, r := range d.rooms {
 		r.held = slices.DeleteFunc(r.held, func(h *Held) bool {
 			if h.Key == key {
-				r.promised = r.promised.Add(h.Need)
+				r.release(h)
 			}
 			return h.Key == key
 		})
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -12,8 +12,8 @@
 	now      time.Time
 	rooms    []*room
 	byID     map[model.BackendServerID]*room
-	capacity map[model.BackendServerID]job.Resources
 	gangCost map[job.GroupKey]float64
+	hopeless map[shape]bool
 	plan     Plan
 }
 
@@ -31,15 +31,14 @@
 	d := &round{
 		now:      s.Now,
 		byID:     make(map[model.BackendServerID]*room, len(s.Servers)),
-		capacity: make(map[model.BackendServerID]job.Resources, len(s.Servers)),
 		gangCost: make(map[job.GroupKey]float64),
+		hopeless: make(map[shape]bool),
 	}
 	for i := range s.Servers {
 		v := &s.Servers[i]
-		r := &room{Server: v, free: v.Free, promised: v.Releasing}
+		r := &room{Server: v, index: i, free: v.Free, promised: v.Releasing}
 		d.rooms = append(d.rooms, r)
 		d.byID[v.ID] = r
-		d.capacity[v.ID] = v.Capacity
 	}
 	d.addHeld(s.Held)
 	return d
@@ -47,9 +46,9 @@
 
 // serve places a want, or has room made for it when it is urgent or guaranteed.
 func (d *round) serve(w *Want) {
-	a := d.fit(w, freeNow, !w.displacing() && d.mayGoFar(w))
+	a := d.fit(w, freeNow, !d.displacing(w) && d.mayGoFar(w))
 	d.place(w, a)
-	if !w.displacing() || len(a.rooms) == len(w.Tasks) {
+	if !d.displacing(w) || len(a.rooms) == len(w.Tasks) {
 		return
 	}
 	rest := *w
