A randomised world for the control loop, and what it found about restarted backend servers

Change: after a restart nothing is given up before the new incarnation has reported, and a start that may still arrive is stopped there. The strongest VMs take the term first.

--- /dev/null
+++ b/internal/fleet/fakes_test.go
@@ -0,0 +1,268 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// fakePart is one partition of the store.
+type fakePart struct {
+	records  []StoredRecord
+	epoch    int64
+	sequence int64
+	offsets  map[int64]int64 // of recent sequence numbers
+}
+
+// fakeStore is the platform's log.
+type fakeStore struct {
+	parts map[Partition]*fakePart
+	down  bool
+	loses float64 // share of answers that are lost
+}
+
+func (f *fakeStore) part(p Partition) *fakePart {
+	if f.parts[p] == nil {
+		f.parts[p] = &fakePart{offsets: make(map[int64]int64), sequence: -1}
+	}
+	return f.parts[p]
+}
+
+// append stores records and wakes the nodes that follow the partition.
+func (f *fakeStore) append(w *world, a Appending) (int64, error) {
+	part := f.part(a.Partition)
+	end := int64(len(part.records))
+	if a.Producer != "" {
+		if a.Epoch < part.epoch {
+			return 0, ErrFenced
+		}
+		if a.Epoch == part.epoch {
+			if offset, ok := part.offsets[a.Sequence]; ok {
+				return offset, nil
+			}
+			if a.Sequence != part.sequence+1 {
+				return 0, ErrFenced
+			}
+		}
+	}
+	if a.At >= 0 && a.At != end {
+		return 0, ErrConflict
+	}
+	if a.Producer != "" {
+		if a.Epoch > part.epoch {
+			part.offsets = make(map[int64]int64)
+		}
+		part.epoch, part.sequence = a.Epoch, a.Sequence
+		part.offsets[a.Sequence] = end
+	}
+	for i, r := range a.Records {
+		part.records = append(part.records, StoredRecord{Record: r, Offset: end + int64(i)})
+	}
+	for _, n := range w.nodes {
+		w.at(storeDelay, func() { w.poll(n) })
+	}
+	return end, nil
+}
+
+func (f *fakeStore) end(p Partition) int64 { return int64(len(f.part(p).records)) }
+
+func (f *fakeStore) from(p Partition, offset int64) []StoredRecord {
+	return slices.Clone(f.part(p).records[offset:])
+}
+
+// newest returns the newest record of each key.
+func (f *fakeStore) newest(p Partition) []StoredRecord {
+	newest := make(map[string]StoredRecord)
+	for _, r := range f.part(p).records {
+		newest[r.Key] = r
+	}
+	var list []StoredRecord
+	for _, r := range newest {
+		if len(r.Value) > 0 {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b StoredRecord) int { return int(a.Offset - b.Offset) })
+	return list
+}
+
+// fakeRun is a task at work on a fakeServer.
+type fakeRun struct {
+	order   Start
+	began   time.Time
+	takes   time.Duration
+	need    job.Resources
+	key     job.GroupKey
+	index   int
+	waiting bool // for the other members of its gang
+}
+
+// fakeServer is a backend server.
+type fakeServer struct {
+	id       model.BackendServerID
+	rack     model.RackID
+	born     time.Time
+	dead     bool
+	unlisted bool
+	draining bool
+	fails    bool // everything that it starts
+	hangs    bool
+	fence    int64
+	deadline int64
+	runs     map[string]*fakeRun
+	ended    []EndReport
+	number   int64
+	barred   map[string]int64 // the highest run of a task that was stopped or ended
+}
+
+func (w *world) addServer() *fakeServer {
+	n := len(w.servers)
+	s := &fakeServer{
+		id: model.BackendServerID(fmt.Sprintf("s%02d", n)), rack: model.RackID(fmt.Sprintf("r%d", n%2)),
+		born: w.now, runs: make(map[string]*fakeRun), barred: make(map[string]int64),
+	}
+	w.servers[s.id] = s
+	w.every(50*time.Millisecond, func() { s.work(w) })
+	return s
+}
+
+var fakeCapacity = job.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: 8}
+
+func (s *fakeServer) clock(w *world) int64 { return startClock + w.now.Sub(s.born).Milliseconds() }
+
+func (s *fakeServer) entry(w *world) ServerEntry {
+	return ServerEntry{
+		ID: s.id, Service: service, Address: string(s.id), Rack: s.rack, Labels: []string{"a", string(s.rack)},
+		Capacity: fakeCapacity, Draining: s.draining, Born: s.born.UnixMilli(), Clock: s.clock(w),
+	}
+}
+
+// crash ends everything; the backend server comes back under the same ID.
+func (s *fakeServer) crash(w *world) {
+	for _, name := range sortedKeys(s.runs) {
+		r := s.runs[name]
+		if r == nil {
+			continue // ended with its gang
+		}
+		w.oracle.ended(s, r, "crashed")
+		delete(s.runs, name)
+		if r.step(w).Gang {
+			w.oracle.breakGang(r)
+		}
+	}
+	s.born = w.now
+	s.fence, s.deadline, s.number = 0, 0, 0
+	s.runs, s.ended, s.barred = make(map[string]*fakeRun), nil, make(map[string]int64)
+}
+
+func (s *fakeServer) fenced(token int64) bool {
+	if token < s.fence {
+		return true
+	}
+	s.fence = token
+	return false
+}
+
+func (s *fakeServer) start(w *world, o Start, by string) (int64, error) {
+	clock := s.clock(w)
+	refuse := func(reason Refusal) (int64, error) { return 0, &RefusedError{Reason: reason, Clock: clock} }
+	if s.fenced(o.Token) {
+		return refuse(RefusedFence)
+	}
+	if r := s.runs[o.Task]; r != nil && r.order.Run == o.Run {
+		return clock, nil
+	}
+	if s.runs[o.Task] != nil || o.Run <= s.barred[o.Task] {
+		return refuse(RefusedOld)
+	}
+	if o.Deadline <= clock {
+		return refuse(RefusedLate)
+	}
+	r := w.oracle.newRun(o)
+	free := fakeCapacity
+	for _, other := range s.runs {
+		free = free.Sub(other.need)
+	}
+	s.deadline = max(s.deadline, o.Deadline)
+	if !r.need.Fits(free) {
+		return refuse(RefusedRoom)
+	}
+	r.began = w.now
+	s.runs[o.Task] = r
+	w.oracle.started(s, r, by)
+	return clock, nil
+}
+
+func (s *fakeServer) stop(w *world, o Stop) (int64, error) {
+	if s.fenced(o.Token) {
+		return 0, &RefusedError{Reason: RefusedFence, Clock: s.clock(w)}
+	}
+	s.barred[o.Task] = max(s.barred[o.Task], o.Run)
+	if r := s.runs[o.Task]; r != nil && r.order.Run <= o.Run {
+		s.end(w, r, EndedStopped)
+	}
+	return s.clock(w), nil
+}
+
+func (s *fakeServer) hold(w *world, o Hold) (Report, error) {
+	if s.fenced(o.Token) {
+		return Report{}, &RefusedError{Reason: RefusedFence, Clock: s.clock(w)}
+	}
+	s.deadline = max(s.deadline, o.Deadline)
+	s.ended = slices.DeleteFunc(s.ended, func(e EndReport) bool {
+		if e.Number <= o.Noted {
+			w.oracle.noted(s, e)
+		}
+		return e.Number <= o.Noted
+	})
+	report := Report{Born: s.born.UnixMilli(), Clock: s.clock(w), Ended: slices.Clone(s.ended)}
+	for _, name := range sortedKeys(s.runs) {
+		r := s.runs[name]
+		percent := int(100 * w.now.Sub(r.began) / r.takes)
+		if s.hangs || r.waiting {
+			percent = 0
+		}
+		report.Running = append(report.Running, RunReport{Task: name, Run: r.order.Run, Percent: min(percent, 99)})
+	}
+	return report, nil
+}
+
+func (s *fakeServer) end(w *world, r *fakeRun, how Ending) {
+	delete(s.runs, r.order.Task)
+	s.barred[r.order.Task] = max(s.barred[r.order.Task], r.order.Run)
+	s.number++
+	s.ended = append(s.ended, EndReport{Number: s.number, Task: r.order.Task, Run: r.order.Run, How: how})
+	w.oracle.ended(s, r, how)
+	if r.step(w).Gang && how != EndedDone {
+		w.oracle.breakGang(r)
+	}
+}
+
+func (r *fakeRun) step(w *world) *job.Step { return &w.oracle.jobs[r.key.Job].Steps[r.key.Step] }
+
+// work ends what is due.
+func (s *fakeServer) work(w *world) {
+	if s.dead {
+		return
+	}
+	for _, name := range sortedKeys(s.runs) {
+		r := s.runs[name]
+		switch {
+		case r == nil: // ended with its gang
+		case s.clock(w) > s.deadline:
+			s.end(w, r, EndedLapsed)
+		case r.waiting:
+			if w.now.Sub(r.began) > 3*time.Second {
+				s.end(w, r, EndedAlone)
+			}
+		case s.hangs:
+		case s.fails && w.now.Sub(r.began) > 200*time.Millisecond:
+			s.end(w, r, EndedFailed)
+		case w.now.Sub(r.began) >= r.takes:
+			w.oracle.finish(s, r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/oracle_test.go
@@ -0,0 +1,199 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// oracle sees what really runs and fails the test when a promise is broken.
+type oracle struct {
+	w             *world
+	jobs          map[model.JobID]*job.Job
+	cancelled     map[model.JobID]time.Time
+	at            map[string]map[*fakeServer]*fakeRun // where each task runs
+	done          map[string]bool                     // a run ended successfully
+	notedDone     map[string]time.Time                // and a holder took note of it
+	failures      map[string]int
+	notedFailures map[string]int // failed runs that a holder took note of
+	starts        int
+}
+
+func newOracle(w *world) *oracle {
+	return &oracle{
+		w: w, jobs: make(map[model.JobID]*job.Job), cancelled: make(map[model.JobID]time.Time),
+		at: make(map[string]map[*fakeServer]*fakeRun), done: make(map[string]bool),
+		notedDone: make(map[string]time.Time), failures: make(map[string]int),
+		notedFailures: make(map[string]int),
+	}
+}
+
+// newRun makes the run that an order starts.
+func (o *oracle) newRun(order Start) *fakeRun {
+	key, index, err := job.ParseTaskName(order.Task)
+	if err != nil {
+		o.w.t.Fatalf("order: %v", err)
+	}
+	j := o.jobs[key.Job]
+	if j == nil {
+		o.w.t.Fatalf("task %s was started, but nobody submitted its job", order.Task)
+	}
+	step := &j.Steps[key.Step]
+	return &fakeRun{order: order, takes: step.EstimatedRuntime, need: step.Reserved(), key: key, index: index, waiting: step.Gang && step.Count > 1}
+}
+
+func (o *oracle) started(s *fakeServer, r *fakeRun, by string) {
+	name := r.order.Task
+	o.starts++
+	if o.at[name] == nil {
+		o.at[name] = make(map[*fakeServer]*fakeRun)
+	}
+	for other := range o.at[name] {
+		if other != s {
+			o.w.t.Fatalf("%v: task %s runs on %s and is started on %s by %s", o.w.now, name, other.id, s.id, by)
+		}
+	}
+	o.at[name][s] = r
+	if noted, ok := o.notedDone[name]; ok && o.w.now.Sub(noted) > time.Second {
+		o.w.t.Fatalf("%v: task %s is started on %s after its end was taken note of", o.w.now, name, s.id)
+	}
+	j := o.jobs[r.key.Job]
+	if o.notedFailures[name] >= j.Attempts {
+		o.w.t.Fatalf("%v: task %s is started after %d failed runs", o.w.now, name, o.notedFailures[name])
+	}
+	for _, d := range j.Steps[r.key.Step].DependsOn {
+		for i := range j.Steps[d].Count {
+			before := job.GroupKey{Job: r.key.Job, Occurrence: r.key.Occurrence, Step: d}.TaskName(i)
+			if !o.done[before] {
+				o.w.t.Fatalf("%v: task %s is started before %s is done", o.w.now, name, before)
+			}
+		}
+	}
+	if at, ok := o.cancelled[r.key.Job]; ok && o.w.late == 0 && o.w.now.Sub(at) > 30*time.Second {
+		o.w.t.Fatalf("%v: task %s is started %v after its job was cancelled", o.w.now, name, o.w.now.Sub(at))
+	}
+	if r.waiting {
+		o.assemble(r)
+	}
+}
+
+// member is a gang's task where it runs.
+type member struct {
+	run *fakeRun
+	at  *fakeServer
+}
+
+// members returns the runs of a gang's run that are there.
+func (o *oracle) members(r *fakeRun) []member {
+	var there []member
+	for i := range r.step(o.w).Count {
+		for s, m := range o.at[r.key.TaskName(i)] { // at most one, else the test has failed
+			if m.order.Run == r.order.Run {
+				there = append(there, member{m, s})
+			}
+		}
+	}
+	return there
+}
+
+// assemble lets a gang work once all its members are there.
+func (o *oracle) assemble(r *fakeRun) {
+	there := o.members(r)
+	if len(there) < r.step(o.w).Count {
+		return
+	}
+	for _, m := range there {
+		m.run.waiting = false
+		m.run.began = o.w.now
+	}
+}
+
+func (o *oracle) breakGang(r *fakeRun) {
+	for _, m := range o.members(r) {
+		if m.run != r && m.at.runs[m.run.order.Task] == m.run {
+			m.at.end(o.w, m.run, EndedBroken)
+		}
+	}
+}
+
+// finish ends a run, and a gang as a whole, successfully.
+func (o *oracle) finish(s *fakeServer, r *fakeRun) {
+	if !r.step(o.w).Gang {
+		s.end(o.w, r, EndedDone)
+		return
+	}
+	for _, m := range o.members(r) {
+		if m.at.runs[m.run.order.Task] == m.run {
+			m.at.end(o.w, m.run, EndedDone)
+		}
+	}
+}
+
+func (o *oracle) ended(s *fakeServer, r *fakeRun, how Ending) {
+	name := r.order.Task
+	delete(o.at[name], s)
+	switch how {
+	case EndedDone:
+		o.done[name] = true
+	case EndedFailed:
+		o.failures[name]++
+	}
+}
+
+func (o *oracle) noted(_ *fakeServer, e EndReport) {
+	if e.How == EndedFailed {
+		o.notedFailures[e.Task]++
+	}
+	if e.How == EndedDone {
+		if _, ok := o.notedDone[e.Task]; !ok {
+			o.notedDone[e.Task] = o.w.now
+		}
+	}
+}
+
+// allEnded fails the test when a job has no final state, or a wrong one.
+func (o *oracle) allEnded() {
+	o.w.t.Helper()
+	for _, id := range sortedKeys(o.jobs) {
+		j := o.jobs[id]
+		status := o.w.status(id)
+		_, cancelled := o.cancelled[id]
+		switch {
+		case !status.Final():
+			o.w.t.Fatalf("%v: job %s is %q long after the faults", o.w.now, id, status)
+		case status == job.StatusCancelled && !cancelled:
+			o.w.t.Fatalf("job %s is cancelled, but nobody asked for it", id)
+		case status == job.StatusDone:
+			o.checkDone(j)
+		case status == job.StatusFailed:
+			o.checkFailed(j)
+		}
+	}
+}
+
+func (o *oracle) checkDone(j *job.Job) {
+	for k := range j.OccurrenceCount() {
+		for i := range j.Steps {
+			key := job.GroupKey{Job: j.ID, Occurrence: k, Step: i}
+			for n := range j.Steps[i].Count {
+				if !o.done[key.TaskName(n)] {
+					o.w.t.Fatalf("job %s is told to be done, but %s is not", j.ID, key.TaskName(n))
+				}
+			}
+		}
+	}
+}
+
+func (o *oracle) checkFailed(j *job.Job) {
+	for k := range j.OccurrenceCount() {
+		for i := range j.Steps {
+			for n := range j.Steps[i].Count {
+				if o.failures[job.GroupKey{Job: j.ID, Occurrence: k, Step: i}.TaskName(n)] >= j.Attempts {
+					return
+				}
+			}
+		}
+	}
+	o.w.t.Fatalf("job %s is told to have failed, but no task has failed %d times", j.ID, j.Attempts)
+}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -39,9 +39,12 @@
 	// doubt tells that a start got no answer and may still be carried out; fencedOff
 	// that a stop was confirmed after it, so that it can not.
 	doubt, fencedOff bool
-	stopping         bool
-	stopSince        time.Time
-	stray            bool // not the task's current run
+	// unanswered is when a start last got no answer. It may reach a later incarnation
+	// of the backend server even after another one was confirmed.
+	unanswered time.Time
+	stopping   bool
+	stopSince  time.Time
+	stray      bool // not the task's current run
 
 	percent    int
 	progressAt time.Time
@@ -237,6 +240,7 @@
 	}
 	s.touch(v)
 	s.replan = true
+	s.keepLoose(v, r)
 	if !r.current() {
 		return
 	}
@@ -249,6 +253,18 @@
 	}
 }
 
+// keepLoose remembers a run of which a start may still arrive.
+func (s *State) keepLoose(v *server, r *run) {
+	r.inFlight = false
+	if !r.mayArrive(s.now) {
+		return
+	}
+	if v.loose == nil {
+		v.loose = make(map[string]*run)
+	}
+	v.loose[r.name] = r
+}
+
 func (s *State) startAnswered(e StartAnswered) {
 	v, r := s.orderedRun(e.Order.Token, e.Order.Server, e.Order.Task, e.Order.Run)
 	if r == nil {
@@ -268,7 +284,7 @@
 		s.clockTold(v, refused.Clock)
 		s.startRefused(v, r, refused)
 	default:
-		r.doubt = true
+		r.doubt, r.unanswered = true, s.now
 		r.nextCall = s.now.Add(holdRetry)
 		s.log.Info("start without an answer", zap.String("task", r.name), zap.Int64("run", r.number),
 			zap.String("server", string(r.server)), zap.Error(e.Err))
@@ -359,6 +375,7 @@
 	r := v.runs[e.Task]
 	if r != nil && r.number == e.Run {
 		delete(v.runs, e.Task)
+		s.keepLoose(v, r)
 	}
 	key, index, err := job.ParseTaskName(e.Task)
 	if err != nil {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -37,7 +37,10 @@
 	recorded int64 // ends up to this number are recorded
 	told     int64 // the newest number that it was told to forget
 	runs     map[string]*run
-	health   health
+	// loose are runs that were given up, by task, of which a start may still arrive
+	// when the backend server restarts and forgets that they were stopped.
+	loose  map[string]*run
+	health health
 }
 
 func (s *State) serversListed(entries []ServerEntry) {
@@ -80,23 +83,36 @@
 	}
 }
 
-// reborn drops what ran in the older incarnation. A start whose answer is missing may
-// still reach the new one: it is stopped there before the task may run elsewhere.
+// reborn begins anew with another incarnation. What ran in the older one is gone, but a
+// start may have reached the new one before its birth was known, or may still reach it:
+// the next report tells, and a start in doubt is stopped there.
 func (s *State) reborn(id model.BackendServerID, v *server, born int64) {
-	s.log.Info("backend server restarted", zap.String("server", string(id)), zap.Int64("born", born), zap.Int("runs_lost", len(v.runs)))
+	s.log.Info("backend server restarted", zap.String("server", string(id)), zap.Int64("born", born), zap.Int("runs", len(v.runs)))
 	v.born, v.seen, v.recorded, v.told, v.deadline, v.clock = born, 0, 0, 0, 0, 0
-	for _, name := range sortedKeys(v.runs) {
-		r := v.runs[name]
-		switch {
-		case r.phase == runRecording:
-		case r.doubt && !r.fencedOff:
-			s.wantStop(r, "restarted with a start in doubt")
-		default:
-			s.release(v, r, "backend server restarted")
+	for _, r := range v.runs {
+		if r.mayArrive(s.now) {
+			r.doubt, r.fencedOff = true, false
+		}
+	}
+	for _, name := range sortedKeys(v.loose) {
+		r := v.loose[name]
+		if v.runs[name] == nil && r.mayArrive(s.now) {
+			r.phase, r.stray, r.stopping, r.doubt, r.fencedOff = runOrdered, true, false, true, false
+			v.runs[name] = r
+			s.wantStop(r, "its start may still arrive after the restart")
 		}
+		delete(v.loose, name)
 	}
 }
 
+// maxDelivery is how long after its sender gave up a call may still be carried out.
+const maxDelivery = 15 * time.Second
+
+// mayArrive reports whether a start of the run may still reach a new incarnation.
+func (r *run) mayArrive(now time.Time) bool {
+	return r.inFlight || !r.unanswered.IsZero() && now.Sub(r.unanswered) < maxDelivery
+}
+
 // poll asks a backend server for a report when that is due.
 func (s *State) poll(id model.BackendServerID, v *server) {
 	if v.holding || s.now.Before(v.nextHold) || v.entry.Address == "" {
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -25,6 +25,8 @@
 	// take-over then fits in the 2 s goal.
 	holderTimeout = 900 * time.Millisecond
 	claimStagger  = 150 * time.Millisecond // between VMs, so that one claims first
+	maxStaggered  = 5                      // VMs that wait for each other; more would delay a take-over
+	weakerDelay   = 500 * time.Millisecond // per class of stronger VMs, which may be gone
 	claimRetry    = 1 * time.Second        // an append's timeout
 	// holderStoreTimeout is how long a holder may miss the store before a VM that
 	// reaches it takes over.
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -17,6 +17,8 @@
 	Address string
 	// Forward takes passed-on calls, IP:port.
 	Forward string
+	// MilliCPU is the processor time that the VM has; the strongest take the term first.
+	MilliCPU int
 }
 
 // Clock is a moment on the clock that is neither stepped nor stopped, and the time of day.
@@ -176,15 +178,15 @@
 		due = s.servers
 		s.dropJobs()
 	}
-	for _, id := range sortedKeys(due) {
-		v := due[id]
-		s.expireLeases(id, v)
-		s.superviseRuns(v)
+	ids := sortedKeys(due)
+	for _, id := range ids {
+		s.expireLeases(id, due[id])
+		s.superviseRuns(due[id])
 	}
 	s.plan()
 	s.flush()
-	for id, v := range due {
-		s.poll(id, v)
+	for _, id := range ids {
+		s.poll(id, due[id])
 	}
 	clear(s.touched)
 }
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -37,6 +37,7 @@
 	Incarnation model.Incarnation `json:"incarnation"`
 	Address     string            `json:"address"`
 	Forward     string            `json:"forward"`
+	MilliCPU    int               `json:"cpu"`
 }
 
 // Heartbeat is what VMs tell each other. The holder sends it to all; they answer with theirs.
@@ -78,26 +79,32 @@
 	if s.now.Sub(s.storeSeen) > holderStoreTimeout {
 		return
 	}
-	if s.now.Sub(s.term.heard) < holderTimeout+time.Duration(s.rank())*claimStagger {
+	if s.now.Sub(s.term.heard) < holderTimeout+s.claimDelay() {
 		return
 	}
 	s.claimTerm()
 }
 
-// rank orders the VMs anew for each term, so that they do not all claim at once.
-func (s *State) rank() int {
+// claimDelay lets the strongest VMs claim first, and those of equal strength one after
+// the other, in an order that each term draws anew.
+func (s *State) claimDelay() time.Duration {
 	weight := func(node string) uint32 {
 		h := fnv.New32a()
 		_, _ = h.Write([]byte(node + strconv.FormatInt(s.claim.Offset, 10))) // a hash's Write never fails
 		return h.Sum32()
 	}
-	own, rank := weight(s.self.Node), 0
-	for node := range s.peers {
-		if node != s.self.Node && weight(node) < own {
-			rank++
+	own, before := weight(s.self.Node), 0
+	stronger := make(map[int]bool)
+	for node, p := range s.peers {
+		switch {
+		case node == s.self.Node:
+		case p.MilliCPU > s.self.MilliCPU:
+			stronger[p.MilliCPU] = true
+		case p.MilliCPU == s.self.MilliCPU && weight(node) < own:
+			before++
 		}
 	}
-	return rank
+	return time.Duration(min(before, maxStaggered))*claimStagger + time.Duration(len(stronger))*weakerDelay
 }
 
 func (s *State) claimTerm() {
--- /dev/null
+++ b/internal/fleet/world_test.go
@@ -0,0 +1,390 @@
+package fleet
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/telemetry"
+)
+
+const (
+	linkDelay  = 2 * time.Millisecond
+	storeDelay = 6 * time.Millisecond
+	lostAfter  = 800 * time.Millisecond // an exchange without an answer ends
+	testQueue  = "repairs"
+	service    = "desk"
+	startClock = 5000 // milliseconds on a backend server's clock at its start
+)
+
+// failer is what a testing.T and a rapid.T have in common.
+type failer interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+// world runs several States against fakes in virtual time.
+type world struct {
+	t       failer
+	now     time.Time
+	rng     *rand.Rand
+	due     dueQueue
+	seq     int
+	nodes   []*node
+	store   *fakeStore
+	servers map[model.BackendServerID]*fakeServer
+	cut     map[[2]string]bool // links without delivery, by name of both ends
+	late    float64            // share of orders that are carried out seconds later
+	oracle  *oracle
+	log     *zap.Logger
+}
+
+// node is one VM.
+type node struct {
+	name       string
+	state      *State
+	dead       bool
+	frozen     bool
+	queue      []Event
+	generation int
+	next       map[Partition]int64
+}
+
+type dueItem struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type dueQueue []dueItem
+
+func (q dueQueue) Len() int { return len(q) }
+func (q dueQueue) Less(i, j int) bool {
+	if c := q[i].at.Compare(q[j].at); c != 0 {
+		return c < 0
+	}
+	return q[i].seq < q[j].seq
+}
+func (q dueQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *dueQueue) Push(x any)   { *q = append(*q, x.(dueItem)) }
+func (q *dueQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// newWorld starts vms VMs and a number of backend servers of 8 accelerators on two racks.
+func newWorld(t failer, seed uint64, vms, servers int) *world {
+	w := &world{
+		t: t, now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
+		store: &fakeStore{parts: make(map[Partition]*fakePart)}, servers: make(map[model.BackendServerID]*fakeServer),
+		cut: make(map[[2]string]bool), log: zap.NewNop(),
+	}
+	w.oracle = newOracle(w)
+	w.log = testLogger(w)
+	for range servers {
+		w.addServer()
+	}
+	for range vms {
+		w.addNode()
+	}
+	w.every(400*time.Millisecond, w.listServers)
+	return w
+}
+
+// logVariable in the environment has the log of a run written in virtual time.
+const logVariable = "FLEET_TEST_LOG"
+
+// Now and NewTicker make the world the log's clock.
+func (w *world) Now() time.Time { return w.now }
+
+// NewTicker is not used by the log.
+func (w *world) NewTicker(d time.Duration) *time.Ticker { return time.NewTicker(d) }
+
+func testLogger(w *world) *zap.Logger {
+	path := os.Getenv(logVariable)
+	if path == "" {
+		return zap.NewNop()
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		w.t.Fatalf("log: %v", err)
+	}
+	logger, err := telemetry.NewLogger("debug", file)
+	if err != nil {
+		w.t.Fatalf("log: %v", err)
+	}
+	return logger.WithOptions(zap.WithClock(w))
+}
+
+func (w *world) at(d time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.due, dueItem{at: w.now.Add(d), seq: w.seq, run: run})
+}
+
+func (w *world) every(d time.Duration, run func()) {
+	w.at(d, func() {
+		run()
+		w.every(d, run)
+	})
+}
+
+// run lets time pass.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.due) > 0 && !w.due[0].at.After(end) {
+		item := heap.Pop(&w.due).(dueItem)
+		w.now = item.at
+		item.run()
+	}
+	w.now = end
+}
+
+func (w *world) clock() Clock { return Clock{Now: w.now, Wall: w.now} }
+
+func (w *world) addNode() *node {
+	name := fmt.Sprintf("vm%d", len(w.nodes))
+	self := Identity{Node: name, Incarnation: model.Incarnation(name), Address: name, Forward: name}
+	bounds := Bounds{LeaseMax: 10 * time.Second, StopTimeout: 200 * time.Millisecond, FarFactor: 3, KeepFinal: time.Hour}
+	n := &node{name: name, next: make(map[Partition]int64)}
+	n.state = NewState(self, bounds, w.log.With(zap.String("node", name)), NewCounters(tally.NoopScope))
+	w.nodes = append(w.nodes, n)
+	w.deliver(n, ConfigChanged{Config: testConfig(64)})
+	w.ticks(n)
+	w.every(time.Second, func() { w.poll(n) })
+	if r, err := MemberRecord(self); err == nil {
+		w.store.append(w, Appending{Partition: Partition{Topic: submissionsTopic}, Records: []job.Record{r}, At: -1})
+	}
+	return n
+}
+
+func testConfig(guaranteed int) *Config {
+	queues := []Queue{
+		{Name: testQueue, Host: "h", Prefix: "/p/", Service: service, Priority: 1, Attempts: 3, Stretch: 3},
+		{Name: "quotes", Host: "h", Prefix: "/q/", Service: service, Attempts: 3, Stretch: 1.5},
+	}
+	return NewConfig(1, queues, []Service{{Name: service, EnforcesCapacity: true}}, []Organisation{{ID: "o", Keys: []string{"k"}, Guaranteed: guaranteed}}, 0)
+}
+
+func (w *world) ticks(n *node) {
+	w.at(tickInterval, func() {
+		if n.dead {
+			return
+		}
+		w.deliver(n, Ticked{})
+		w.ticks(n)
+	})
+}
+
+// deliver steps a node, or keeps the event while the node is frozen.
+func (w *world) deliver(n *node, events ...Event) {
+	switch {
+	case n.dead:
+	case n.frozen:
+		n.queue = append(n.queue, events...)
+	default:
+		for _, a := range n.state.Step(events, w.clock()) {
+			w.carryOut(n, a)
+		}
+	}
+}
+
+func (w *world) thaw(n *node) {
+	n.frozen = false
+	queue := n.queue
+	n.queue = nil
+	w.deliver(n, queue...)
+}
+
+func link(a, b string) [2]string {
+	if b < a {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+func (w *world) connected(a, b string) bool { return !w.cut[link(a, b)] }
+
+func (w *world) carryOut(n *node, a Action) {
+	switch a := a.(type) {
+	case Append:
+		w.exchange(n, "store", storeDelay, func() Event {
+			offset, err := w.store.append(w, a.Appending)
+			return AppendAnswered{Number: a.Number, Offset: offset, Err: err}
+		}, AppendAnswered{Number: a.Number, Err: ErrInDoubt}, w.store.loses)
+	case Claim:
+		w.exchange(n, "store", storeDelay, func() Event {
+			_, err := w.store.append(w, a.Appending)
+			return ClaimAnswered{Err: err}
+		}, ClaimAnswered{Err: ErrInDoubt}, w.store.loses)
+	case OrderStart:
+		w.order(n, a.Server, func(s *fakeServer) Event {
+			clock, err := s.start(w, a.Start, n.name)
+			return StartAnswered{Order: a.Start, Clock: clock, Err: err}
+		}, StartAnswered{Order: a.Start, Err: ErrInDoubt})
+	case OrderStop:
+		w.order(n, a.Server, func(s *fakeServer) Event {
+			clock, err := s.stop(w, a.Stop)
+			return StopAnswered{Order: a.Stop, Clock: clock, Err: err}
+		}, StopAnswered{Order: a.Stop, Err: ErrInDoubt})
+	case OrderHold:
+		sent := w.now
+		w.order(n, a.Server, func(s *fakeServer) Event {
+			report, err := s.hold(w, a.Hold)
+			return HoldAnswered{Order: a.Hold, Sent: sent, Report: report, Err: err}
+		}, HoldAnswered{Order: a.Hold, Sent: sent, Err: ErrInDoubt})
+	case SendHeartbeat:
+		for _, to := range a.To {
+			if i := slices.IndexFunc(w.nodes, func(m *node) bool { return m.name == to }); i >= 0 && w.connected(n.name, to) {
+				w.at(linkDelay, func() { w.deliver(w.nodes[i], HeartbeatHeard{Heartbeat: a.Heartbeat}) })
+			}
+		}
+	case Resync:
+		n.generation = a.Generation
+		w.resync(n)
+	}
+}
+
+// exchange sends a call that is answered or, on a cut link, ends without an answer.
+func (w *world) exchange(n *node, to string, delay time.Duration, call func() Event, lost Event, loses float64) {
+	w.at(delay/2, func() {
+		if !w.connected(n.name, to) || to == "store" && w.store.down {
+			w.at(lostAfter, func() { w.deliver(n, lost) })
+			return
+		}
+		answer := call()
+		if w.rng.Float64() < loses {
+			w.at(lostAfter, func() { w.deliver(n, lost) })
+			return
+		}
+		w.at(delay/2, func() { w.deliver(n, answer) })
+	})
+}
+
+// order sends an order to a backend server. A share is carried out seconds later.
+func (w *world) order(n *node, id model.BackendServerID, call func(*fakeServer) Event, lost Event) {
+	s := w.servers[id]
+	if s != nil && w.rng.Float64() < w.late {
+		w.at(time.Duration(2000+w.rng.IntN(8000))*time.Millisecond, func() { call(s) })
+		w.at(lostAfter, func() { w.deliver(n, lost) })
+		return
+	}
+	w.at(linkDelay, func() {
+		if s == nil || s.dead || !w.connected(n.name, string(id)) {
+			w.at(lostAfter, func() { w.deliver(n, lost) })
+			return
+		}
+		answer := call(s)
+		delay := linkDelay
+		if h, ok := answer.(HoldAnswered); ok && len(h.Report.Ended) == 0 {
+			delay += h.Order.Wait / 4
+		}
+		w.at(delay, func() { w.deliver(n, answer) })
+	})
+}
+
+// resync has a node read all partitions anew.
+func (w *world) resync(n *node) {
+	generation := n.generation
+	w.at(storeDelay, func() {
+		if n.dead || n.generation != generation {
+			return
+		}
+		if w.store.down || !w.connected(n.name, "store") {
+			w.resync(n)
+			return
+		}
+		for _, p := range Partitions() {
+			records := w.store.newest(p)
+			n.next[p] = w.store.end(p)
+			w.deliver(n, RecordsRead{Generation: generation, Partition: p, Records: records, Initial: true, Synced: true, Next: n.next[p]})
+		}
+	})
+}
+
+// poll reads what is new in every partition.
+func (w *world) poll(n *node) {
+	if n.dead || w.store.down || !w.connected(n.name, "store") || len(n.next) == 0 {
+		return
+	}
+	for _, p := range Partitions() {
+		records := w.store.from(p, n.next[p])
+		n.next[p] = w.store.end(p)
+		w.deliver(n, RecordsRead{Generation: n.generation, Partition: p, Records: records, Synced: true, Next: n.next[p]})
+	}
+}
+
+func (w *world) listServers() {
+	var list []ServerEntry
+	for _, s := range w.servers {
+		if !s.dead && !s.unlisted {
+			list = append(list, s.entry(w))
+		}
+	}
+	slices.SortFunc(list, func(a, b ServerEntry) int { return cmp.Compare(a.ID, b.ID) })
+	for _, n := range w.nodes {
+		if !w.store.down && w.connected(n.name, "store") {
+			w.deliver(n, ServersListed{Servers: list})
+		}
+	}
+}
+
+// submit stores a job and returns it; nil when the store is down.
+func (w *world) submit(j job.Job) *job.Job {
+	if w.store.down {
+		return nil
+	}
+	w.seq++
+	j.ID = model.JobID(fmt.Sprintf("%016x", w.seq))
+	if j.Queue == "" {
+		j.Queue = testQueue
+	}
+	j.Service, j.Organisation, j.Accepted = service, "o", w.now
+	j.Attempts = 3
+	j.Stretch = 3
+	r, err := job.SubmissionRecord(&j)
+	if err != nil {
+		w.t.Fatalf("submission: %v", err)
+	}
+	w.store.append(w, Appending{Partition: SubmissionPartition(j.ID), Records: []job.Record{r}, At: -1})
+	w.oracle.jobs[j.ID] = &j
+	return &j
+}
+
+func (w *world) cancel(id model.JobID) {
+	if w.store.down {
+		return
+	}
+	w.store.append(w, Appending{Partition: SubmissionPartition(id), Records: []job.Record{job.CancellationRecord(id)}, At: -1})
+	w.oracle.cancelled[id] = w.now
+}
+
+// status returns what a live node tells of a job.
+func (w *world) status(id model.JobID) job.Status {
+	for _, n := range w.nodes {
+		if !n.dead && !n.frozen && n.state.Synced() {
+			status, _ := n.state.JobStatus(id)
+			return status
+		}
+	}
+	return ""
+}
+
+func (w *world) holder() *node {
+	for _, n := range w.nodes {
+		if !n.dead && !n.frozen && n.state.Holding() {
+			return n
+		}
+	}
+	return nil
+}
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -1,8 +1,12 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -73,7 +77,8 @@
 		statuses: make(map[*job.State]job.Status),
 	}
 	var records []job.Record
-	for key, g := range w.groups {
+	for _, key := range sortedGroups(w.groups) {
+		g := w.groups[key]
 		r, err := job.ProgressRecord(g)
 		if err != nil {
 			s.log.Error("progress not recorded", zap.Stringer("step", key), zap.Error(err))
@@ -82,7 +87,7 @@
 		records = append(records, r)
 		b.statuses[g.State] = g.State.Status()
 	}
-	for id := range w.servers {
+	for _, id := range sortedKeys(w.servers) {
 		if v := s.servers[id]; v != nil {
 			n := noted{Born: v.born, Number: v.seen}
 			if r, err := notedRecord(id, n); err == nil {
@@ -103,6 +108,12 @@
 	return b
 }
 
+func sortedGroups(m map[job.GroupKey]*job.Group) []job.GroupKey {
+	return slices.SortedFunc(maps.Keys(m), func(a, b job.GroupKey) int {
+		return cmp.Or(strings.Compare(string(a.Job), string(b.Job)), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step))
+	})
+}
+
 func notedRecord(id model.BackendServerID, n noted) (job.Record, error) {
 	value, err := json.Marshal(n)
 	return job.Record{Key: notedPrefix + string(id), Value: value}, err
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -86,7 +86,7 @@
 	store := platform.NewStore(s.StoreAddress)
 	loop := fleet.New(fleet.Options{
 		Identity: fleet.Identity{
-			Node: s.Node, Incarnation: model.Incarnation(model.RandomID()), Address: peerAddress, Forward: peerAddress,
+			Node: s.Node, Incarnation: model.Incarnation(model.RandomID()), Address: peerAddress, Forward: peerAddress, MilliCPU: s.MilliCPU,
 		},
 		Bounds:    fleet.Bounds{LeaseMax: s.LeaseMax, StopTimeout: s.StopTimeout, FarFactor: s.FarFactor, KeepFinal: s.StatusKept},
 		Store:     store,
