--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,266 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+var (
+	small = job.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 1}
+	all   = job.Resources{MilliCPU: 4000, MemoryMB: 4000, Accelerators: 8}
+)
+
+// calm returns a world in which a VM holds the term.
+func calm(t *testing.T, vms, servers int) *world {
+	w := newWorld(t, 1, vms, servers)
+	w.run(3 * time.Second)
+	assert.Assert(t, w.holder() != nil, "no VM took the term")
+	return w
+}
+
+func tasks(n int, need job.Resources, seconds int) job.Job {
+	return job.Job{Priority: 1, Steps: []job.Step{{Count: n, Need: need, EstimatedRuntime: time.Duration(seconds) * time.Second}}}
+}
+
+func TestJobRunsToItsEnd(t *testing.T) {
+	w := calm(t, 3, 4)
+	j := tasks(6, small, 2)
+	j.Steps = append(j.Steps, job.Step{Count: 2, Need: all, EstimatedRuntime: time.Second, DependsOn: []int{0}, Gang: true})
+	id := w.submit(j).ID
+	w.run(5 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+	assert.Equal(t, w.oracle.starts, 8)
+}
+
+func TestOccurrencesStartWhenDue(t *testing.T) {
+	w := calm(t, 1, 2)
+	j := tasks(1, small, 1)
+	j.Occurrences, j.FirstDue, j.Interval = 3, w.now.Add(2*time.Second), 3*time.Second
+	id := w.submit(j).ID
+	w.run(1900 * time.Millisecond)
+	assert.Equal(t, w.oracle.starts, 0)
+	w.run(2 * time.Second)
+	assert.Equal(t, w.oracle.starts, 1)
+	w.run(6 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+}
+
+func TestCancelledJobStops(t *testing.T) {
+	w := calm(t, 2, 2)
+	id := w.submit(tasks(4, small, 60)).ID
+	w.run(2 * time.Second)
+	w.cancel(id)
+	w.run(time.Second)
+	assert.Equal(t, w.status(id), job.StatusCancelled)
+	for name, at := range w.oracle.at {
+		assert.Equal(t, len(at), 0, "%s still runs", name)
+	}
+}
+
+func TestTakeOverAdoptsWhatRuns(t *testing.T) {
+	w := calm(t, 3, 4)
+	id := w.submit(tasks(4, all, 8)).ID
+	w.run(time.Second)
+	w.holder().dead = true
+	killed := w.now
+	next := w.submit(tasks(1, small, 1)).ID
+	for w.holder() == nil && w.now.Sub(killed) < 10*time.Second {
+		w.run(50 * time.Millisecond)
+	}
+	took := w.now.Sub(killed)
+	assert.Assert(t, took <= 2*time.Second, "the term was taken after %v", took)
+	w.run(9 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+	assert.Equal(t, w.status(next), job.StatusDone)
+	assert.Equal(t, w.oracle.starts, 5, "tasks that ran were started again")
+}
+
+func TestPlannedStopHandsTheTermOver(t *testing.T) {
+	w := calm(t, 3, 4)
+	id := w.submit(tasks(4, all, 8)).ID
+	w.run(time.Second)
+	leaving := w.holder()
+	w.deliver(leaving, DrainBegun{})
+	w.run(1500 * time.Millisecond)
+	assert.Assert(t, w.holder() != nil && w.holder() != leaving, "the term was not handed over")
+	leaving.dead = true
+	w.run(9 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+	assert.Equal(t, w.oracle.starts, 4)
+}
+
+func TestAllVMsKilledLosesNothing(t *testing.T) {
+	w := calm(t, 3, 4)
+	running, waiting := w.submit(tasks(4, all, 6)).ID, w.submit(tasks(1, all, 1)).ID
+	w.run(time.Second)
+	for _, n := range w.nodes {
+		n.dead = true
+	}
+	w.run(time.Second)
+	w.addNode()
+	w.addNode()
+	w.run(12 * time.Second)
+	assert.Equal(t, w.status(running), job.StatusDone)
+	assert.Equal(t, w.status(waiting), job.StatusDone)
+	assert.Equal(t, w.oracle.starts, 5)
+}
+
+func TestRunsEndWhileTheStoreIsDown(t *testing.T) {
+	w := calm(t, 3, 4)
+	id := w.submit(tasks(4, all, 9)).ID
+	w.run(time.Second)
+	w.store.down = true
+	w.run(15 * time.Second)
+	w.store.down = false
+	w.run(3 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+	assert.Equal(t, w.oracle.starts, 4, "leases lapsed during the outage")
+}
+
+// The store turns the holder away and serves the others: the term moves on.
+func TestHolderWithoutTheStoreIsReplaced(t *testing.T) {
+	w := calm(t, 3, 4)
+	old := w.holder()
+	w.cut[link(old.name, "store")] = true
+	id := w.submit(tasks(1, small, 1)).ID
+	w.run(6 * time.Second)
+	assert.Assert(t, w.holder() != old)
+	assert.Equal(t, w.statusFrom(old, id), job.StatusDone)
+}
+
+// statusFrom returns what a VM other than one tells of a job.
+func (w *world) statusFrom(not *node, id model.JobID) job.Status {
+	for _, n := range w.nodes {
+		if n != not && !n.dead {
+			status, _ := n.state.JobStatus(id)
+			return status
+		}
+	}
+	return ""
+}
+
+// No lease is extended on a backend server that does not answer: its tasks run elsewhere
+// once the last one has certainly lapsed, also when the calls go on failing.
+func TestTasksLeaveASilentServer(t *testing.T) {
+	w := calm(t, 2, 2)
+	id := w.submit(tasks(1, all, 2)).ID
+	w.run(500 * time.Millisecond)
+	for _, s := range w.servers {
+		if len(s.runs) > 0 {
+			s.unlisted = true
+			for _, n := range w.nodes {
+				w.cut[link(n.name, string(s.id))] = true
+			}
+			s.hangs = true
+		}
+	}
+	w.run(12 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+}
+
+func TestHungTaskRunsElsewhere(t *testing.T) {
+	w := calm(t, 2, 3)
+	for _, id := range sortedKeys(w.servers)[:1] {
+		w.servers[id].hangs = true
+	}
+	id := w.submit(tasks(3, all, 2)).ID
+	w.run(7 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+}
+
+func TestServerThatFailsAllLosesWork(t *testing.T) {
+	w := calm(t, 2, 3)
+	bad := w.servers[sortedKeys(w.servers)[0]]
+	bad.fails = true
+	for range 6 {
+		w.submit(tasks(2, small, 1))
+		w.run(700 * time.Millisecond)
+	}
+	w.run(5 * time.Second)
+	for id := range w.oracle.jobs {
+		assert.Equal(t, w.status(id), job.StatusDone)
+	}
+}
+
+func TestHopelessJobFailsAfterItsAttempts(t *testing.T) {
+	w := calm(t, 2, 3)
+	for _, s := range w.servers {
+		s.fails = true
+	}
+	id := w.submit(tasks(1, small, 1)).ID
+	w.run(40 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusFailed)
+	assert.Equal(t, w.oracle.starts, 3)
+}
+
+func TestRunsLeaveADrainingServer(t *testing.T) {
+	w := calm(t, 2, 2)
+	id := w.submit(tasks(1, all, 20)).ID
+	w.run(time.Second)
+	var left *fakeServer
+	for _, s := range w.servers {
+		if len(s.runs) > 0 {
+			left = s
+			s.draining = true
+		}
+	}
+	w.run(3 * time.Second)
+	assert.Equal(t, len(left.runs), 0)
+	w.run(25 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+}
+
+func TestGuaranteeIsReclaimed(t *testing.T) {
+	w := calm(t, 2, 2)
+	w.submit(tasks(2, all, 60))
+	w.run(time.Second)
+	quote := tasks(1, all, 1)
+	quote.Queue, quote.Priority = "quotes", 0
+	id := w.submit(quote).ID
+	w.run(2700 * time.Millisecond)
+	assert.Equal(t, w.status(id), job.StatusDone)
+}
+
+// A frozen holder wakes after another has taken the term: it starts nothing.
+func TestThawedHolderStartsNothing(t *testing.T) {
+	w := calm(t, 3, 4)
+	old := w.holder()
+	old.frozen = true
+	w.run(3 * time.Second)
+	assert.Assert(t, w.holder() != nil)
+	id := w.submit(tasks(4, all, 2)).ID
+	w.run(20 * time.Millisecond)
+	w.thaw(old)
+	w.run(5 * time.Second)
+	assert.Assert(t, !old.state.Holding())
+	assert.Equal(t, w.status(id), job.StatusDone)
+	assert.Equal(t, w.oracle.starts, 4)
+}
+
+// A start without an answer may be carried out seconds later. If its backend server has
+// restarted under the same ID by then, it has forgotten the token and the stop that ruled
+// the start out, and the holder learns of the restart only from the next listing.
+func TestLateStartReachesRestartedServer(t *testing.T) {
+	w := calm(t, 2, 2)
+	w.crossing = true
+	id := w.submit(tasks(1, small, 5)).ID
+	name := job.GroupKey{Job: id}.TaskName(0)
+	w.run(500 * time.Millisecond)
+	var at *fakeServer
+	for s := range w.oracle.at[name] {
+		at = s
+	}
+	order := at.runs[name].order
+	w.run(6 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+	before := w.oracle.starts
+	at.crash(w)
+	order.Deadline = at.clock(w) + 5000
+	_, err := at.start(w, order, "a late order")
+	assert.Assert(t, err != nil && w.oracle.starts == before, "the task ran again after it was done")
+}
