--- a/cmd/standin/backend.go
+++ b/cmd/standin/backend.go
@@ -12,7 +12,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/standin"
 )
 
@@ -79,15 +79,15 @@
 	}
 }
 
-func entry(s backendSettings, address string, b *standin.Backend) platform.VMEntry {
-	e := platform.VMEntry{
+func entry(s backendSettings, address string, b *standin.Backend) ports.VMEntry {
+	e := ports.VMEntry{
 		Address: address,
-		Role:    platform.RoleBackendServer,
+		Role:    ports.RoleBackendServer,
 		AZ:      model.AZ(s.az),
-		State:   platform.VMLive,
+		State:   ports.VMLive,
 	}
 	if b.Leaving() {
-		e.State = platform.VMLeaving
+		e.State = ports.VMLeaving
 	}
 	return e
 }
--- a/cmd/standin/list.go
+++ b/cmd/standin/list.go
@@ -7,7 +7,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/standin"
 )
 
@@ -18,17 +18,17 @@
 	url := fs.String("platform", "", "`URL` of the stand-in platform")
 	address := fs.String("address", "", "`IP:port` of the VM")
 	az := fs.String("az", "", "availability `zone` of the VM")
-	state := fs.String("state", string(platform.VMLive), "live or leaving")
+	state := fs.String("state", string(ports.VMLive), "live or leaving")
 	return &ffcli.Command{
 		Name:       "list",
 		ShortUsage: "standin list -platform URL -address IP:PORT -az ZONE",
 		FlagSet:    fs,
 		Exec: func(ctx context.Context, _ []string) error {
-			return standin.PutVM(ctx, *url, platform.VMEntry{
+			return standin.PutVM(ctx, *url, ports.VMEntry{
 				Address: *address,
-				Role:    platform.RoleEntry,
+				Role:    ports.RoleEntry,
 				AZ:      model.AZ(*az),
-				State:   platform.VMState(*state),
+				State:   ports.VMState(*state),
 			})
 		},
 	}
--- a/internal/control/action.go
+++ b/internal/control/action.go
@@ -7,7 +7,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/membership"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // Action is an output of the transition, carried out by the loop.
@@ -21,7 +21,7 @@
 type Command struct {
 	Server   model.BackendServerID
 	Address  string
-	Batch    platform.CommandBatch
+	Batch    ports.CommandBatch
 	NotAfter time.Time
 	Timeout  time.Duration
 }
--- a/internal/control/adopt.go
+++ b/internal/control/adopt.go
@@ -3,13 +3,13 @@
 import (
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
 )
 
 // unexpected handles a task that this VM did not start: it is part of a gang to
 // take over, or left from an attempt that is closed.
-func (s *State) unexpected(id model.BackendServerID, r platform.TaskReport) {
+func (s *State) unexpected(id model.BackendServerID, r ports.TaskReport) {
 	g := s.gangs[r.Job]
 	if g != nil && g.attempt == r.Attempt {
 		if g.gathering {
@@ -33,14 +33,14 @@
 }
 
 // stopStray stops a task that belongs to no attempt in force.
-func (s *State) stopStray(id model.BackendServerID, r platform.TaskReport) {
+func (s *State) stopStray(id model.BackendServerID, r ports.TaskReport) {
 	if r.State.Active() {
-		s.queue(id, platform.TaskCommand{Verb: platform.VerbStop, Task: r.Task})
+		s.queue(id, ports.TaskCommand{Verb: ports.VerbStop, Task: r.Task})
 	}
 }
 
 // closed reports whether replay has closed the task's attempt.
-func (s *State) closed(r platform.TaskReport) bool {
+func (s *State) closed(r ports.TaskReport) bool {
 	j := s.replica.Job(r.Job)
 	if j == nil {
 		return false
@@ -49,13 +49,13 @@
 }
 
 // open reports whether the task belongs to the attempt that is open in replay.
-func (s *State) open(r platform.TaskReport) bool {
+func (s *State) open(r ports.TaskReport) bool {
 	j := s.replica.Job(r.Job)
 	return j != nil && j.Attempt.Open && j.Attempt.ID == r.Attempt
 }
 
 // adopt makes the gang of a task that another VM started.
-func (s *State) adopt(r platform.TaskReport) *gang {
+func (s *State) adopt(r ports.TaskReport) *gang {
 	g := &gang{
 		job: model.Job{
 			ID:           r.Job,
@@ -88,7 +88,7 @@
 	return g
 }
 
-func (s *State) adoptMember(g *gang, id model.BackendServerID, r platform.TaskReport) {
+func (s *State) adoptMember(g *gang, id model.BackendServerID, r ports.TaskReport) {
 	if known, _ := s.findMember(id, r.Task); known != nil {
 		return
 	}
@@ -115,7 +115,7 @@
 		s.superviseRunning(g)
 		return
 	}
-	broken := !all(g, func(m *member) bool { return runsOrDone(m) || m.state == platform.TaskHeld })
+	broken := !all(g, func(m *member) bool { return runsOrDone(m) || m.state == ports.TaskHeld })
 	heard := s.surveyDone() && s.now.Sub(g.since) >= s.settings.gatherTime()
 	if broken || heard || s.now.Sub(s.term.actedAt) >= s.settings.Lease {
 		g.gathering = false
@@ -126,7 +126,7 @@
 func (s *State) failGathered(g *gang) {
 	why := ending{result: replica.ResultRetry, reason: ReasonPartialTakenOver}
 	for _, m := range g.members {
-		if m.state == platform.TaskFailed {
+		if m.state == ports.TaskFailed {
 			s.taskFailed(g, m)
 		}
 	}
@@ -134,7 +134,7 @@
 }
 
 func runsOrDone(m *member) bool {
-	return m.state == platform.TaskRunning || m.state == platform.TaskDone
+	return m.state == ports.TaskRunning || m.state == ports.TaskDone
 }
 
 // surveyDone reports whether every backend server has reported under the own token
@@ -197,7 +197,7 @@
 
 // takeUp takes over one reported task. One that was active may have ended since; it
 // is taken over with the next report.
-func (s *State) takeUp(id model.BackendServerID, r platform.TaskReport) {
+func (s *State) takeUp(id model.BackendServerID, r ports.TaskReport) {
 	if r.State.Active() {
 		return
 	}
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -7,7 +7,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // replyTable routes Reply actions to the callers that wait for them.
@@ -69,17 +69,17 @@
 	c := l.replies.add(id)
 	defer l.replies.remove(id)
 	if !l.post(ctx, event(id)) {
-		return reply, fmt.Errorf("control loop took no event: %w", platform.ErrUnavailable)
+		return reply, fmt.Errorf("control loop took no event: %w", ports.ErrUnavailable)
 	}
 	select {
 	case a := <-c:
 		reply, _ = a.(R)
 		return reply, nil
 	case <-l.stopped:
-		return reply, fmt.Errorf("control loop stopped: %w", platform.ErrInDoubt)
+		return reply, fmt.Errorf("control loop stopped: %w", ports.ErrInDoubt)
 	case <-ctx.Done():
 		l.post(context.WithoutCancel(ctx), ReplyAbandoned{Reply: id})
-		return reply, fmt.Errorf("%w: %w", ctx.Err(), platform.ErrInDoubt)
+		return reply, fmt.Errorf("%w: %w", ctx.Err(), ports.ErrInDoubt)
 	}
 }
 
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -14,7 +14,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/placement"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
 )
 
@@ -64,7 +64,7 @@
 	silent   map[[2]string]bool    // calls vanish and get no answer
 	bad      map[model.JobID]bool  // jobs that fail wherever they run
 	hook     func(*node, Action)   // called before each action is carried out
-	vms      []platform.VMEntry    // the platform's list
+	vms      []ports.VMEntry       // the platform's list
 	stale    bool                  // the list is not updated
 	breaches []string              // broken promises seen by the fakes
 	reported []invariant.Violation // reported by the program
@@ -154,7 +154,7 @@
 			return 10 * time.Second
 		},
 	}
-	c.vms = append(c.vms, platform.VMEntry{Address: info.Address, Role: platform.RoleBackendServer, AZ: az, State: platform.VMLive})
+	c.vms = append(c.vms, ports.VMEntry{Address: info.Address, Role: ports.RoleBackendServer, AZ: az, State: ports.VMLive})
 }
 
 func (c *cluster) newID() string {
@@ -170,7 +170,7 @@
 	n := &node{name: name, next: 1}
 	n.state = NewState(id, c.settings, replica.New(fixedConfig{c.config}), placement.Reclaiming{}, c.newID)
 	c.nodes = append(c.nodes, n)
-	c.vms = append(c.vms, platform.VMEntry{Address: name, Role: platform.RoleEntry, AZ: az, State: platform.VMLive})
+	c.vms = append(c.vms, ports.VMEntry{Address: name, Role: ports.RoleEntry, AZ: az, State: ports.VMLive})
 	return n
 }
 
@@ -236,11 +236,11 @@
 }
 
 // listed is the platform's list, from which dead VMs and servers are gone.
-func (c *cluster) listed() []platform.VMEntry {
+func (c *cluster) listed() []ports.VMEntry {
 	if c.stale {
 		return c.vms
 	}
-	var list []platform.VMEntry
+	var list []ports.VMEntry
 	for _, vm := range c.vms {
 		if !c.isDead(vm.Address) {
 			list = append(list, vm)
@@ -360,25 +360,25 @@
 	answered := CommandAnswered{Server: a.Server, Batch: a.Batch}
 	f := c.servers[a.Server]
 	if c.now.After(a.NotAfter) {
-		answered.Err = platform.ErrUnavailable
+		answered.Err = ports.ErrUnavailable
 		c.after(0, func() { c.deliver(n, answered) })
 		return
 	}
 	if f == nil || f.dead || !c.connected(n.name, a.Address) {
-		answered.Err = platform.ErrUnavailable
+		answered.Err = ports.ErrUnavailable
 		c.after(a.Timeout, func() { c.deliver(n, answered) })
 		return
 	}
 	vanishes := c.silent[link(n.name, a.Address)]
 	c.after(linkDelay, func() {
 		if vanishes || f.dead || n.dead {
-			answered.Err = errors.Join(errLost, platform.ErrInDoubt)
+			answered.Err = errors.Join(errLost, ports.ErrInDoubt)
 			c.after(a.Timeout, func() { c.deliver(n, answered) })
 			return
 		}
 		answered.Results = f.command(a.Batch, c.now)
 		if c.mute[link(n.name, a.Address)] || !c.connected(n.name, a.Address) {
-			answered.Results, answered.Err = nil, errors.Join(errLost, platform.ErrInDoubt)
+			answered.Results, answered.Err = nil, errors.Join(errLost, ports.ErrInDoubt)
 			c.after(a.Timeout, func() { c.deliver(n, answered) })
 			return
 		}
@@ -390,7 +390,7 @@
 	answered := StatusAnswered{Server: a.Server, Sent: a.Sent}
 	f := c.servers[a.Server]
 	if f == nil || f.dead || !c.connected(n.name, a.Address) || c.mute[link(n.name, a.Address)] || c.silent[link(n.name, a.Address)] {
-		answered.Err = platform.ErrUnavailable
+		answered.Err = ports.ErrUnavailable
 		c.after(a.Timeout, func() { c.deliver(n, answered) })
 		return
 	}
@@ -420,9 +420,9 @@
 // peerError is what a caller learns of a peer that it does not reach.
 func (c *cluster) peerError(n *node, address string) error {
 	if c.silent[link(n.name, address)] {
-		return errors.Join(errLost, platform.ErrInDoubt)
+		return errors.Join(errLost, ports.ErrInDoubt)
 	}
-	return platform.ErrUnavailable
+	return ports.ErrUnavailable
 }
 
 func (c *cluster) heartbeat(n *node, a SendHeartbeat) {
@@ -457,14 +457,14 @@
 		r := c.remote[a.Reply]
 		e := OfferAnswered{Job: r.job, Answer: a.Answer}
 		if c.loses(r) {
-			e = OfferAnswered{Job: r.job, Err: errors.Join(errLost, platform.ErrInDoubt)}
+			e = OfferAnswered{Job: r.job, Err: errors.Join(errLost, ports.ErrInDoubt)}
 		}
 		c.after(linkDelay, func() { c.deliver(r.node, e) })
 	case TermOfferReply:
 		r := c.remote[a.Reply]
 		e := TermOfferAnswered{Accepted: a.Accepted}
 		if c.loses(r) {
-			e = TermOfferAnswered{Err: errors.Join(errLost, platform.ErrInDoubt)}
+			e = TermOfferAnswered{Err: errors.Join(errLost, ports.ErrInDoubt)}
 		}
 		c.after(linkDelay, func() { c.deliver(r.node, e) })
 	}
@@ -529,7 +529,7 @@
 	for _, f := range c.servers {
 		f.expire(c.now)
 		for _, t := range f.tasks {
-			if t.Job == id && t.State == platform.TaskRunning {
+			if t.Job == id && t.State == ports.TaskRunning {
 				n++
 			}
 		}
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -5,12 +5,12 @@
 	"slices"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // queue adds a command to the next batch for a backend server. Batches for one
 // server are sent one after the other, so that commands keep their order.
-func (s *State) queue(id model.BackendServerID, c platform.TaskCommand) {
+func (s *State) queue(id model.BackendServerID, c ports.TaskCommand) {
 	if v := s.servers[id]; v != nil {
 		v.outbox = append(v.outbox, c)
 	}
@@ -35,7 +35,7 @@
 		s.emit(Command{
 			Server:   id,
 			Address:  v.info.Address,
-			Batch:    platform.CommandBatch{Token: s.term.token, Commands: v.outbox},
+			Batch:    ports.CommandBatch{Token: s.term.token, Commands: v.outbox},
 			NotAfter: s.now.Add(s.settings.CommandTimeout),
 			Timeout:  s.settings.CommandTimeout,
 		})
@@ -52,7 +52,7 @@
 		return
 	}
 	if e.Err != nil {
-		s.commandLost(e, !errors.Is(e.Err, platform.ErrUnavailable))
+		s.commandLost(e, !errors.Is(e.Err, ports.ErrUnavailable))
 		return
 	}
 	if fencedBatch(e) {
@@ -86,8 +86,8 @@
 
 // fencedBatch reports whether the server refused the batch for a newer token.
 func fencedBatch(e CommandAnswered) bool {
-	return slices.ContainsFunc(e.Results, func(r platform.TaskResult) bool {
-		return r.Refused == platform.RefusedFenced
+	return slices.ContainsFunc(e.Results, func(r ports.TaskResult) bool {
+		return r.Refused == ports.RefusedFenced
 	})
 }
 
@@ -115,7 +115,7 @@
 
 // answeredMember returns the gang and member of an answered command; nil when the
 // task is not known any more.
-func (s *State) answeredMember(id model.BackendServerID, c platform.TaskCommand) (*gang, *member) {
+func (s *State) answeredMember(id model.BackendServerID, c ports.TaskCommand) (*gang, *member) {
 	g, m := s.findMember(id, c.Task)
 	if g == nil {
 		return nil, nil
@@ -131,6 +131,6 @@
 }
 
 // extendsLease reports whether a command starts or extends a lease.
-func extendsLease(v platform.Verb) bool {
-	return v == platform.VerbHold || v == platform.VerbStart || v == platform.VerbRenew
+func extendsLease(v ports.Verb) bool {
+	return v == ports.VerbHold || v == ports.VerbStart || v == ports.VerbRenew
 }
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -6,7 +6,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/membership"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // ReplyID names the caller that waits for a Reply action.
@@ -34,11 +34,11 @@
 type EntryAppended struct{ Result journal.AppendResult }
 
 // CommandAnswered carries the results of a Command action. Err wraps
-// platform.ErrUnavailable when nothing had an effect, platform.ErrInDoubt otherwise.
+// ports.ErrUnavailable when nothing had an effect, ports.ErrInDoubt otherwise.
 type CommandAnswered struct {
 	Server  model.BackendServerID
-	Batch   platform.CommandBatch
-	Results []platform.TaskResult
+	Batch   ports.CommandBatch
+	Results []ports.TaskResult
 	Err     error
 }
 
@@ -46,7 +46,7 @@
 type StatusAnswered struct {
 	Server model.BackendServerID
 	Sent   time.Time
-	Status platform.BackendStatus
+	Status ports.BackendStatus
 	Err    error
 }
 
@@ -54,7 +54,7 @@
 type HeartbeatReceived struct{ Heartbeat membership.Heartbeat }
 
 // VMsListed carries the platform's VM list.
-type VMsListed struct{ VMs []platform.VMEntry }
+type VMsListed struct{ VMs []ports.VMEntry }
 
 // JobSubmitted asks to accept a job; SubmitReply answers.
 type JobSubmitted struct {
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -8,7 +8,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/config"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // fixedConfig is a configuration that never changes.
@@ -25,7 +25,7 @@
 
 // fakeTask is a task on a fakeServer.
 type fakeTask struct {
-	platform.TaskReport
+	ports.TaskReport
 	until   time.Time
 	started time.Time // zero: never ran
 	ends    time.Time // of the work
@@ -60,10 +60,10 @@
 func (f *fakeServer) expire(now time.Time) {
 	for _, t := range f.tasks {
 		switch {
-		case t.State == platform.TaskRunning && !t.ends.After(now) && !t.ends.After(t.until):
-			t.State, t.ended = platform.TaskDone, t.ends
+		case t.State == ports.TaskRunning && !t.ends.After(now) && !t.ends.After(t.until):
+			t.State, t.ended = ports.TaskDone, t.ends
 		case t.State.Active() && !t.until.After(now):
-			t.State, t.ended = platform.TaskLapsed, t.until
+			t.State, t.ended = ports.TaskLapsed, t.until
 		}
 	}
 }
@@ -74,21 +74,21 @@
 	f.dead = true
 	for _, t := range f.tasks {
 		if t.State.Active() {
-			t.State, t.ended = platform.TaskStopped, now
+			t.State, t.ended = ports.TaskStopped, now
 		}
 	}
 }
 
-func (f *fakeServer) status(now time.Time) platform.BackendStatus {
+func (f *fakeServer) status(now time.Time) ports.BackendStatus {
 	f.expire(now)
-	st := platform.BackendStatus{ID: f.info.ID, Leaving: f.leaving, FreeSlots: f.free(), Token: f.token}
+	st := ports.BackendStatus{ID: f.info.ID, Leaving: f.leaving, FreeSlots: f.free(), Token: f.token}
 	for _, id := range sortedKeys(f.tasks) {
 		st.Tasks = append(st.Tasks, f.tasks[id].TaskReport)
 	}
 	return st
 }
 
-func (f *fakeServer) command(b platform.CommandBatch, now time.Time) []platform.TaskResult {
+func (f *fakeServer) command(b ports.CommandBatch, now time.Time) []ports.TaskResult {
 	f.expire(now)
 	fenced := b.Token.Less(f.token)
 	if !fenced && b.Token.Less(f.token) {
@@ -97,10 +97,10 @@
 	if f.token.Less(b.Token) {
 		f.token = b.Token
 	}
-	var results []platform.TaskResult
+	var results []ports.TaskResult
 	for _, c := range b.Commands {
 		if fenced {
-			results = append(results, platform.TaskResult{Task: c.Task, Refused: platform.RefusedFenced})
+			results = append(results, ports.TaskResult{Task: c.Task, Refused: ports.RefusedFenced})
 			continue
 		}
 		results = append(results, f.one(c, now))
@@ -108,74 +108,74 @@
 	return results
 }
 
-func (f *fakeServer) one(c platform.TaskCommand, now time.Time) platform.TaskResult {
+func (f *fakeServer) one(c ports.TaskCommand, now time.Time) ports.TaskResult {
 	t := f.tasks[c.Task]
-	r := platform.TaskResult{Task: c.Task}
-	if t == nil && c.Verb == platform.VerbHold {
+	r := ports.TaskResult{Task: c.Task}
+	if t == nil && c.Verb == ports.VerbHold {
 		return f.hold(c, now)
 	}
 	if t == nil {
-		r.Refused = platform.RefusedNoTask
+		r.Refused = ports.RefusedNoTask
 		return r
 	}
 	r.State = t.State
 	if !t.State.Active() {
-		r.Refused = platform.RefusedNotActive
+		r.Refused = ports.RefusedNotActive
 		return r
 	}
 	switch c.Verb {
-	case platform.VerbStart:
+	case ports.VerbStart:
 		f.start(t, now)
 		t.until = now.Add(c.Lease)
-	case platform.VerbRenew:
+	case ports.VerbRenew:
 		t.until = now.Add(c.Lease)
-	case platform.VerbCheckpoint:
+	case ports.VerbCheckpoint:
 		t.Checkpoint = "checkpoint of " + string(t.Attempt)
-	case platform.VerbStop:
-		t.State, t.ended = platform.TaskStopped, now
+	case ports.VerbStop:
+		t.State, t.ended = ports.TaskStopped, now
 	}
 	r.State = t.State
 	r.Checkpoint = t.Checkpoint
 	return r
 }
 
-func (f *fakeServer) hold(c platform.TaskCommand, now time.Time) platform.TaskResult {
-	r := platform.TaskResult{Task: c.Task}
+func (f *fakeServer) hold(c ports.TaskCommand, now time.Time) ports.TaskResult {
+	r := ports.TaskResult{Task: c.Task}
 	switch {
 	case f.leaving:
-		r.Refused = platform.RefusedLeaving
+		r.Refused = ports.RefusedLeaving
 		return r
 	case f.free() < c.Accelerators:
-		r.Refused = platform.RefusedFull
+		r.Refused = ports.RefusedFull
 		return r
 	}
 	f.tasks[c.Task] = &fakeTask{
-		TaskReport: platform.TaskReport{
+		TaskReport: ports.TaskReport{
 			Task:         c.Task,
 			Job:          c.Job,
 			Attempt:      c.Attempt,
 			Organisation: c.Organisation,
 			Accelerators: c.Accelerators,
 			Members:      c.Members,
-			State:        platform.TaskHeld,
+			State:        ports.TaskHeld,
 			Checkpoint:   c.Checkpoint,
 		},
 		until: now.Add(c.Lease),
 	}
-	r.State = platform.TaskHeld
+	r.State = ports.TaskHeld
 	return r
 }
 
 func (f *fakeServer) start(t *fakeTask, now time.Time) {
-	if t.State == platform.TaskRunning {
+	if t.State == ports.TaskRunning {
 		return
 	}
 	t.started = now
 	if f.failAll || f.badJob(t.Job) {
-		t.State, t.ended, t.Error = platform.TaskFailed, now, "fails everything"
+		t.State, t.ended, t.Error = ports.TaskFailed, now, "fails everything"
 		return
 	}
-	t.State = platform.TaskRunning
+	t.State = ports.TaskRunning
 	t.ends = now.Add(f.runtime(t.Job))
 }
 
--- a/internal/control/gang.go
+++ b/internal/control/gang.go
@@ -6,7 +6,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/placement"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
 )
 
@@ -57,9 +57,9 @@
 	task         model.TaskID
 	server       model.BackendServerID
 	accelerators int
-	state        platform.TaskState // empty: not held
-	forgotten    bool               // started, and its backend server no longer knows it
-	pending      platform.Verb      // sent and not answered
+	state        ports.TaskState // empty: not held
+	forgotten    bool            // started, and its backend server no longer knows it
+	pending      ports.Verb      // sent and not answered
 	sent         time.Time
 	// until is the time after which the task certainly does not run, whatever
 	// became of commands without an answer.
@@ -168,8 +168,8 @@
 func (s *State) hold(g *gang) {
 	s.checkNoneLeaving(g)
 	for _, m := range g.members {
-		s.command(m, platform.TaskCommand{
-			Verb:         platform.VerbHold,
+		s.command(m, ports.TaskCommand{
+			Verb:         ports.VerbHold,
 			Task:         m.task,
 			Job:          g.job.ID,
 			Attempt:      g.attempt,
@@ -184,7 +184,7 @@
 }
 
 // command queues a command for a member.
-func (s *State) command(m *member, c platform.TaskCommand) {
+func (s *State) command(m *member, c ports.TaskCommand) {
 	m.pending = c.Verb
 	m.sent = s.now
 	if extendsLease(c.Verb) {
@@ -194,7 +194,7 @@
 }
 
 func (s *State) superviseHolding(g *gang) {
-	if !all(g, func(m *member) bool { return m.state == platform.TaskHeld }) {
+	if !all(g, func(m *member) bool { return m.state == ports.TaskHeld }) {
 		return
 	}
 	if g.permit != permitGranted {
@@ -209,16 +209,16 @@
 }
 
 func (s *State) start(m *member) {
-	s.command(m, platform.TaskCommand{Verb: platform.VerbStart, Task: m.task, Lease: s.settings.Lease})
+	s.command(m, ports.TaskCommand{Verb: ports.VerbStart, Task: m.task, Lease: s.settings.Lease})
 }
 
 func (s *State) superviseStarting(g *gang) {
 	for _, m := range g.members {
-		if m.state == platform.TaskHeld && m.pending == "" {
+		if m.state == ports.TaskHeld && m.pending == "" {
 			s.start(m)
 		}
 	}
-	if all(g, func(m *member) bool { return m.state == platform.TaskRunning || m.state == platform.TaskDone }) {
+	if all(g, func(m *member) bool { return m.state == ports.TaskRunning || m.state == ports.TaskDone }) {
 		s.enter(g, JobRunning)
 		g.renewed = s.now
 	}
@@ -247,7 +247,7 @@
 	s.enter(g, JobCheckpointing)
 	for _, m := range g.members {
 		if !m.ended() {
-			s.command(m, platform.TaskCommand{Verb: platform.VerbCheckpoint, Task: m.task})
+			s.command(m, ports.TaskCommand{Verb: ports.VerbCheckpoint, Task: m.task})
 		}
 	}
 }
@@ -276,11 +276,11 @@
 
 func (s *State) stopMember(m *member) {
 	if !m.ended() {
-		s.command(m, platform.TaskCommand{Verb: platform.VerbStop, Task: m.task})
+		s.command(m, ports.TaskCommand{Verb: ports.VerbStop, Task: m.task})
 	}
 }
 
-func isDone(m *member) bool { return m.state == platform.TaskDone }
+func isDone(m *member) bool { return m.state == ports.TaskDone }
 
 // superviseStopping waits for the end of every member. A gang that turns out to be
 // done is, whatever it was stopped for.
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
 )
 
@@ -92,7 +92,7 @@
 		return true
 	}
 	for _, ref := range s.tasks[on] {
-		if ref.gang.job.ID != id && ref.member.state == platform.TaskRunning && s.now.Sub(ref.gang.started) >= provingTime {
+		if ref.gang.job.ID != id && ref.member.state == ports.TaskRunning && s.now.Sub(ref.gang.started) >= provingTime {
 			return true
 		}
 	}
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
 )
 
@@ -32,7 +32,7 @@
 }
 
 // memberAnswered follows up a backend server's answer about one task.
-func (s *State) memberAnswered(g *gang, m *member, verb platform.Verb, r platform.TaskResult) {
+func (s *State) memberAnswered(g *gang, m *member, verb ports.Verb, r ports.TaskResult) {
 	if r.Refused != "" {
 		s.memberRefused(g, m, verb, r)
 		return
@@ -42,44 +42,44 @@
 	}
 	state := r.State
 	switch verb {
-	case platform.VerbHold, platform.VerbStart, platform.VerbRenew:
+	case ports.VerbHold, ports.VerbStart, ports.VerbRenew:
 		s.leased(m)
-	case platform.VerbCheckpoint:
+	case ports.VerbCheckpoint:
 		m.saved = true
-	case platform.VerbStop:
+	case ports.VerbStop:
 		if state.Active() || state == "" {
-			state = platform.TaskStopped
+			state = ports.TaskStopped
 		}
 	}
 	s.memberChanged(g, m, state)
 }
 
-func (s *State) memberRefused(g *gang, m *member, verb platform.Verb, r platform.TaskResult) {
+func (s *State) memberRefused(g *gang, m *member, verb ports.Verb, r ports.TaskResult) {
 	ended := r.State
 	if ended == "" || ended.Active() {
-		ended = platform.TaskLapsed
+		ended = ports.TaskLapsed
 	}
 	switch verb {
-	case platform.VerbHold:
-		m.state = platform.TaskStopped
-		if r.Refused == platform.RefusedLeaving {
+	case ports.VerbHold:
+		m.state = ports.TaskStopped
+		if r.Refused == ports.RefusedLeaving {
 			s.setLeaving(s.servers[m.server], true)
 		}
 		s.stop(g, ending{result: replica.ResultRetry, reason: ReasonHoldRefused})
-	case platform.VerbStart, platform.VerbRenew:
-		if r.Refused == platform.RefusedNoTask {
+	case ports.VerbStart, ports.VerbRenew:
+		if r.Refused == ports.RefusedNoTask {
 			s.memberForgotten(g, m)
 			return
 		}
 		s.memberChanged(g, m, ended)
-	case platform.VerbCheckpoint:
+	case ports.VerbCheckpoint:
 		m.saved = true
-	case platform.VerbStop:
+	case ports.VerbStop:
 		// A hold in doubt may arrive after the stop; its bound decides.
 		if m.state == "" && s.now.Before(m.until) {
 			return
 		}
-		if r.Refused == platform.RefusedNoTask {
+		if r.Refused == ports.RefusedNoTask {
 			s.memberForgotten(g, m)
 			return
 		}
@@ -88,20 +88,20 @@
 }
 
 // memberUnanswered follows up a command whose answer was lost or that was not sent.
-func (s *State) memberUnanswered(g *gang, m *member, verb platform.Verb, inDoubt bool) {
+func (s *State) memberUnanswered(g *gang, m *member, verb ports.Verb, inDoubt bool) {
 	if extendsLease(verb) && inDoubt {
 		s.doubtful(m)
 	}
 	switch verb {
-	case platform.VerbHold:
+	case ports.VerbHold:
 		s.stop(g, ending{result: replica.ResultRetry, reason: ReasonHoldRefused})
-	case platform.VerbCheckpoint:
+	case ports.VerbCheckpoint:
 		m.saved = true
 	}
 }
 
 // memberChanged takes a task's state and ends the gang when it can no longer be whole.
-func (s *State) memberChanged(g *gang, m *member, state platform.TaskState) {
+func (s *State) memberChanged(g *gang, m *member, state ports.TaskState) {
 	if state == "" || m.state == state || m.ended() {
 		return
 	}
@@ -109,11 +109,11 @@
 	s.touched[g.job.ID] = true
 	s.placement.dirty = true
 	switch state {
-	case platform.TaskFailed:
+	case ports.TaskFailed:
 		s.taskFailed(g, m)
-	case platform.TaskStopped, platform.TaskLapsed:
+	case ports.TaskStopped, ports.TaskLapsed:
 		s.stop(g, ending{result: replica.ResultRetry, reason: ReasonMemberLost})
-	case platform.TaskDone:
+	case ports.TaskDone:
 		s.taskSucceeded(g, m)
 	}
 }
@@ -121,10 +121,10 @@
 // memberForgotten follows up a task that its backend server, restarted since, no
 // longer knows.
 func (s *State) memberForgotten(g *gang, m *member) {
-	inDoubt := m.state == platform.TaskHeld && !m.doubted.IsZero()
-	started := g.startSent && (m.state == platform.TaskRunning || inDoubt)
+	inDoubt := m.state == ports.TaskHeld && !m.doubted.IsZero()
+	started := g.startSent && (m.state == ports.TaskRunning || inDoubt)
 	m.forgotten = m.forgotten || started
-	s.memberChanged(g, m, platform.TaskLapsed)
+	s.memberChanged(g, m, ports.TaskLapsed)
 }
 
 // expireMembers stops a gang of which a member's lease may have lapsed or whose
@@ -197,7 +197,7 @@
 	g.renewed = s.now
 	for _, m := range g.members {
 		if !m.ended() {
-			s.command(m, platform.TaskCommand{Verb: platform.VerbRenew, Task: m.task, Lease: s.settings.Lease})
+			s.command(m, ports.TaskCommand{Verb: ports.VerbRenew, Task: m.task, Lease: s.settings.Lease})
 		}
 	}
 }
@@ -223,7 +223,7 @@
 	}
 }
 
-func (s *State) memberReported(g *gang, m *member, r platform.TaskReport, sent time.Time) {
+func (s *State) memberReported(g *gang, m *member, r ports.TaskReport, sent time.Time) {
 	if r.Checkpoint != "" {
 		m.checkpoint = r.Checkpoint
 	}
@@ -238,7 +238,7 @@
 		return
 	}
 	m.proved = s.now
-	if m.state == platform.TaskHeld || m.state == "" {
+	if m.state == ports.TaskHeld || m.state == "" {
 		s.memberChanged(g, m, r.State)
 	}
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -10,7 +10,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/membership"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 const (
@@ -215,7 +215,7 @@
 func (l *Loop) command(ctx context.Context, a Command) Event {
 	answered := CommandAnswered{Server: a.Server, Batch: a.Batch}
 	if l.options.Now().After(a.NotAfter) {
-		answered.Err = platform.ErrUnavailable
+		answered.Err = ports.ErrUnavailable
 		return answered
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -15,13 +15,13 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/membership"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/placement"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
 )
 
 // bench is everything around one Loop.
 type bench struct {
-	platform.Backend
+	ports.Backend
 	Peers
 	t      *testing.T
 	mu     sync.Mutex
@@ -46,29 +46,29 @@
 func (b *bench) Skip()                            {}
 
 func (b *bench) ObserveSnapshot(int64, func(string) (journal.Decision, bool)) {}
-func (b *bench) List(context.Context) ([]platform.VMEntry, error)             { return nil, nil }
+func (b *bench) List(context.Context) ([]ports.VMEntry, error)                { return nil, nil }
 func (b *bench) Violated(v invariant.Violation)                               { b.t.Errorf("violation: %+v", v) }
 
-func (b *bench) Status(context.Context) (platform.BackendStatus, error) {
+func (b *bench) Status(context.Context) (ports.BackendStatus, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.server.status(time.Now()), nil
 }
 
-func (b *bench) Command(_ context.Context, batch platform.CommandBatch) ([]platform.TaskResult, error) {
+func (b *bench) Command(_ context.Context, batch ports.CommandBatch) ([]ports.TaskResult, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.server.command(batch, time.Now()), nil
 }
 
 func (b *bench) Heartbeat(context.Context, string, membership.Heartbeat) (membership.Heartbeat, error) {
-	return membership.Heartbeat{}, platform.ErrUnavailable
+	return membership.Heartbeat{}, ports.ErrUnavailable
 }
 
 // dialer returns the bench's only backend server.
 type dialer struct{ b *bench }
 
-func (d dialer) Backend(string) platform.Backend { return d.b }
+func (d dialer) Backend(string) ports.Backend { return d.b }
 
 // The loop carries a job from its submission to its end, and leaves no goroutine.
 func TestLoopRunsJob(t *testing.T) {
--- a/internal/control/matrix_test.go
+++ b/internal/control/matrix_test.go
@@ -9,7 +9,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/faultmatrix"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 const (
@@ -43,7 +43,7 @@
 }
 
 // commandWith matches a batch that carries a verb.
-func commandWith(verb platform.Verb) func(*scenario, *node, Action) (string, bool) {
+func commandWith(verb ports.Verb) func(*scenario, *node, Action) (string, bool) {
 	return func(_ *scenario, _ *node, a Action) (string, bool) {
 		c, ok := a.(Command)
 		if !ok {
@@ -73,19 +73,19 @@
 	{
 		name:  faultmatrix.StepHold,
 		begin: (*scenario).start,
-		match: commandWith(platform.VerbHold),
+		match: commandWith(ports.VerbHold),
 		want:  JobDone,
 	},
 	{
 		name:  faultmatrix.StepStart,
 		begin: (*scenario).start,
-		match: commandWith(platform.VerbStart),
+		match: commandWith(ports.VerbStart),
 		want:  JobDone,
 	},
 	{
 		name:  faultmatrix.StepRenew,
 		begin: (*scenario).startAndRun,
-		match: commandWith(platform.VerbRenew),
+		match: commandWith(ports.VerbRenew),
 		want:  JobDone,
 	},
 	{
@@ -94,7 +94,7 @@
 			s.startAndRun()
 			s.deliver(s.nodes[2], JobsCancelled{Reply: 2, Jobs: []model.JobID{s.job}})
 		},
-		match: commandWith(platform.VerbStop),
+		match: commandWith(ports.VerbStop),
 		want:  JobCancelled,
 	},
 	{
@@ -205,8 +205,8 @@
 	}
 	f.failAll = true
 	for _, t := range f.tasks {
-		if t.State == platform.TaskRunning {
-			t.State, t.ended, t.Error = platform.TaskFailed, s.now, "fails everything"
+		if t.State == ports.TaskRunning {
+			t.State, t.ended, t.Error = ports.TaskFailed, s.now, "fails everything"
 		}
 	}
 	return func() {}
--- a/internal/control/offer.go
+++ b/internal/control/offer.go
@@ -6,7 +6,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/membership"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // offer gives a local job and its permit to the term holder of its home. Once
@@ -60,7 +60,7 @@
 	case e.Err == nil && (e.Answer.Accepted || e.Answer.Reason == ReasonRecorded):
 		// The holder or the log has the job from now on; repeats are not needed.
 		l.offeredTo = ""
-	case e.Err != nil && !errors.Is(e.Err, platform.ErrUnavailable):
+	case e.Err != nil && !errors.Is(e.Err, ports.ErrUnavailable):
 		l.offerDoubted = true
 	case !l.offerDoubted:
 		l.permit = permitHere
--- a/internal/control/oracle_test.go
+++ b/internal/control/oracle_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // attemptFacts is what really happened to one attempt.
@@ -48,9 +48,9 @@
 		a.first = t.started
 	}
 	switch t.State {
-	case platform.TaskRunning:
+	case ports.TaskRunning:
 		a.running++
-	case platform.TaskDone:
+	case ports.TaskDone:
 		a.done++
 	}
 	if t.ended.After(a.last) {
--- a/internal/control/outage_test.go
+++ b/internal/control/outage_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // newRunningCluster returns a cluster with a term holder.
@@ -188,7 +188,7 @@
 	old := c.holder()
 	for i := range c.vms {
 		if c.vms[i].Address == old.name {
-			c.vms[i].State = platform.VMLeaving
+			c.vms[i].State = ports.VMLeaving
 		}
 	}
 	c.run(4 * time.Second)
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -8,7 +8,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/membership"
 	"github.com/eelgrassreach/eelgrassreach/internal/placement"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
 )
 
@@ -26,8 +26,8 @@
 	ObserveSnapshot(offset int64, lookup func(entryID string) (journal.Decision, bool))
 }
 
-// Peers calls other VMs. Errors wrap platform.ErrUnavailable when the peer
-// certainly did nothing and platform.ErrInDoubt otherwise.
+// Peers calls other VMs. Errors wrap ports.ErrUnavailable when the peer
+// certainly did nothing and ports.ErrInDoubt otherwise.
 type Peers interface {
 	Heartbeat(ctx context.Context, address string, h membership.Heartbeat) (membership.Heartbeat, error)
 	OfferJob(ctx context.Context, address string, o JobOffer) (OfferAnswer, error)
@@ -41,8 +41,8 @@
 	Replica  *replica.State
 	Policy   placement.Policy
 	Log      Publisher
-	Dialer   platform.Dialer
-	VMs      platform.VMList
+	Dialer   ports.Dialer
+	VMs      ports.VMList
 	Peers    Peers
 	Reporter invariant.Reporter
 	Now      func() time.Time // nil: time.Now
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -5,7 +5,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/membership"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // server is a backend server of this VM's availability zone.
@@ -26,10 +26,10 @@
 	fencedAt time.Time
 	// surveyed is set when a report sent after fencedAt has come in.
 	surveyed bool
-	tasks    []platform.TaskReport // of the newest report
+	tasks    []ports.TaskReport // of the newest report
 	health   serverHealth
 
-	outbox   []platform.TaskCommand
+	outbox   []ports.TaskCommand
 	inflight bool
 	polling  bool
 	pollSent time.Time
@@ -141,16 +141,16 @@
 // vmsListed follows the platform's list for peers and backend servers.
 func (s *State) vmsListed(e VMsListed) {
 	s.peers.SetList(e.VMs, s.now)
-	states := make(map[string]platform.VMState, len(e.VMs))
+	states := make(map[string]ports.VMState, len(e.VMs))
 	for _, vm := range e.VMs {
-		if vm.Role == platform.RoleBackendServer {
+		if vm.Role == ports.RoleBackendServer {
 			states[vm.Address] = vm.State
 		}
 	}
 	for _, v := range s.servers {
 		state, listed := states[v.info.Address]
 		s.noteListed(v, listed)
-		if state == platform.VMLeaving {
+		if state == ports.VMLeaving {
 			s.setLeaving(v, true)
 		}
 	}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -11,7 +11,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/config"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // JobState is the state of a job.
@@ -144,7 +144,7 @@
 	Fragmentation   float64
 	Violations      int64
 	JobsByState     map[JobState]int
-	VMs             []platform.VMEntry
+	VMs             []ports.VMEntry
 	PartialBecause  string // set when this VM is cut off and sees only a part
 	ConfigHistory   []journal.Decision
 	lookup          func(model.JobID) (JobStatus, bool)
--- a/internal/dispatch/drain.go
+++ b/internal/dispatch/drain.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/ticket"
 )
 
@@ -162,7 +162,7 @@
 			d.mu.Unlock()
 			return
 		}
-		if !errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, ports.ErrUnavailable) {
 			d.metrics.handOversInDoubt.Inc(1)
 			return
 		}
@@ -181,13 +181,13 @@
 		if err == nil {
 			return nil
 		}
-		if errors.Is(err, platform.ErrUnavailable) && !inDoubt {
+		if errors.Is(err, ports.ErrUnavailable) && !inDoubt {
 			return err
 		}
 		inDoubt = true
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("hand-over to %s: %w", address, platform.ErrInDoubt)
+			return fmt.Errorf("hand-over to %s: %w", address, ports.ErrInDoubt)
 		case <-time.After(handOverRetry):
 		}
 	}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // exchangeEnd says how an exchange with a backend server ended.
@@ -21,9 +21,9 @@
 
 type exchangeResult struct {
 	end    exchangeEnd
-	answer platform.Answer // endAnswered and endRefused
-	direct bool            // answered on the connection that carried it
-	silent bool            // ended in doubt after a look-up brought no answer either
+	answer ports.Answer // endAnswered and endRefused
+	direct bool         // answered on the connection that carried it
+	silent bool         // ended in doubt after a look-up brought no answer either
 }
 
 const (
@@ -42,8 +42,8 @@
 // connection, the outcome is asked for by request ID on another connection. It
 // ends when the outcome is certain or ctx ends.
 type exchange struct {
-	backend   platform.Backend
-	execution platform.Execution
+	backend   ports.Backend
+	execution ports.Execution
 	silence   time.Duration
 	suspect   <-chan struct{} // closes when the server misses a ping
 	onBad     func()          // called for an answer that does not match
@@ -56,7 +56,7 @@
 }
 
 type reply struct {
-	answer platform.Answer
+	answer ports.Answer
 	err    error
 }
 
@@ -138,7 +138,7 @@
 // onReply judges the reply to the send itself; ok is false when it leaves doubt.
 func (x *exchange) onReply(r reply) (exchangeResult, bool) {
 	switch {
-	case errors.Is(r.err, platform.ErrUnavailable):
+	case errors.Is(r.err, ports.ErrUnavailable):
 		return exchangeResult{end: endUnsent}, true
 	case r.err != nil:
 		return exchangeResult{}, false
@@ -151,7 +151,7 @@
 
 func (x *exchange) onLookedUp(r reply) (exchangeResult, bool) {
 	switch {
-	case errors.Is(r.err, platform.ErrNotFound):
+	case errors.Is(r.err, ports.ErrNotFound):
 		return exchangeResult{end: endNeverSeen}, true
 	case r.err != nil:
 		x.misses++
@@ -161,15 +161,15 @@
 	}
 }
 
-func (x *exchange) onAnswer(a platform.Answer) (exchangeResult, bool) {
+func (x *exchange) onAnswer(a ports.Answer) (exchangeResult, bool) {
 	if !whole(a, x.execution) {
 		x.onBad()
 		return exchangeResult{}, false
 	}
 	switch a.State {
-	case platform.ExecutionDone, platform.ExecutionFailed:
+	case ports.ExecutionDone, ports.ExecutionFailed:
 		return exchangeResult{end: endAnswered, answer: a}, true
-	case platform.ExecutionRefused:
+	case ports.ExecutionRefused:
 		return exchangeResult{end: endRefused, answer: a}, true
 	default:
 		return exchangeResult{}, false
@@ -178,11 +178,11 @@
 
 // whole reports whether an answer belongs to the execution, and carries the whole
 // body when it is done.
-func whole(a platform.Answer, e platform.Execution) bool {
+func whole(a ports.Answer, e ports.Execution) bool {
 	if a.Request != e.Request {
 		return false
 	}
-	if a.State != platform.ExecutionDone {
+	if a.State != ports.ExecutionDone {
 		return true
 	}
 	return len(a.Body) == a.Length && digestOf(a.Body) == a.Digest
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -12,7 +12,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/dispatch/schedule"
 	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 const (
@@ -103,8 +103,8 @@
 	d.stopped(it)
 }
 
-func resultOf(id model.RequestID, a platform.Answer) Result {
-	if a.State == platform.ExecutionFailed {
+func resultOf(id model.RequestID, a ports.Answer) Result {
+	if a.State == ports.ExecutionFailed {
 		return Result{Request: id, Outcome: model.OutcomeFailed, Reason: failedReason(a.Error)}
 	}
 	return Result{Request: id, Outcome: model.OutcomeDone, Body: a.Body, Digest: a.Digest}
@@ -165,7 +165,7 @@
 	defer d.mu.Unlock()
 	return &exchange{
 		backend: d.ports.Dialer.Backend(b.Address()),
-		execution: platform.Execution{
+		execution: ports.Execution{
 			Request:      id,
 			Kind:         it.kind.Name,
 			Organisation: it.request.Organisation,
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -9,7 +9,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/config"
 	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // wireFault is what happens to one call on its way.
@@ -39,19 +39,19 @@
 	time.Sleep(wireLatency)
 	switch f {
 	case wireRefused:
-		return zero, platform.ErrUnavailable
+		return zero, ports.ErrUnavailable
 	case wireCutBefore:
-		return zero, platform.ErrInDoubt
+		return zero, ports.ErrInDoubt
 	case wireSilent:
 		<-ctx.Done()
-		return zero, fmt.Errorf("%w: %w", platform.ErrInDoubt, ctx.Err())
+		return zero, fmt.Errorf("%w: %w", ports.ErrInDoubt, ctx.Err())
 	case wireLate:
 		go func() {
 			time.Sleep(wireLateBy)
 			_, _ = effect()
 		}()
 		<-ctx.Done()
-		return zero, platform.ErrInDoubt
+		return zero, ports.ErrInDoubt
 	}
 	type reply struct {
 		value T
@@ -64,24 +64,24 @@
 	}()
 	if f == wireCutAfter {
 		time.Sleep(wireLatency)
-		return zero, platform.ErrInDoubt
+		return zero, ports.ErrInDoubt
 	}
 	if f == wireLost {
 		<-ctx.Done()
-		return zero, platform.ErrInDoubt
+		return zero, ports.ErrInDoubt
 	}
 	select {
 	case r := <-done:
 		time.Sleep(wireLatency)
 		return r.value, r.err
 	case <-ctx.Done():
-		return zero, fmt.Errorf("%w: %w", platform.ErrInDoubt, ctx.Err())
+		return zero, fmt.Errorf("%w: %w", ports.ErrInDoubt, ctx.Err())
 	}
 }
 
 // execution is the backend servers' record of one request.
 type execution struct {
-	answer platform.Answer
+	answer ports.Answer
 	ran    bool
 }
 
@@ -96,7 +96,7 @@
 	failAll  bool
 	faults   func(call string) wireFault
 	records  map[model.RequestID]*execution
-	order    []platform.Execution // executed
+	order    []ports.Execution // executed
 	refusals int
 }
 
@@ -109,12 +109,12 @@
 	return s.faults(call)
 }
 
-func (s *fakeServer) Status(context.Context) (platform.BackendStatus, error) {
-	return platform.BackendStatus{}, platform.ErrUnavailable
+func (s *fakeServer) Status(context.Context) (ports.BackendStatus, error) {
+	return ports.BackendStatus{}, ports.ErrUnavailable
 }
 
-func (s *fakeServer) Command(context.Context, platform.CommandBatch) ([]platform.TaskResult, error) {
-	return nil, platform.ErrUnavailable
+func (s *fakeServer) Command(context.Context, ports.CommandBatch) ([]ports.TaskResult, error) {
+	return nil, ports.ErrUnavailable
 }
 
 func (s *fakeServer) Ping(ctx context.Context) error {
@@ -122,9 +122,9 @@
 	return err
 }
 
-func (s *fakeServer) Execute(ctx context.Context, e platform.Execution) (platform.Answer, error) {
+func (s *fakeServer) Execute(ctx context.Context, e ports.Execution) (ports.Answer, error) {
 	f := s.fault("execute")
-	a, err := wire(ctx, f, func() (platform.Answer, error) { return s.run(e), nil })
+	a, err := wire(ctx, f, func() (ports.Answer, error) { return s.run(e), nil })
 	switch {
 	case err == nil && f == wireCrossed:
 		a.Request = "other"
@@ -136,8 +136,8 @@
 	return a, err
 }
 
-func (s *fakeServer) Lookup(ctx context.Context, id model.RequestID) (platform.Answer, error) {
-	return wire(ctx, s.fault("lookup"), func() (platform.Answer, error) {
+func (s *fakeServer) Lookup(ctx context.Context, id model.RequestID) (ports.Answer, error) {
+	return wire(ctx, s.fault("lookup"), func() (ports.Answer, error) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if x := s.records[id]; x != nil {
@@ -145,23 +145,23 @@
 			a.FreeSlots = s.slots - s.used
 			return a, nil
 		}
-		s.records[id] = &execution{answer: platform.Answer{Request: id, State: platform.ExecutionRefused}}
-		return platform.Answer{}, platform.ErrNotFound
+		s.records[id] = &execution{answer: ports.Answer{Request: id, State: ports.ExecutionRefused}}
+		return ports.Answer{}, ports.ErrNotFound
 	})
 }
 
-func (s *fakeServer) run(e platform.Execution) platform.Answer {
+func (s *fakeServer) run(e ports.Execution) ports.Answer {
 	s.mu.Lock()
 	if x := s.records[e.Request]; x != nil {
 		defer s.mu.Unlock()
 		return x.answer
 	}
-	x := &execution{answer: platform.Answer{Request: e.Request, State: platform.ExecutionRunning}}
+	x := &execution{answer: ports.Answer{Request: e.Request, State: ports.ExecutionRunning}}
 	s.records[e.Request] = x
 	if refused := s.refuses(); refused != "" {
 		defer s.mu.Unlock()
 		s.refusals++
-		x.answer.State, x.answer.Refused = platform.ExecutionRefused, refused
+		x.answer.State, x.answer.Refused = ports.ExecutionRefused, refused
 		return x.answer
 	}
 	s.used++
@@ -175,28 +175,28 @@
 	s.used--
 	x.answer.FreeSlots = s.slots - s.used
 	if s.failAll {
-		x.answer.State, x.answer.Error = platform.ExecutionFailed, "broken"
+		x.answer.State, x.answer.Error = ports.ExecutionFailed, "broken"
 		return x.answer
 	}
-	x.answer.State = platform.ExecutionDone
+	x.answer.State = ports.ExecutionDone
 	x.answer.Body = answerTo(e)
 	x.answer.Length, x.answer.Digest = len(x.answer.Body), digestOf(x.answer.Body)
 	return x.answer
 }
 
-func (s *fakeServer) refuses() platform.Refusal {
+func (s *fakeServer) refuses() ports.Refusal {
 	switch {
 	case s.leaving:
-		return platform.RefusedLeaving
+		return ports.RefusedLeaving
 	case s.used >= s.slots:
-		return platform.RefusedFull
+		return ports.RefusedFull
 	default:
 		return ""
 	}
 }
 
 // answerTo is the one right answer to a request.
-func answerTo(e platform.Execution) []byte {
+func answerTo(e ports.Execution) []byte {
 	return fmt.Appendf(nil, "%s|%s|%s|%s", RequestOf(e.Request), e.Organisation, e.Caller, e.Body)
 }
 
@@ -369,7 +369,7 @@
 
 type dialer struct{ m *vm }
 
-func (d dialer) Backend(address string) platform.Backend {
+func (d dialer) Backend(address string) ports.Backend {
 	s := d.m.world.servers[address]
 	if s == nil {
 		s = &fakeServer{faults: func(string) wireFault { return wireRefused }}
@@ -383,18 +383,18 @@
 	m *vm
 }
 
-func (b backendOf) Execute(ctx context.Context, e platform.Execution) (platform.Answer, error) {
+func (b backendOf) Execute(ctx context.Context, e ports.Execution) (ports.Answer, error) {
 	if !b.m.pass() {
-		return platform.Answer{}, platform.ErrUnavailable
+		return ports.Answer{}, ports.ErrUnavailable
 	}
 	a, err := b.fakeServer.Execute(ctx, e)
 	b.m.pass()
 	return a, err
 }
 
-func (b backendOf) Lookup(ctx context.Context, id model.RequestID) (platform.Answer, error) {
+func (b backendOf) Lookup(ctx context.Context, id model.RequestID) (ports.Answer, error) {
 	if !b.m.pass() {
-		return platform.Answer{}, platform.ErrUnavailable
+		return ports.Answer{}, ports.ErrUnavailable
 	}
 	a, err := b.fakeServer.Lookup(ctx, id)
 	b.m.pass()
@@ -421,17 +421,17 @@
 func callPeer[T any](ctx context.Context, p peers, name, to string, effect func(*vm) (T, error)) (T, error) {
 	if !p.m.pass() {
 		var zero T
-		return zero, platform.ErrUnavailable
+		return zero, ports.ErrUnavailable
 	}
 	target, f := p.call(name, to)
 	return wire(ctx, f, func() (T, error) {
 		var zero T
 		if !target.pass() {
-			return zero, platform.ErrInDoubt
+			return zero, ports.ErrInDoubt
 		}
 		value, err := effect(target)
 		if !target.pass() {
-			return zero, platform.ErrInDoubt
+			return zero, ports.ErrInDoubt
 		}
 		return value, err
 	})
@@ -447,7 +447,7 @@
 	return callPeer(ctx, p, "lookup", address, func(target *vm) (Result, error) {
 		res, ok := target.Known(ctx, id, ticket)
 		if !ok {
-			return res, platform.ErrNotFound
+			return res, ports.ErrNotFound
 		}
 		return res, nil
 	})
@@ -456,7 +456,7 @@
 func (p peers) HandOver(ctx context.Context, address string, from model.Incarnation, tickets []TicketState) error {
 	_, err := callPeer(ctx, p, "hand-over", address, func(target *vm) (bool, error) {
 		if target.Accept(from, tickets) != nil {
-			return false, platform.ErrUnavailable
+			return false, ports.ErrUnavailable
 		}
 		return true, nil
 	})
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/ticket"
 )
 
@@ -80,7 +80,7 @@
 // is idempotent.
 func (d *Dispatcher) forwardTwice(ctx context.Context, address string, r Request) (Result, error) {
 	res, err := d.forward(ctx, address, r)
-	if errors.Is(err, platform.ErrInDoubt) && ctx.Err() == nil {
+	if errors.Is(err, ports.ErrInDoubt) && ctx.Err() == nil {
 		return d.forward(ctx, address, r)
 	}
 	return res, err
@@ -106,7 +106,7 @@
 		case reply := <-sent:
 			return reply.result, reply.err
 		case <-ctx.Done():
-			return Result{}, platform.ErrInDoubt
+			return Result{}, ports.ErrInDoubt
 		case <-time.After(peerSilence):
 		}
 		res, err := d.lookupAt(ctx, address, r)
@@ -115,13 +115,13 @@
 			return res, nil
 		case err == nil:
 			misses = 0
-		case errors.Is(err, platform.ErrNotFound):
-			return Result{}, fmt.Errorf("%s never got the request: %w", address, platform.ErrInDoubt)
+		case errors.Is(err, ports.ErrNotFound):
+			return Result{}, fmt.Errorf("%s never got the request: %w", address, ports.ErrInDoubt)
 		default:
 			misses++
 		}
 	}
-	return Result{}, platform.ErrInDoubt
+	return Result{}, ports.ErrInDoubt
 }
 
 func (d *Dispatcher) lookupAt(ctx context.Context, address string, r Request) (Result, error) {
@@ -232,7 +232,7 @@
 		if err == nil && (res.Outcome != model.OutcomeNotRun || !inDoubt) {
 			return d.trusted(r, res)
 		}
-		inDoubt = inDoubt || !errors.Is(err, platform.ErrUnavailable)
+		inDoubt = inDoubt || !errors.Is(err, ports.ErrUnavailable)
 		if ctx.Err() != nil {
 			break
 		}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -6,7 +6,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/dispatch/schedule"
 	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // wakeEvery is the pause after which a queue that could not be served is tried again.
@@ -230,7 +230,7 @@
 		FreeSlots: res.answer.FreeSlots,
 		Bytes:     int64(len(res.answer.Body)),
 	}
-	if res.answer.State == platform.ExecutionFailed {
+	if res.answer.State == ports.ExecutionFailed {
 		r.End = schedule.EndFailed
 	}
 	if res.direct {
@@ -239,8 +239,8 @@
 	return r
 }
 
-func refusalReport(r platform.Refusal) schedule.Report {
-	if r == platform.RefusedLeaving {
+func refusalReport(r ports.Refusal) schedule.Report {
+	if r == ports.RefusedLeaving {
 		return schedule.Report{End: schedule.EndLeaving}
 	}
 	return schedule.Report{End: schedule.EndFull}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -8,7 +8,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/config"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // Request is one caller's ask.
@@ -60,8 +60,8 @@
 	Peers    []PeerView
 }
 
-// Peers sends requests to other VMs. Errors wrap platform.ErrUnavailable when the
-// peer certainly did nothing and platform.ErrInDoubt otherwise.
+// Peers sends requests to other VMs. Errors wrap ports.ErrUnavailable when the
+// peer certainly did nothing and ports.ErrInDoubt otherwise.
 type Peers interface {
 	Forward(ctx context.Context, address string, r Request) (Result, error)
 	Lookup(ctx context.Context, address string, id model.RequestID, ticket string) (Result, error)
@@ -83,7 +83,7 @@
 // Ports are the dispatcher's connections to the outside.
 type Ports struct {
 	View   func() *View
-	Dialer platform.Dialer
+	Dialer ports.Dialer
 	Peers  Peers
 }
 
--- a/internal/dispatch/tickets.go
+++ b/internal/dispatch/tickets.go
@@ -10,7 +10,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/dispatch/schedule"
 	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/ticket"
 )
 
@@ -232,16 +232,16 @@
 func (d *Dispatcher) lookupExecution(ctx context.Context, id model.RequestID, t ticket.Ticket, e ticket.Entry) (Result, bool) {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	execution := platform.Execution{Request: executionID(e.Request, t.ID)}
+	execution := ports.Execution{Request: executionID(e.Request, t.ID)}
 	a, err := d.ports.Dialer.Backend(e.Backend).Lookup(ctx, execution.Request)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, ports.ErrNotFound):
 		return notRun(id, NotRunProof{kind: proofNeverSeen, reason: ReasonNeverSeen}), true
 	case err != nil || !whole(a, execution):
 		return Result{}, false
-	case a.State == platform.ExecutionRefused:
+	case a.State == ports.ExecutionRefused:
 		return notRun(id, NotRunProof{kind: proofRefused, reason: ReasonRefused}), true
-	case a.State == platform.ExecutionRunning:
+	case a.State == ports.ExecutionRunning:
 		return Result{}, false
 	default:
 		return resultOf(id, a), true
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -50,7 +50,7 @@
 
 // MemberRecord announces a VM to the others.
 func MemberRecord(self Identity) (job.Record, error) {
-	value, err := json.Marshal(Peer{Node: self.Node, Incarnation: self.Incarnation, Address: self.Address, Forward: self.Forward, MilliCPU: self.MilliCPU})
+	value, err := json.Marshal(Peer(self))
 	return job.Record{Key: memberPrefix + self.Node, Value: value}, err
 }
 
--- a/internal/httpapi/answer.go
+++ b/internal/httpapi/answer.go
@@ -13,7 +13,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/api"
 	"github.com/eelgrassreach/eelgrassreach/internal/command"
 	"github.com/eelgrassreach/eelgrassreach/internal/control"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
@@ -73,7 +73,7 @@
 			Type: api.ProblemRefused, Title: "refused", Status: refusalStatus(refusal),
 			Detail: refusal.Message, Reason: refusal.Reason, RetryAfterMS: refusal.RetryAfter.Milliseconds(),
 		})
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, ports.ErrUnavailable):
 		writeProblem(w, api.Problem{
 			Type: api.ProblemUnavailable, Title: "unavailable", Status: http.StatusServiceUnavailable, Detail: err.Error(),
 		})
--- a/internal/httpapi/router_test.go
+++ b/internal/httpapi/router_test.go
@@ -19,7 +19,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/dispatch"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/query"
 )
 
@@ -102,8 +102,8 @@
 		{"too large a gang", strings.Replace(goodJob, `"tasks":2`, `"tasks":257`, 1), nil, http.StatusUnprocessableEntity, api.ProblemBadRequest},
 		{"never fits", goodJob, &control.Refusal{Message: "no"}, http.StatusUnprocessableEntity, api.ProblemRefused},
 		{"busy", goodJob, &control.Refusal{Message: "busy", RetryAfter: time.Second}, http.StatusServiceUnavailable, api.ProblemRefused},
-		{"nothing stored", goodJob, platform.ErrUnavailable, http.StatusServiceUnavailable, api.ProblemUnavailable},
-		{"in doubt", goodJob, platform.ErrInDoubt, http.StatusGatewayTimeout, api.ProblemInDoubt},
+		{"nothing stored", goodJob, ports.ErrUnavailable, http.StatusServiceUnavailable, api.ProblemUnavailable},
+		{"in doubt", goodJob, ports.ErrInDoubt, http.StatusGatewayTimeout, api.ProblemInDoubt},
 		{"cancelled wait", goodJob, context.DeadlineExceeded, http.StatusGatewayTimeout, api.ProblemInDoubt},
 	}
 	for _, tc := range tests {
--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -7,14 +7,14 @@
 	"sync"
 	"time"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // Follower reads the log in order and delivers it to a sink: from the platform, or
 // from a peer when the platform does not answer. Offsets delivered only rise and
 // have no gaps but those that a snapshot covers.
 type Follower struct {
-	log   platform.Log
+	log   ports.Log
 	peers Peers
 	sink  Sink
 	opts  FollowerOptions
@@ -41,7 +41,7 @@
 )
 
 // NewFollower returns a follower that has read nothing.
-func NewFollower(log platform.Log, peers Peers, sink Sink, opts FollowerOptions) *Follower {
+func NewFollower(log ports.Log, peers Peers, sink Sink, opts FollowerOptions) *Follower {
 	opts = opts.withDefaults()
 	return &Follower{
 		log:    log,
@@ -114,7 +114,7 @@
 
 // answer is the result of a read of the log.
 type answer struct {
-	batch platform.Batch
+	batch ports.Batch
 	err   error
 }
 
@@ -161,7 +161,7 @@
 
 // handle delivers the answer to a read. It returns false when a peer should be asked.
 func (f *Follower) handle(ctx context.Context, a answer) bool {
-	trimmed := errors.Is(a.err, platform.ErrTrimmed)
+	trimmed := errors.Is(a.err, ports.ErrTrimmed)
 	if a.err != nil && !trimmed {
 		f.setReachable(reachNo)
 		return false
@@ -183,7 +183,7 @@
 
 // read makes one read of the log that is bounded in time. The error also wraps
 // errTimedOut when the platform did not answer within the bound.
-func (f *Follower) read(ctx context.Context, from int64, wait time.Duration) (platform.Batch, error) {
+func (f *Follower) read(ctx context.Context, from int64, wait time.Duration) (ports.Batch, error) {
 	readCtx, cancel := context.WithTimeout(ctx, wait+f.opts.SlowTimeout)
 	defer cancel()
 	batch, err := f.log.Read(readCtx, from, f.pace.limit(), wait)
@@ -264,7 +264,7 @@
 
 // deliver gives records to the sink and keeps them for peers. Those delivered
 // before are left out, and so is all that follows a gap.
-func (f *Follower) deliver(records []platform.Record) {
+func (f *Follower) deliver(records []ports.Record) {
 	next := max(f.Next(), 1)
 	fresh := records[:0:0]
 	for _, r := range records {
@@ -285,7 +285,7 @@
 }
 
 // keep takes fresh records into the window and returns their entries.
-func (f *Follower) keep(fresh []platform.Record, next int64) []Located {
+func (f *Follower) keep(fresh []ports.Record, next int64) []Located {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.window.add(fresh)
--- a/internal/journal/fuzz_test.go
+++ b/internal/journal/fuzz_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // FuzzPacket: every reader reads the same from a record, whatever it holds, and a
@@ -16,7 +16,7 @@
 	f.Add([]byte(`{"entries":[{"id":"a","kind":"config","author":"v","notAfter":9,"body":{"expectedRevision":3,"records":[]}}]}`))
 	f.Add([]byte(`{"entries":[{"id":"snapshot-4","kind":"snapshot","author":"","body":{"offset":4,"state":{"x":1}}}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		located := journal.Locate(platform.Record{Offset: 5, Data: data})
+		located := journal.Locate(ports.Record{Offset: 5, Data: data})
 		decided := journal.NewDecided()
 		for _, e := range located {
 			if s, ok := journal.SnapshotOf(e.Entry); ok {
--- a/internal/journal/journaltest/log.go
+++ b/internal/journal/journaltest/log.go
@@ -7,14 +7,14 @@
 	"sync"
 	"time"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // Log is an in-memory append-only log. It is reached through ports.
 type Log struct {
 	mu      sync.Mutex
-	records []platform.Record
-	history []platform.Record // all records ever stored
+	records []ports.Record
+	history []ports.Record // all records ever stored
 	first   int64
 	changed chan struct{} // closed and replaced on each append
 }
@@ -29,7 +29,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	offset := l.next()
-	record := platform.Record{Offset: offset, Time: time.Now(), Data: data}
+	record := ports.Record{Offset: offset, Time: time.Now(), Data: data}
 	l.records = append(l.records, record)
 	l.history = append(l.history, record)
 	close(l.changed)
@@ -45,7 +45,7 @@
 	if first <= l.first {
 		return
 	}
-	l.records = append([]platform.Record(nil), l.records[first-l.first:]...)
+	l.records = append([]ports.Record(nil), l.records[first-l.first:]...)
 	l.first = first
 }
 
@@ -60,20 +60,20 @@
 func (l *Log) next() int64 { return l.first + int64(len(l.records)) }
 
 // History returns all records that were ever stored, trimmed or not.
-func (l *Log) History() []platform.Record {
+func (l *Log) History() []ports.Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]platform.Record(nil), l.history...)
+	return append([]ports.Record(nil), l.history...)
 }
 
 // read returns the records from an offset on, and a channel that is closed on the
 // next append.
-func (l *Log) read(from int64, limit int) (platform.Batch, <-chan struct{}, error) {
+func (l *Log) read(from int64, limit int) (ports.Batch, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	batch := platform.Batch{First: l.first, Next: l.next()}
+	batch := ports.Batch{First: l.first, Next: l.next()}
 	if from < l.first {
-		return batch, l.changed, fmt.Errorf("read from offset %d: %w", from, platform.ErrTrimmed)
+		return batch, l.changed, fmt.Errorf("read from offset %d: %w", from, ports.ErrTrimmed)
 	}
 	if from < batch.Next {
 		rest := l.records[from-l.first:]
--- a/internal/journal/journaltest/port.go
+++ b/internal/journal/journaltest/port.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // Fault is what happens to one call through a port.
@@ -31,7 +31,7 @@
 	AnswerBytes int
 }
 
-// Port is a VM's link to the log. It implements platform.Log.
+// Port is a VM's link to the log. It implements ports.Log.
 type Port struct {
 	log *Log
 
@@ -81,17 +81,17 @@
 	return p.calls
 }
 
-// Append implements platform.Log.
+// Append implements ports.Log.
 func (p *Port) Append(ctx context.Context, data []byte) (int64, error) {
 	faults := p.current()
 	p.count()
-	inDoubt := fmt.Errorf("append: %w", platform.ErrInDoubt)
+	inDoubt := fmt.Errorf("append: %w", ports.ErrInDoubt)
 	if !p.pause(ctx, faults.Latency) {
 		return 0, inDoubt
 	}
 	switch faults.Append {
 	case FaultDown:
-		return 0, fmt.Errorf("append: %w", platform.ErrUnavailable)
+		return 0, fmt.Errorf("append: %w", ports.ErrUnavailable)
 	case FaultCutBefore:
 		return 0, inDoubt
 	case FaultSilent:
@@ -108,32 +108,32 @@
 	return offset, nil
 }
 
-// Read implements platform.Log.
-func (p *Port) Read(ctx context.Context, from int64, limit int, wait time.Duration) (platform.Batch, error) {
+// Read implements ports.Log.
+func (p *Port) Read(ctx context.Context, from int64, limit int, wait time.Duration) (ports.Batch, error) {
 	deadline, stop := alarm(wait)
 	defer stop()
-	unavailable := fmt.Errorf("read: %w", platform.ErrUnavailable)
+	unavailable := fmt.Errorf("read: %w", ports.ErrUnavailable)
 	for {
 		faults := p.current()
 		if !p.pause(ctx, faults.Latency) || faults.Read == FaultDown {
-			return platform.Batch{}, unavailable
+			return ports.Batch{}, unavailable
 		}
 		if faults.Read != FaultNone {
 			p.silence(ctx)
-			return platform.Batch{}, unavailable
+			return ports.Batch{}, unavailable
 		}
 		batch, changed, err := p.log.read(from, limit)
 		if faults.AnswerBytes > 0 && size(batch) > faults.AnswerBytes {
-			return platform.Batch{}, unavailable
+			return ports.Batch{}, unavailable
 		}
 		if err != nil || len(batch.Records) > 0 || wait == 0 {
 			return batch, err
 		}
 		select {
 		case <-ctx.Done():
-			return platform.Batch{}, unavailable
+			return ports.Batch{}, unavailable
 		case <-p.dead:
-			return platform.Batch{}, unavailable
+			return ports.Batch{}, unavailable
 		case <-deadline:
 			return batch, nil
 		case <-changed:
@@ -142,7 +142,7 @@
 }
 
 // size returns the bytes of the records of a batch.
-func size(batch platform.Batch) int {
+func size(batch ports.Batch) int {
 	bytes := 0
 	for _, r := range batch.Records {
 		bytes += len(r.Data)
--- a/internal/journal/outbox.go
+++ b/internal/journal/outbox.go
@@ -4,7 +4,7 @@
 	"errors"
 	"time"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // stage is the stage of a pending entry.
@@ -145,7 +145,7 @@
 		case !o.holds(p): // read back before the answer
 		case err == nil:
 			o.settle(p, AppendResult{State: AppendStored, Offset: offset})
-		case errors.Is(err, platform.ErrUnavailable) && p.stage == stageSending:
+		case errors.Is(err, ports.ErrUnavailable) && p.stage == stageSending:
 			o.settle(p, AppendResult{State: AppendNotSent, Err: err})
 		default:
 			o.doubt(p, err, now)
--- a/internal/journal/pace.go
+++ b/internal/journal/pace.go
@@ -4,7 +4,7 @@
 	"errors"
 	"sync"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 const (
@@ -35,7 +35,7 @@
 }
 
 // answered learns from the answer to a read.
-func (p *pace) answered(batch platform.Batch, err error) {
+func (p *pace) answered(batch ports.Batch, err error) {
 	bytes := 0
 	for _, r := range batch.Records {
 		bytes += len(r.Data)
@@ -43,7 +43,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
-	case errors.Is(err, platform.ErrTrimmed):
+	case errors.Is(err, ports.ErrTrimmed):
 	case err != nil, bytes > 2*readBytes:
 		p.current = max(p.current/2, 1)
 	case len(batch.Records) == p.current && bytes < readBytes/2:
--- a/internal/journal/packet.go
+++ b/internal/journal/packet.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // EncodePacket returns the log record content that holds entries.
@@ -30,7 +30,7 @@
 // Locate returns the entries of a log record with their places. A record that is
 // no packet has no entries: every reader passes over it alike. Times are in whole
 // milliseconds, as peers exchange them.
-func Locate(r platform.Record) []Located {
+func Locate(r ports.Record) []Located {
 	packet, err := DecodePacket(r.Data)
 	if err != nil {
 		return nil
--- a/internal/journal/ports.go
+++ b/internal/journal/ports.go
@@ -3,19 +3,19 @@
 import (
 	"context"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // Fetched is what a peer returns: records, or a snapshot when it no longer keeps
 // the records asked for.
 type Fetched struct {
-	Records  []platform.Record
+	Records  []ports.Record
 	Snapshot *Snapshot
 	Next     int64
 }
 
 // Peers fetches log records from another VM. The error wraps
-// platform.ErrUnavailable when no peer could answer.
+// ports.ErrUnavailable when no peer could answer.
 type Peers interface {
 	Fetch(ctx context.Context, from int64, limit int) (Fetched, error)
 }
--- a/internal/journal/publisher.go
+++ b/internal/journal/publisher.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 var (
@@ -46,7 +46,7 @@
 // a budget of appends per second and follows entries in doubt until replay tells.
 // Entries that are never in doubt are stored in the order of their submission.
 type Publisher struct {
-	log  platform.Log
+	log  ports.Log
 	opts PublisherOptions
 	wake chan struct{}
 	rate atomic.Int64 // appends per second
@@ -60,7 +60,7 @@
 
 // NewPublisher returns a publisher to log. It sends nothing before Run, nor before
 // Observe or ObserveSnapshot told the log's next offset.
-func NewPublisher(log platform.Log, opts PublisherOptions) *Publisher {
+func NewPublisher(log ports.Log, opts PublisherOptions) *Publisher {
 	opts = opts.withDefaults()
 	p := &Publisher{log: log, opts: opts, wake: make(chan struct{}, 1), outbox: newOutbox(opts)}
 	p.SetRate(opts.AppendsPerSecond)
@@ -223,7 +223,7 @@
 	}
 	data, err := EncodePacket(entries)
 	if err != nil {
-		p.book(packet, 0, 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err))
+		p.book(packet, 0, 0, fmt.Errorf("%w: %w", ports.ErrUnavailable, err))
 		return
 	}
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.opts.AppendTimeout)
--- a/internal/journal/rapid_test.go
+++ b/internal/journal/rapid_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal/journaltest"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // move is one step of a randomised run. It is drawn before the run, since the run
@@ -246,7 +246,7 @@
 }
 
 // winners returns the verdict on each change by entry ID.
-func winners(t TB, history []platform.Record) map[string]journal.Verdict {
+func winners(t TB, history []ports.Record) map[string]journal.Verdict {
 	verdicts := make(map[string]journal.Verdict)
 	var revision int64
 	for _, record := range history {
--- a/internal/journal/snapshot_test.go
+++ b/internal/journal/snapshot_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal/journaltest"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // inDoubtEntry returns a running publisher with one entry in doubt, and a function
@@ -108,7 +108,7 @@
 
 func (p *scriptedPeers) Fetch(context.Context, int64, int) (journal.Fetched, error) {
 	if len(*p) == 0 {
-		return journal.Fetched{}, fmt.Errorf("fetch: %w", platform.ErrUnavailable)
+		return journal.Fetched{}, fmt.Errorf("fetch: %w", ports.ErrUnavailable)
 	}
 	next := (*p)[0]
 	*p = (*p)[1:]
@@ -142,12 +142,12 @@
 // whatever peers answer.
 func TestPeerAnswersAreChecked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		records := func(offsets ...int64) []platform.Record {
-			var all []platform.Record
+		records := func(offsets ...int64) []ports.Record {
+			var all []ports.Record
 			for _, offset := range offsets {
 				data, err := journal.EncodePacket([]journal.Entry{plain(fmt.Sprint(offset))})
 				assert.NilError(t, err)
-				all = append(all, platform.Record{Offset: offset, Data: data})
+				all = append(all, ports.Record{Offset: offset, Data: data})
 			}
 			return all
 		}
--- a/internal/journal/startup.go
+++ b/internal/journal/startup.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"math"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // beyondEnd is an offset that no log reaches: a read from it tells First and Next.
@@ -27,7 +27,7 @@
 // retention: the newest snapshot, or the first record when the log still keeps it.
 // The head is the answer to a read from the next offset on, or from beyond the
 // end. It returns false when a peer should be asked.
-func (f *Follower) start(ctx context.Context, head platform.Batch) bool {
+func (f *Follower) start(ctx context.Context, head ports.Batch) bool {
 	from := max(f.Next(), 1)
 	found, err := f.newestSnapshot(ctx, head.First, head.Next)
 	if err != nil {
@@ -47,7 +47,7 @@
 }
 
 // begin delivers the first read of a log that is complete.
-func (f *Follower) begin(head platform.Batch) {
+func (f *Follower) begin(head ports.Batch) {
 	f.mu.Lock()
 	f.next = max(f.next, 1)
 	f.mu.Unlock()
@@ -85,19 +85,19 @@
 
 // readRange reads the records from offset from up to, not including, offset end. A
 // read that fails is repeated for fewer records, since the answer may be too large.
-func (f *Follower) readRange(ctx context.Context, from, end int64) ([]platform.Record, error) {
-	var records []platform.Record
+func (f *Follower) readRange(ctx context.Context, from, end int64) ([]ports.Record, error) {
+	var records []ports.Record
 	for from < end {
 		limit := f.pace.limit()
 		batch, err := f.read(ctx, from, 0)
-		if err != nil && limit > 1 && !errors.Is(err, errTimedOut) && !errors.Is(err, platform.ErrTrimmed) {
+		if err != nil && limit > 1 && !errors.Is(err, errTimedOut) && !errors.Is(err, ports.ErrTrimmed) {
 			continue
 		}
 		if err != nil {
 			return nil, err
 		}
 		if len(batch.Records) == 0 {
-			return nil, fmt.Errorf("%w: no records at offset %d", platform.ErrUnavailable, from)
+			return nil, fmt.Errorf("%w: no records at offset %d", ports.ErrUnavailable, from)
 		}
 		for _, r := range batch.Records {
 			if r.Offset < end {
@@ -111,7 +111,7 @@
 
 // lastSnapshot returns the newest snapshot in records whose following records are
 // kept in a log that starts at offset first; nil for none.
-func lastSnapshot(records []platform.Record, first int64) *Snapshot {
+func lastSnapshot(records []ports.Record, first int64) *Snapshot {
 	var newest *Snapshot
 	for _, r := range records {
 		for _, e := range Locate(r) {
--- a/internal/journal/window.go
+++ b/internal/journal/window.go
@@ -1,11 +1,11 @@
 package journal
 
-import "github.com/eelgrassreach/eelgrassreach/internal/platform"
+import "github.com/eelgrassreach/eelgrassreach/internal/ports"
 
 // window keeps recent records and the newest snapshot to serve peers. Its records
 // are gap-free and, once there is a snapshot, start no later than after it.
 type window struct {
-	records  []platform.Record
+	records  []ports.Record
 	bytes    int
 	snapshot *Snapshot
 	maxBytes int
@@ -13,7 +13,7 @@
 }
 
 // add appends records that follow those kept.
-func (w *window) add(records []platform.Record) {
+func (w *window) add(records []ports.Record) {
 	for _, r := range records {
 		if n := len(w.records); n > 0 && r.Offset != w.records[n-1].Offset+1 {
 			w.clear()
@@ -57,7 +57,7 @@
 	if drop == 0 {
 		return
 	}
-	w.records = append([]platform.Record(nil), w.records[drop:]...)
+	w.records = append([]ports.Record(nil), w.records[drop:]...)
 	w.bytes = bytes
 }
 
@@ -95,8 +95,8 @@
 
 // run returns up to limit records from index start on, at least one and beyond it
 // no more than maxServedBytes.
-func (w *window) run(start, limit int) []platform.Record {
-	var run []platform.Record
+func (w *window) run(start, limit int) []ports.Record {
+	var run []ports.Record
 	bytes := 0
 	for _, r := range w.records[start:min(start+max(limit, 1), len(w.records))] {
 		bytes += len(r.Data)
--- a/internal/journal/world_test.go
+++ b/internal/journal/world_test.go
@@ -12,7 +12,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/config"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal/journaltest"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // TB is what both testing.T and rapid.T offer.
@@ -327,7 +327,7 @@
 	}
 	peer := v.bestPeer()
 	if peer == nil {
-		return journal.Fetched{}, fmt.Errorf("fetch: %w", platform.ErrUnavailable)
+		return journal.Fetched{}, fmt.Errorf("fetch: %w", ports.ErrUnavailable)
 	}
 	return peer.follower.Serve(from, limit), nil
 }
--- a/internal/measure/changes/vm.go
+++ b/internal/measure/changes/vm.go
@@ -13,7 +13,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal/journaltest"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
 )
 
@@ -62,7 +62,7 @@
 func (v *logVM) Fetch(_ context.Context, from int64, limit int) (journal.Fetched, error) {
 	peer := v.cluster.ahead(v)
 	if peer == nil {
-		return journal.Fetched{}, fmt.Errorf("no peer is ahead: %w", platform.ErrUnavailable)
+		return journal.Fetched{}, fmt.Errorf("no peer is ahead: %w", ports.ErrUnavailable)
 	}
 	time.Sleep(2 * logPeerLatency)
 	return peer.follower.Serve(from, limit), nil
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // Heartbeat is what VMs tell each other.
@@ -70,7 +70,7 @@
 	az       model.AZ
 	settings Settings
 	peers    map[string]*Peer
-	vms      []platform.VMEntry
+	vms      []ports.VMEntry
 	listed   time.Time
 	next     int
 }
@@ -91,25 +91,25 @@
 }
 
 // SetList replaces the platform's list.
-func (t *Table) SetList(vms []platform.VMEntry, now time.Time) {
+func (t *Table) SetList(vms []ports.VMEntry, now time.Time) {
 	t.vms = vms
 	t.listed = now
 	for _, p := range t.peers {
 		p.Listed = false
 	}
 	for _, vm := range vms {
-		if vm.Role != platform.RoleEntry || vm.Address == t.self {
+		if vm.Role != ports.RoleEntry || vm.Address == t.self {
 			continue
 		}
 		p := t.peer(vm.Address)
 		p.Listed = true
 		p.AZ = vm.AZ
-		p.ListedLeaving = vm.State == platform.VMLeaving
+		p.ListedLeaving = vm.State == ports.VMLeaving
 	}
 }
 
 // VMs returns the platform's list and when it was read; zero when it never was.
-func (t *Table) VMs() ([]platform.VMEntry, time.Time) { return t.vms, t.listed }
+func (t *Table) VMs() ([]ports.VMEntry, time.Time) { return t.vms, t.listed }
 
 // Expire forgets VMs that are neither listed nor heard from.
 func (t *Table) Expire(now time.Time) {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -17,7 +17,7 @@
 	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/peer/peerpb"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 const (
@@ -90,8 +90,8 @@
 	return s
 }
 
-// call runs one RPC and sorts its error: platform.ErrUnavailable when no
-// connection was made, so that the peer did nothing, platform.ErrInDoubt otherwise.
+// call runs one RPC and sorts its error: ports.ErrUnavailable when no
+// connection was made, so that the peer did nothing, ports.ErrInDoubt otherwise.
 func call[T any](ctx context.Context, rpc func(context.Context) (T, error)) (T, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
@@ -102,7 +102,7 @@
 	var status twirp.Error
 	refused := errors.As(err, &status) && status.Code() == twirp.FailedPrecondition
 	if refused || !connected.Load() {
-		return reply, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return reply, fmt.Errorf("%w: %w", ports.ErrUnavailable, err)
 	}
-	return reply, fmt.Errorf("%w: %w", platform.ErrInDoubt, err)
+	return reply, fmt.Errorf("%w: %w", ports.ErrInDoubt, err)
 }
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -13,7 +13,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/membership"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/peer/peerpb"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // Heartbeat sends a heartbeat and returns the peer's own.
@@ -31,7 +31,7 @@
 func (c *Clients) OfferJob(ctx context.Context, address string, o control.JobOffer) (control.OfferAnswer, error) {
 	job, err := json.Marshal(o.Job)
 	if err != nil {
-		return control.OfferAnswer{}, fmt.Errorf("%w: encode job: %w", platform.ErrUnavailable, err)
+		return control.OfferAnswer{}, fmt.Errorf("%w: encode job: %w", ports.ErrUnavailable, err)
 	}
 	in := &peerpb.OfferJobRequest{Job: job, Acceptor: string(o.Acceptor), Attempt: string(o.Attempt)}
 	reply, err := call(ctx, func(ctx context.Context) (*peerpb.OfferJobReply, error) {
@@ -93,9 +93,9 @@
 	Peers func() []string
 }
 
-// Fetch asks the peers in turn. The error wraps platform.ErrUnavailable when none answered.
+// Fetch asks the peers in turn. The error wraps ports.ErrUnavailable when none answered.
 func (f *Fetcher) Fetch(ctx context.Context, from int64, limit int) (journal.Fetched, error) {
-	err := fmt.Errorf("%w: no peer is known", platform.ErrUnavailable)
+	err := fmt.Errorf("%w: no peer is known", ports.ErrUnavailable)
 	for _, address := range f.Peers() {
 		fetched, failure := f.Clients.fetch(ctx, address, from, limit)
 		if failure == nil && (fetched.Next > from || fetched.Snapshot != nil) {
@@ -106,7 +106,7 @@
 			continue
 		}
 		if err != nil {
-			err = fmt.Errorf("%w: %s: %w", platform.ErrUnavailable, address, failure)
+			err = fmt.Errorf("%w: %s: %w", ports.ErrUnavailable, address, failure)
 		}
 	}
 	return journal.Fetched{Next: from}, err
@@ -252,7 +252,7 @@
 func fetchedFrom(r *peerpb.FetchReply) journal.Fetched {
 	f := journal.Fetched{Next: r.Next}
 	for _, record := range r.Records {
-		f.Records = append(f.Records, platform.Record{
+		f.Records = append(f.Records, ports.Record{
 			Offset: record.Offset,
 			Time:   time.UnixMilli(record.TimeUnixMs).UTC(),
 			Data:   record.Data,
--- a/internal/peer/dispatch.go
+++ b/internal/peer/dispatch.go
@@ -10,7 +10,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/dispatch"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/peer/peerpb"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // Forward runs a request at another VM.
@@ -49,7 +49,7 @@
 }
 
 // HandOver moves the arbitration of tickets to another VM. The error wraps
-// platform.ErrUnavailable when the VM refused them or was not reached.
+// ports.ErrUnavailable when the VM refused them or was not reached.
 func (c *Clients) HandOver(ctx context.Context, address string, from model.Incarnation, tickets []dispatch.TicketState) error {
 	in := &peerpb.HandOverTicketsRequest{FromIncarnation: string(from)}
 	for _, t := range tickets {
@@ -62,7 +62,7 @@
 		return err
 	}
 	if !reply.Accepted {
-		return fmt.Errorf("%w: %s refused the tickets", platform.ErrUnavailable, address)
+		return fmt.Errorf("%w: %s refused the tickets", ports.ErrUnavailable, address)
 	}
 	return nil
 }
--- a/internal/peer/dispatch_test.go
+++ b/internal/peer/dispatch_test.go
@@ -12,7 +12,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/dispatch"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/peer/peerpb"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // fakeDispatcher takes hand-overs until refuse is set.
@@ -31,7 +31,7 @@
 }
 
 func (f *fakeDispatcher) Do(_ context.Context, r dispatch.Request) dispatch.Result {
-	return dispatch.Result{Request: r.ID, Outcome: model.OutcomeDone, Body: r.Body, Digest: platform.Digest(r.Body)}
+	return dispatch.Result{Request: r.ID, Outcome: model.OutcomeDone, Body: r.Body, Digest: ports.Digest(r.Body)}
 }
 
 // start serves a fake dispatcher and returns its address.
@@ -57,7 +57,7 @@
 func TestRefusedHandOverIsNotInDoubt(t *testing.T) {
 	address := start(t, &fakeDispatcher{refuse: true})
 	err := NewClients().HandOver(t.Context(), address, "me", nil)
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, ports.ErrUnavailable)
 }
 
 func TestForwardCarriesTheRequest(t *testing.T) {
@@ -73,6 +73,6 @@
 	address := strings.TrimPrefix(server.URL, "http://")
 	server.Close()
 	_, err := NewClients().Forward(t.Context(), address, dispatch.Request{ID: "r"})
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
-	assert.Assert(t, !errors.Is(err, platform.ErrInDoubt))
+	assert.ErrorIs(t, err, ports.ErrUnavailable)
+	assert.Assert(t, !errors.Is(err, ports.ErrInDoubt))
 }
--- a/internal/platform/client_test.go
+++ b/internal/ports/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package ports_test
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/standin"
 )
 
@@ -25,8 +25,8 @@
 type bed struct {
 	platform *standin.Platform
 	backend  *standin.Backend
-	log      *platform.LogClient
-	port     platform.Backend
+	log      *ports.LogClient
+	port     ports.Backend
 }
 
 func newBed(t *testing.T) *bed {
@@ -34,9 +34,9 @@
 	b := &bed{platform: standin.NewPlatform(3), backend: standin.NewBackend("b1", 8, 8)}
 	platformServer := httptest.NewServer(b.platform.Handler())
 	backendServer := httptest.NewServer(b.backend.Handler())
-	client := platform.NewHTTPClient(4, false)
-	dialer := platform.NewHTTPDialer(platform.DialerOptions{})
-	b.log = platform.NewLogClient(platformServer.URL, client)
+	client := ports.NewHTTPClient(4, false)
+	dialer := ports.NewHTTPDialer(ports.DialerOptions{})
+	b.log = ports.NewLogClient(platformServer.URL, client)
 	b.port = dialer.Backend(strings.TrimPrefix(backendServer.URL, "http://"))
 	t.Cleanup(func() {
 		b.platform.SetFault(standin.Fault{})
@@ -81,18 +81,18 @@
 		lookup error
 	}{
 		// Nothing was sent, so that a look-up has no send to vouch for.
-		{"refused", standin.Fault{Refuse: true}, platform.ErrUnavailable, 0, platform.ErrInDoubt},
-		{"cut before effect", standin.Fault{Down: true}, platform.ErrInDoubt, 0, platform.ErrNotFound},
-		{"cut after effect", standin.Fault{AnswerLost: true}, platform.ErrInDoubt, 1, nil},
-		{"silent before effect", standin.Fault{Silent: standin.SilentBefore}, platform.ErrInDoubt, 0, platform.ErrNotFound},
-		{"silent after effect", standin.Fault{Silent: standin.SilentAfter}, platform.ErrInDoubt, 1, nil},
+		{"refused", standin.Fault{Refuse: true}, ports.ErrUnavailable, 0, ports.ErrInDoubt},
+		{"cut before effect", standin.Fault{Down: true}, ports.ErrInDoubt, 0, ports.ErrNotFound},
+		{"cut after effect", standin.Fault{AnswerLost: true}, ports.ErrInDoubt, 1, nil},
+		{"silent before effect", standin.Fault{Silent: standin.SilentBefore}, ports.ErrInDoubt, 0, ports.ErrNotFound},
+		{"silent after effect", standin.Fault{Silent: standin.SilentAfter}, ports.ErrInDoubt, 1, nil},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			b := newBed(t)
-			tc.fault.Paths = []string{platform.PathExecutions}
+			tc.fault.Paths = []string{ports.PathExecutions}
 			b.backend.SetFault(tc.fault)
-			_, err := b.port.Execute(shortly(t), platform.Execution{Request: "r1"})
+			_, err := b.port.Execute(shortly(t), ports.Execution{Request: "r1"})
 			assert.ErrorIs(t, err, tc.class)
 			assert.Assert(t, !errors.Is(err, otherClass(tc.class)))
 
@@ -100,7 +100,7 @@
 			answer, err := b.port.Lookup(t.Context(), "r1")
 			assert.ErrorIs(t, err, tc.lookup)
 			if tc.lookup == nil {
-				assert.Equal(t, answer.State, platform.ExecutionDone)
+				assert.Equal(t, answer.State, ports.ExecutionDone)
 			}
 			assert.Equal(t, b.backend.Record().Executions[0].Times, tc.ran)
 		})
@@ -108,20 +108,20 @@
 }
 
 func otherClass(class error) error {
-	if errors.Is(class, platform.ErrInDoubt) {
-		return platform.ErrUnavailable
+	if errors.Is(class, ports.ErrInDoubt) {
+		return ports.ErrUnavailable
 	}
-	return platform.ErrInDoubt
+	return ports.ErrInDoubt
 }
 
 // TestLateExecutionIsRefused has a request arrive after it was looked up.
 func TestLateExecutionIsRefused(t *testing.T) {
 	b := newBed(t)
-	b.backend.SetFault(standin.Fault{Freeze: true, Paths: []string{platform.PathExecutions}, Times: 1})
-	_, err := b.port.Execute(shortly(t), platform.Execution{Request: "r1"})
-	assert.ErrorIs(t, err, platform.ErrInDoubt)
+	b.backend.SetFault(standin.Fault{Freeze: true, Paths: []string{ports.PathExecutions}, Times: 1})
+	_, err := b.port.Execute(shortly(t), ports.Execution{Request: "r1"})
+	assert.ErrorIs(t, err, ports.ErrInDoubt)
 	_, err = b.port.Lookup(t.Context(), "r1")
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, ports.ErrNotFound)
 
 	b.backend.SetFault(standin.Fault{})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -137,15 +137,15 @@
 // before it started anew and forgot it.
 func TestRestartedServerProvesNothing(t *testing.T) {
 	b := newBed(t)
-	b.backend.SetFault(standin.Fault{Silent: standin.SilentAfter, Paths: []string{platform.PathExecutions}, Times: 1})
-	_, err := b.port.Execute(shortly(t), platform.Execution{Request: "r1"})
-	assert.ErrorIs(t, err, platform.ErrInDoubt)
+	b.backend.SetFault(standin.Fault{Silent: standin.SilentAfter, Paths: []string{ports.PathExecutions}, Times: 1})
+	_, err := b.port.Execute(shortly(t), ports.Execution{Request: "r1"})
+	assert.ErrorIs(t, err, ports.ErrInDoubt)
 	b.backend.SetFault(standin.Fault{Restart: true})
 	b.awaitUptime(t)
 	for range 2 { // the first look-up makes the request refused from then on
 		_, err = b.port.Lookup(t.Context(), "r1")
-		assert.ErrorIs(t, err, platform.ErrInDoubt)
-		assert.Assert(t, !errors.Is(err, platform.ErrNotFound))
+		assert.ErrorIs(t, err, ports.ErrInDoubt)
+		assert.Assert(t, !errors.Is(err, ports.ErrNotFound))
 	}
 	assert.Equal(t, b.backend.Record().Executions[0].Times, 1)
 }
@@ -155,8 +155,8 @@
 func TestLookupOfForeignRequest(t *testing.T) {
 	b := newBed(t)
 	_, err := b.port.Lookup(t.Context(), "r1")
-	assert.ErrorIs(t, err, platform.ErrInDoubt)
-	assert.Assert(t, !errors.Is(err, platform.ErrNotFound))
+	assert.ErrorIs(t, err, ports.ErrInDoubt)
+	assert.Assert(t, !errors.Is(err, ports.ErrNotFound))
 }
 
 // TestAppendFaults compares what the client says of a failed append with the log.
@@ -167,11 +167,11 @@
 		class  error
 		stored int64
 	}{
-		{"refused", standin.Fault{Refuse: true}, platform.ErrUnavailable, 0},
-		{"cut before effect", standin.Fault{Down: true}, platform.ErrInDoubt, 0},
-		{"answer lost", standin.Fault{AnswerLost: true}, platform.ErrInDoubt, 1},
-		{"silent before effect", standin.Fault{Silent: standin.SilentBefore}, platform.ErrInDoubt, 0},
-		{"silent after effect", standin.Fault{Silent: standin.SilentAfter}, platform.ErrInDoubt, 1},
+		{"refused", standin.Fault{Refuse: true}, ports.ErrUnavailable, 0},
+		{"cut before effect", standin.Fault{Down: true}, ports.ErrInDoubt, 0},
+		{"answer lost", standin.Fault{AnswerLost: true}, ports.ErrInDoubt, 1},
+		{"silent before effect", standin.Fault{Silent: standin.SilentBefore}, ports.ErrInDoubt, 0},
+		{"silent after effect", standin.Fault{Silent: standin.SilentAfter}, ports.ErrInDoubt, 1},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -193,7 +193,7 @@
 	assert.NilError(t, err)
 	b.platform.SetFault(standin.Fault{AnswerLost: true, Times: 1})
 	_, err = b.log.Append(t.Context(), []byte("second"))
-	assert.ErrorIs(t, err, platform.ErrInDoubt)
+	assert.ErrorIs(t, err, ports.ErrInDoubt)
 	assert.Equal(t, b.platform.Record().Next, int64(3))
 }
 
@@ -202,13 +202,13 @@
 	assert.NilError(t, err)
 	address := listener.Addr().String()
 	assert.NilError(t, listener.Close())
-	dialer := platform.NewHTTPDialer(platform.DialerOptions{})
+	dialer := ports.NewHTTPDialer(ports.DialerOptions{})
 	defer dialer.Close()
 
-	_, err = dialer.Backend(address).Execute(t.Context(), platform.Execution{Request: "r1"})
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
-	_, err = platform.NewLogClient("http://"+address, nil).Append(t.Context(), []byte("x"))
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = dialer.Backend(address).Execute(t.Context(), ports.Execution{Request: "r1"})
+	assert.ErrorIs(t, err, ports.ErrUnavailable)
+	_, err = ports.NewLogClient("http://"+address, nil).Append(t.Context(), []byte("x"))
+	assert.ErrorIs(t, err, ports.ErrUnavailable)
 }
 
 // TestBusyConnections has a call wait for a connection until its context ends.
@@ -230,16 +230,16 @@
 		return poll.Success()
 	})
 	_, err := b.log.Append(shortly(t), []byte("y"))
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, ports.ErrUnavailable)
 	cancel()
 	for range cap(done) {
-		assert.ErrorIs(t, <-done, platform.ErrInDoubt)
+		assert.ErrorIs(t, <-done, ports.ErrInDoubt)
 	}
 }
 
 // TestAnswersThatProveNothing has an HTTP server that is no backend server answer.
 func TestAnswersThatProveNothing(t *testing.T) {
-	whole := `{"request":"r1","state":"done","body":"eA==","length":1,"digest":"` + platform.Digest([]byte("x")) + `"}`
+	whole := `{"request":"r1","state":"done","body":"eA==","length":1,"digest":"` + ports.Digest([]byte("x")) + `"}`
 	tests := []struct {
 		name   string
 		status int
@@ -247,15 +247,15 @@
 		want   error
 	}{
 		{"whole", 200, whole, nil},
-		{"of another request", 200, strings.Replace(whole, "r1", "r2", 1), platform.ErrInDoubt},
-		{"shorter than its length", 200, strings.Replace(whole, `"length":1`, `"length":2`, 1), platform.ErrInDoubt},
-		{"changed", 200, strings.Replace(whole, "eA==", "eQ==", 1), platform.ErrInDoubt},
-		{"cut", 200, whole[:len(whole)/2], platform.ErrInDoubt},
-		{"of unknown state", 200, strings.Replace(whole, "done", "lost", 1), platform.ErrInDoubt},
-		{"bare 404", 404, "not found", platform.ErrInDoubt},
-		{"bare 503", 503, "", platform.ErrInDoubt},
-		{"503 with an effect", 503, `{"message":"late"}`, platform.ErrInDoubt},
-		{"redirect", 307, "", platform.ErrInDoubt},
+		{"of another request", 200, strings.Replace(whole, "r1", "r2", 1), ports.ErrInDoubt},
+		{"shorter than its length", 200, strings.Replace(whole, `"length":1`, `"length":2`, 1), ports.ErrInDoubt},
+		{"changed", 200, strings.Replace(whole, "eA==", "eQ==", 1), ports.ErrInDoubt},
+		{"cut", 200, whole[:len(whole)/2], ports.ErrInDoubt},
+		{"of unknown state", 200, strings.Replace(whole, "done", "lost", 1), ports.ErrInDoubt},
+		{"bare 404", 404, "not found", ports.ErrInDoubt},
+		{"bare 503", 503, "", ports.ErrInDoubt},
+		{"503 with an effect", 503, `{"message":"late"}`, ports.ErrInDoubt},
+		{"redirect", 307, "", ports.ErrInDoubt},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -265,11 +265,11 @@
 				_, _ = w.Write([]byte(tc.body))
 			}))
 			defer server.Close()
-			dialer := platform.NewHTTPDialer(platform.DialerOptions{})
+			dialer := ports.NewHTTPDialer(ports.DialerOptions{})
 			defer dialer.Close()
-			_, err := dialer.Backend(server.Listener.Addr().String()).Execute(t.Context(), platform.Execution{Request: "r1"})
+			_, err := dialer.Backend(server.Listener.Addr().String()).Execute(t.Context(), ports.Execution{Request: "r1"})
 			assert.ErrorIs(t, err, tc.want)
-			assert.Assert(t, !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrNotFound))
+			assert.Assert(t, !errors.Is(err, ports.ErrUnavailable) && !errors.Is(err, ports.ErrNotFound))
 		})
 	}
 }
@@ -281,7 +281,7 @@
 		assert.NilError(t, err)
 	}
 	_, err := b.log.Read(t.Context(), 1, 10, 0)
-	assert.ErrorIs(t, err, platform.ErrTrimmed)
+	assert.ErrorIs(t, err, ports.ErrTrimmed)
 	batch, err := b.log.Read(t.Context(), 2, 2, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, len(batch.Records), 2)
@@ -289,7 +289,7 @@
 	assert.Equal(t, batch.First, int64(2))
 	assert.Equal(t, batch.Next, int64(5))
 
-	got := make(chan platform.Batch, 1)
+	got := make(chan ports.Batch, 1)
 	go func() {
 		batch, err := b.log.Read(t.Context(), 5, 10, time.Minute)
 		assert.Check(t, err)
@@ -304,18 +304,18 @@
 // TestCommandFencing has a batch under an older token refused whole.
 func TestCommandFencing(t *testing.T) {
 	b := newBed(t)
-	hold := platform.TaskCommand{Verb: platform.VerbHold, Task: "t1", Accelerators: 8, Members: 1, Lease: time.Minute}
-	results, err := b.port.Command(t.Context(), platform.CommandBatch{Token: model.Token{Offset: 2}, Commands: []platform.TaskCommand{hold}})
+	hold := ports.TaskCommand{Verb: ports.VerbHold, Task: "t1", Accelerators: 8, Members: 1, Lease: time.Minute}
+	results, err := b.port.Command(t.Context(), ports.CommandBatch{Token: model.Token{Offset: 2}, Commands: []ports.TaskCommand{hold}})
 	assert.NilError(t, err)
-	assert.Equal(t, results[0], platform.TaskResult{Task: "t1", State: platform.TaskHeld})
+	assert.Equal(t, results[0], ports.TaskResult{Task: "t1", State: ports.TaskHeld})
 
-	stop := platform.TaskCommand{Verb: platform.VerbStop, Task: "t1"}
-	results, err = b.port.Command(t.Context(), platform.CommandBatch{Token: model.Token{Offset: 1, Rank: 9}, Commands: []platform.TaskCommand{stop, stop}})
+	stop := ports.TaskCommand{Verb: ports.VerbStop, Task: "t1"}
+	results, err = b.port.Command(t.Context(), ports.CommandBatch{Token: model.Token{Offset: 1, Rank: 9}, Commands: []ports.TaskCommand{stop, stop}})
 	assert.NilError(t, err)
 	for _, r := range results {
-		assert.Equal(t, r.Refused, platform.RefusedFenced)
+		assert.Equal(t, r.Refused, ports.RefusedFenced)
 	}
 	status, err := b.port.Status(t.Context())
 	assert.NilError(t, err)
-	assert.Equal(t, status.Tasks[0].State, platform.TaskHeld)
+	assert.Equal(t, status.Tasks[0].State, ports.TaskHeld)
 }
--- a/internal/platform/platform.go
+++ b/internal/ports/platform.go
@@ -1,7 +1,7 @@
-// Package platform defines the ports to everything outside the system: the
+// Package ports defines the ports to everything outside the system: the
 // platform's append-only log, its VM list, and the backend servers. The HTTP
 // clients of these ports are in the same package; fakes live in tests.
-package platform
+package ports
 
 import (
 	"context"
--- a/internal/platform/status_test.go
+++ b/internal/ports/status_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package ports_test
 
 import (
 	"net/http"
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/standin"
 )
 
@@ -38,7 +38,7 @@
 		backend.Handler().ServeHTTP(&last, r)
 	}))
 	defer server.Close()
-	dialer := platform.NewHTTPDialer(platform.DialerOptions{})
+	dialer := ports.NewHTTPDialer(ports.DialerOptions{})
 	defer dialer.Close()
 	port := dialer.Backend(strings.TrimPrefix(server.URL, "http://"))
 
@@ -51,8 +51,8 @@
 	assert.Equal(t, last.bytes, 0)
 	assert.DeepEqual(t, again, first)
 
-	batch := platform.CommandBatch{Commands: []platform.TaskCommand{
-		{Verb: platform.VerbHold, Task: "t", Accelerators: 2, Lease: time.Minute},
+	batch := ports.CommandBatch{Commands: []ports.TaskCommand{
+		{Verb: ports.VerbHold, Task: "t", Accelerators: 2, Lease: time.Minute},
 	}}
 	_, err = port.Command(t.Context(), batch)
 	assert.NilError(t, err)
@@ -67,7 +67,7 @@
 	slots := "8"
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("ETag", `"a"`)
-		w.Header().Set(platform.HeaderFreeSlots, slots)
+		w.Header().Set(ports.HeaderFreeSlots, slots)
 		if r.Header.Get("If-None-Match") != "" {
 			w.WriteHeader(http.StatusNotModified)
 			return
@@ -75,7 +75,7 @@
 		_, _ = w.Write([]byte(`{"id":"b1","freeSlots":8}`))
 	}))
 	defer server.Close()
-	dialer := platform.NewHTTPDialer(platform.DialerOptions{})
+	dialer := ports.NewHTTPDialer(ports.DialerOptions{})
 	defer dialer.Close()
 	port := dialer.Backend(strings.TrimPrefix(server.URL, "http://"))
 	_, err := port.Status(t.Context())
--- a/internal/platform/transport.go
+++ b/internal/ports/transport.go
@@ -1,4 +1,4 @@
-package platform
+package ports
 
 import (
 	"context"
--- a/internal/platform/wire.go
+++ b/internal/ports/wire.go
@@ -1,4 +1,4 @@
-package platform
+package ports
 
 // The paths of the HTTP protocols of the platform and of backend servers.
 const (
--- a/internal/query/job_test.go
+++ b/internal/query/job_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/control"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // fakeControl returns one view.
@@ -49,7 +49,7 @@
 	}{
 		{"holder knows more", local, holder, fakeHolder{status: jobStatus(control.JobWaiting, "quota"), known: true}, "quota"},
 		{"holder knows nothing", local, holder, fakeHolder{}, "second-hand"},
-		{"holder unreachable", local, holder, fakeHolder{err: platform.ErrUnavailable}, "second-hand"},
+		{"holder unreachable", local, holder, fakeHolder{err: ports.ErrUnavailable}, "second-hand"},
 		{"own term", local, mine, fakeHolder{status: jobStatus(control.JobWaiting, "quota"), known: true}, "second-hand"},
 		{"no holder", local, control.TermState{}, fakeHolder{known: true}, "second-hand"},
 		{"ended", jobStatus(control.JobDone, "end"), holder, fakeHolder{known: true}, "end"},
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -14,7 +14,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // defaultUsageLag is the age of the usage in a status.
@@ -120,11 +120,11 @@
 	return r
 }
 
-func (b *Backend) status(now time.Time) platform.BackendStatus {
+func (b *Backend) status(now time.Time) ports.BackendStatus {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	s := platform.BackendStatus{
+	s := ports.BackendStatus{
 		ID:        b.id,
 		Leaving:   b.Leaving(),
 		FreeSlots: b.slots - b.running,
@@ -133,7 +133,7 @@
 	for _, t := range b.tasks {
 		s.Tasks = append(s.Tasks, t.report(t.usage(now.Add(-defaultUsageLag))))
 	}
-	slices.SortFunc(s.Tasks, func(x, y platform.TaskReport) int { return cmp.Compare(x.Task, y.Task) })
+	slices.SortFunc(s.Tasks, func(x, y ports.TaskReport) int { return cmp.Compare(x.Task, y.Task) })
 	return s
 }
 
@@ -141,11 +141,11 @@
 func (b *Backend) Handler() http.Handler {
 	record := func() any { return b.Record() }
 	return newRouter(b.faults, b.SetFault, record, func(r chi.Router) {
-		r.Get(platform.PathStatus, b.handleStatus)
-		r.Get(platform.PathPing, b.handlePing)
-		r.Post(platform.PathCommands, b.handleCommands)
-		r.Post(platform.PathExecutions, b.handleExecute)
-		r.Post(platform.PathExecutions+"/{request}"+platform.PathLookup, b.handleLookup)
+		r.Get(ports.PathStatus, b.handleStatus)
+		r.Get(ports.PathPing, b.handlePing)
+		r.Post(ports.PathCommands, b.handleCommands)
+		r.Post(ports.PathExecutions, b.handleExecute)
+		r.Post(ports.PathExecutions+"/{request}"+ports.PathLookup, b.handleLookup)
 	})
 }
 
@@ -155,7 +155,7 @@
 	status := b.status(time.Now())
 	tag := entityTag(status)
 	w.Header().Set("ETag", tag)
-	w.Header().Set(platform.HeaderFreeSlots, strconv.Itoa(status.FreeSlots))
+	w.Header().Set(ports.HeaderFreeSlots, strconv.Itoa(status.FreeSlots))
 	if r.Header.Get("If-None-Match") == tag {
 		w.WriteHeader(http.StatusNotModified)
 		return
@@ -163,7 +163,7 @@
 	reply(w, status)
 }
 
-func entityTag(status platform.BackendStatus) string {
+func entityTag(status ports.BackendStatus) string {
 	status.FreeSlots = 0
 	data, _ := json.Marshal(status) // plain values always encode
 	hash := fnv.New64a()
@@ -176,16 +176,16 @@
 }
 
 func (b *Backend) handleCommands(w http.ResponseWriter, r *http.Request) {
-	var batch platform.CommandBatch
+	var batch ports.CommandBatch
 	if !decode(w, r, &batch) {
 		return
 	}
-	reply(w, platform.CommandReply{Results: b.command(batch, time.Now())})
+	reply(w, ports.CommandReply{Results: b.command(batch, time.Now())})
 }
 
 // handleExecute runs a request to its end also when the caller is gone.
 func (b *Backend) handleExecute(w http.ResponseWriter, r *http.Request) {
-	var e platform.Execution
+	var e ports.Execution
 	if !decode(w, r, &e) {
 		return
 	}
@@ -211,7 +211,7 @@
 	return time.Since(b.began)
 }
 
-func (b *Backend) describe(x *execution) platform.Answer {
+func (b *Backend) describe(x *execution) ports.Answer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.answer(x)
@@ -220,8 +220,8 @@
 func (b *Backend) handleLookup(w http.ResponseWriter, r *http.Request) {
 	a, ok := b.lookUp(model.RequestID(chi.URLParam(r, "request")))
 	if !ok {
-		problem(w, http.StatusNotFound, platform.Problem{
-			Code:    platform.CodeNotFound,
+		problem(w, http.StatusNotFound, ports.Problem{
+			Code:    ports.CodeNotFound,
 			Message: "the request was never seen here and is refused from now on",
 			KeptMS:  b.Uptime().Milliseconds(),
 		})
--- a/internal/standin/commands.go
+++ b/internal/standin/commands.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // command carries out a batch at a time. A batch under an old token is refused whole.
-func (b *Backend) command(batch platform.CommandBatch, now time.Time) []platform.TaskResult {
+func (b *Backend) command(batch ports.CommandBatch, now time.Time) []ports.TaskResult {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
@@ -15,9 +15,9 @@
 	if !fenced {
 		b.token = batch.Token
 	}
-	results := make([]platform.TaskResult, len(batch.Commands))
+	results := make([]ports.TaskResult, len(batch.Commands))
 	for i, c := range batch.Commands {
-		refusal := platform.RefusedFenced
+		refusal := ports.RefusedFenced
 		fresh := b.bringsWork(c)
 		if !fenced {
 			refusal = b.apply(c, now)
@@ -30,8 +30,8 @@
 	return results
 }
 
-func (b *Backend) result(c platform.TaskCommand, refusal platform.Refusal) platform.TaskResult {
-	r := platform.TaskResult{Task: c.Task, Refused: refusal}
+func (b *Backend) result(c ports.TaskCommand, refusal ports.Refusal) ports.TaskResult {
+	r := ports.TaskResult{Task: c.Task, Refused: refusal}
 	if t, ok := b.tasks[c.Task]; ok {
 		r.State = t.state
 		r.Checkpoint = t.checkpoint
@@ -41,53 +41,53 @@
 
 // bringsWork reports whether a command asks for something that the backend server
 // does not do yet. Repeats of a hold or a start bring nothing new.
-func (b *Backend) bringsWork(c platform.TaskCommand) bool {
+func (b *Backend) bringsWork(c ports.TaskCommand) bool {
 	t, known := b.tasks[c.Task]
 	switch c.Verb {
-	case platform.VerbHold:
+	case ports.VerbHold:
 		return !known
-	case platform.VerbStart:
-		return known && t.state == platform.TaskHeld
+	case ports.VerbStart:
+		return known && t.state == ports.TaskHeld
 	default:
 		return false
 	}
 }
 
 // apply carries out one command and returns why it had no effect, or "".
-func (b *Backend) apply(c platform.TaskCommand, now time.Time) platform.Refusal {
+func (b *Backend) apply(c ports.TaskCommand, now time.Time) ports.Refusal {
 	t, known := b.tasks[c.Task]
 	if !known {
 		return b.applyNew(c, now)
 	}
-	if c.Verb == platform.VerbStop {
+	if c.Verb == ports.VerbStop {
 		b.stop(t, now)
 		return ""
 	}
 	if !t.state.Active() {
-		return platform.RefusedNotActive
+		return ports.RefusedNotActive
 	}
 	return b.applyActive(t, c, now)
 }
 
-func (b *Backend) applyNew(c platform.TaskCommand, now time.Time) platform.Refusal {
-	if c.Verb != platform.VerbHold {
-		return platform.RefusedNoTask
+func (b *Backend) applyNew(c ports.TaskCommand, now time.Time) ports.Refusal {
+	if c.Verb != ports.VerbHold {
+		return ports.RefusedNoTask
 	}
 	if b.refusesWork() {
-		return platform.RefusedLeaving
+		return ports.RefusedLeaving
 	}
 	if b.accelerators-b.acceleratorsInUse() < c.Accelerators {
-		return platform.RefusedFull
+		return ports.RefusedFull
 	}
 	b.tasks[c.Task] = newTask(c, now)
 	return ""
 }
 
-func (b *Backend) applyActive(t *task, c platform.TaskCommand, now time.Time) platform.Refusal {
+func (b *Backend) applyActive(t *task, c ports.TaskCommand, now time.Time) ports.Refusal {
 	switch c.Verb {
-	case platform.VerbStart:
+	case ports.VerbStart:
 		return b.start(t, c, now)
-	case platform.VerbCheckpoint:
+	case ports.VerbCheckpoint:
 		t.save(now)
 	default: // hold again, renew
 		t.renew(c.Lease, now)
@@ -95,10 +95,10 @@
 	return ""
 }
 
-func (b *Backend) start(t *task, c platform.TaskCommand, now time.Time) platform.Refusal {
-	if t.state == platform.TaskHeld {
+func (b *Backend) start(t *task, c ports.TaskCommand, now time.Time) ports.Refusal {
+	if t.state == ports.TaskHeld {
 		if b.refusesWork() {
-			return platform.RefusedLeaving
+			return ports.RefusedLeaving
 		}
 		t.start(now)
 	}
@@ -108,7 +108,7 @@
 
 func (b *Backend) stop(t *task, now time.Time) {
 	if t.state.Active() {
-		t.end(platform.TaskStopped, now)
+		t.end(ports.TaskStopped, now)
 	}
 }
 
--- a/internal/standin/controls.go
+++ b/internal/standin/controls.go
@@ -9,7 +9,7 @@
 	"net/url"
 	"time"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // controlTimeout bounds one call to the controls of a stand-in.
@@ -21,14 +21,14 @@
 }
 
 // PutVM puts an entry into the VM list of the platform at baseURL.
-func PutVM(ctx context.Context, baseURL string, e platform.VMEntry) error {
-	return control(ctx, http.MethodPut, baseURL+platform.PathVMs, e, nil)
+func PutVM(ctx context.Context, baseURL string, e ports.VMEntry) error {
+	return control(ctx, http.MethodPut, baseURL+ports.PathVMs, e, nil)
 }
 
 // RemoveVM removes an address from the VM list of the platform at baseURL.
 func RemoveVM(ctx context.Context, baseURL, address string) error {
 	query := url.Values{ParamAddress: {address}}
-	return control(ctx, http.MethodDelete, baseURL+platform.PathVMs+"?"+query.Encode(), nil, nil)
+	return control(ctx, http.MethodDelete, baseURL+ports.PathVMs+"?"+query.Encode(), nil, nil)
 }
 
 // GetBackendRecord returns the account of the backend server at baseURL.
--- a/internal/standin/executions.go
+++ b/internal/standin/executions.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // execution is a request that a backend server has seen.
@@ -19,7 +19,7 @@
 
 // begin starts a request unless it is refused or was seen before. Run is non-nil
 // when the caller must run it.
-func (b *Backend) begin(e platform.Execution, now time.Time) (x *execution, run bool, refused platform.Refusal) {
+func (b *Backend) begin(e ports.Execution, now time.Time) (x *execution, run bool, refused ports.Refusal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if x, ok := b.executions[e.Request]; ok {
@@ -37,10 +37,10 @@
 			Request:  e.Request,
 			Caller:   e.Caller,
 			Kind:     e.Kind,
-			Input:    platform.Digest(e.Body),
+			Input:    ports.Digest(e.Body),
 			Times:    1,
 			Received: 1,
-			State:    platform.ExecutionRunning,
+			State:    ports.ExecutionRunning,
 			Started:  now,
 		},
 	}
@@ -49,12 +49,12 @@
 	return x, true, ""
 }
 
-func (b *Backend) refuseExecution() platform.Refusal {
+func (b *Backend) refuseExecution() ports.Refusal {
 	if b.refusesWork() {
-		return platform.RefusedLeaving
+		return ports.RefusedLeaving
 	}
 	if b.running >= b.slots {
-		return platform.RefusedFull
+		return ports.RefusedFull
 	}
 	return ""
 }
@@ -69,9 +69,9 @@
 	}
 	b.running--
 	x.record.Ended = now
-	x.record.State = platform.ExecutionDone
+	x.record.State = ports.ExecutionDone
 	if p.Fail || b.faults.current().FailAll {
-		x.record.State = platform.ExecutionFailed
+		x.record.State = ports.ExecutionFailed
 		x.err = "the request failed"
 	}
 	x.body = answerBody(x.record, p)
@@ -80,8 +80,8 @@
 
 // breakOff ends a request that still runs.
 func (x *execution) breakOff(now time.Time) {
-	if x.record.State == platform.ExecutionRunning {
-		x.record.State = platform.ExecutionFailed
+	if x.record.State == ports.ExecutionRunning {
+		x.record.State = ports.ExecutionFailed
 		x.record.Ended = now
 	}
 }
@@ -100,24 +100,24 @@
 
 // lookUp returns what is known of a request. One that was never executed is
 // refused from now on, and ok is false.
-func (b *Backend) lookUp(id model.RequestID) (a platform.Answer, ok bool) {
+func (b *Backend) lookUp(id model.RequestID) (a ports.Answer, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	x, ok := b.executions[id]
 	if !ok {
-		record := ExecutionRecord{Request: id, State: platform.ExecutionRefused}
+		record := ExecutionRecord{Request: id, State: ports.ExecutionRefused}
 		b.executions[id] = &execution{record: record}
-		return platform.Answer{}, false
+		return ports.Answer{}, false
 	}
-	if x.record.State == platform.ExecutionRefused {
-		return platform.Answer{}, false
+	if x.record.State == ports.ExecutionRefused {
+		return ports.Answer{}, false
 	}
 	return b.answer(x), true
 }
 
 // answer describes an execution as it is now.
-func (b *Backend) answer(x *execution) platform.Answer {
-	a := platform.Answer{
+func (b *Backend) answer(x *execution) ports.Answer {
+	a := ports.Answer{
 		Request:   x.record.Request,
 		State:     x.record.State,
 		Body:      x.body,
@@ -126,18 +126,18 @@
 		FreeSlots: b.slots - b.running,
 	}
 	if len(x.body) > 0 {
-		a.Digest = platform.Digest(x.body)
+		a.Digest = ports.Digest(x.body)
 	}
 	return a
 }
 
 // refusal answers a request that was not taken.
-func (b *Backend) refusal(id model.RequestID, refused platform.Refusal) platform.Answer {
+func (b *Backend) refusal(id model.RequestID, refused ports.Refusal) ports.Answer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return platform.Answer{
+	return ports.Answer{
 		Request:   id,
-		State:     platform.ExecutionRefused,
+		State:     ports.ExecutionRefused,
 		Refused:   refused,
 		FreeSlots: b.slots - b.running,
 	}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -9,7 +9,7 @@
 	"github.com/go-chi/chi/v5"
 	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // The paths of the controls, which faults don't touch.
@@ -57,7 +57,7 @@
 	d := json.NewDecoder(r.Body)
 	d.DisallowUnknownFields()
 	if err := d.Decode(into); err != nil {
-		problem(w, http.StatusBadRequest, platform.Problem{Effect: platform.EffectNone, Message: err.Error()})
+		problem(w, http.StatusBadRequest, ports.Problem{Effect: ports.EffectNone, Message: err.Error()})
 		return false
 	}
 	return true
@@ -69,10 +69,10 @@
 }
 
 func refuse(w http.ResponseWriter, message string) {
-	problem(w, http.StatusServiceUnavailable, platform.Problem{Effect: platform.EffectNone, Message: message})
+	problem(w, http.StatusServiceUnavailable, ports.Problem{Effect: ports.EffectNone, Message: message})
 }
 
-func problem(w http.ResponseWriter, status int, p platform.Problem) {
+func problem(w http.ResponseWriter, status int, p ports.Problem) {
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(p) // an error means that the caller is gone
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -6,14 +6,14 @@
 	"sync"
 	"time"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // recordLog is an append-only log that keeps the newest records.
 type recordLog struct {
 	mu       sync.Mutex
 	retain   int // records kept; 0 means all
-	records  []platform.Record
+	records  []ports.Record
 	next     int64
 	appended chan struct{} // closed at the next append
 }
@@ -28,7 +28,7 @@
 	defer l.mu.Unlock()
 	offset := l.next
 	l.next++
-	l.records = append(l.records, platform.Record{Offset: offset, Time: now, Data: data})
+	l.records = append(l.records, ports.Record{Offset: offset, Time: now, Data: data})
 	if l.retain > 0 && len(l.records) > l.retain {
 		l.records = slices.Delete(l.records, 0, len(l.records)-l.retain)
 	}
@@ -39,10 +39,10 @@
 
 // read returns up to limit records from an offset on; ok is false when the offset
 // is past retention. The channel is closed at the next append.
-func (l *recordLog) read(from int64, limit int) (b platform.Batch, appended <-chan struct{}, ok bool) {
+func (l *recordLog) read(from int64, limit int) (b ports.Batch, appended <-chan struct{}, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b = platform.Batch{First: l.next - int64(len(l.records)), Next: l.next}
+	b = ports.Batch{First: l.next - int64(len(l.records)), Next: l.next}
 	if from < b.First {
 		return b, l.appended, false
 	}
@@ -54,7 +54,7 @@
 }
 
 // follow reads like read and waits up to wait for the first record.
-func (l *recordLog) follow(ctx context.Context, from int64, limit int, wait time.Duration) (platform.Batch, bool) {
+func (l *recordLog) follow(ctx context.Context, from int64, limit int, wait time.Duration) (ports.Batch, bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -8,13 +8,13 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 const (
 	defaultReadLimit = 1000
 	maxReadWait      = time.Minute
-	// ParamAddress names the VM in a DELETE of platform.PathVMs.
+	// ParamAddress names the VM in a DELETE of ports.PathVMs.
 	ParamAddress = "address"
 )
 
@@ -53,11 +53,11 @@
 func (p *Platform) Handler() http.Handler {
 	record := func() any { return p.Record() }
 	return newRouter(p.faults, p.SetFault, record, func(r chi.Router) {
-		r.Post(platform.PathLog, p.appendRecord)
-		r.Get(platform.PathLog, p.readRecords)
-		r.Get(platform.PathVMs, p.listVMs)
-		r.Put(platform.PathVMs, p.putVM)
-		r.Delete(platform.PathVMs, p.removeVM)
+		r.Post(ports.PathLog, p.appendRecord)
+		r.Get(ports.PathLog, p.readRecords)
+		r.Get(ports.PathVMs, p.listVMs)
+		r.Put(ports.PathVMs, p.putVM)
+		r.Delete(ports.PathVMs, p.removeVM)
 	})
 }
 
@@ -67,21 +67,21 @@
 		refuse(w, err.Error())
 		return
 	}
-	reply(w, platform.AppendReply{Offset: p.log.append(data, time.Now())})
+	reply(w, ports.AppendReply{Offset: p.log.append(data, time.Now())})
 }
 
 func (p *Platform) readRecords(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	from, err := strconv.ParseInt(query.Get(platform.ParamFrom), 10, 64)
+	from, err := strconv.ParseInt(query.Get(ports.ParamFrom), 10, 64)
 	if err != nil {
 		refuse(w, err.Error())
 		return
 	}
-	limit := intOr(query.Get(platform.ParamLimit), defaultReadLimit)
-	wait := time.Duration(intOr(query.Get(platform.ParamWaitMS), 0)) * time.Millisecond
+	limit := intOr(query.Get(ports.ParamLimit), defaultReadLimit)
+	wait := time.Duration(intOr(query.Get(ports.ParamWaitMS), 0)) * time.Millisecond
 	batch, ok := p.log.follow(r.Context(), from, limit, min(wait, maxReadWait))
 	if !ok {
-		problem(w, http.StatusGone, platform.Problem{Code: platform.CodeTrimmed, Message: "the offset is past retention"})
+		problem(w, http.StatusGone, ports.Problem{Code: ports.CodeTrimmed, Message: "the offset is past retention"})
 		return
 	}
 	reply(w, batch)
@@ -98,11 +98,11 @@
 
 func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) {
 	lag := time.Duration(p.faults.current().ListLagMS) * time.Millisecond
-	reply(w, platform.VMListReply{VMs: p.vms.list(time.Now(), lag)})
+	reply(w, ports.VMListReply{VMs: p.vms.list(time.Now(), lag)})
 }
 
 func (p *Platform) putVM(w http.ResponseWriter, r *http.Request) {
-	var e platform.VMEntry
+	var e ports.VMEntry
 	if !decode(w, r, &e) {
 		return
 	}
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // ExecutionRecord is a backend server's own account of one request.
@@ -16,10 +16,10 @@
 	// Times counts how often the request was executed: 0 or 1.
 	Times int `json:"times"`
 	// Received counts how often it was sent here, also when it was refused.
-	Received int                     `json:"received"`
-	State    platform.ExecutionState `json:"state"`
-	Started  time.Time               `json:"started"`
-	Ended    time.Time               `json:"ended"`
+	Received int                  `json:"received"`
+	State    ports.ExecutionState `json:"state"`
+	Started  time.Time            `json:"started"`
+	Ended    time.Time            `json:"ended"`
 }
 
 // TaskRecord is a backend server's own account of one task. A zero time means that
@@ -31,7 +31,7 @@
 	Organisation model.OrganisationID `json:"organisation"`
 	Members      int                  `json:"members"` // the size of the gang
 	Accelerators int                  `json:"accelerators"`
-	State        platform.TaskState   `json:"state"`
+	State        ports.TaskState      `json:"state"`
 	Held         time.Time            `json:"held"`
 	Started      time.Time            `json:"started"`
 	Ended        time.Time            `json:"ended"`
@@ -40,10 +40,10 @@
 
 // Offer is new work that was sent to a backend server, taken or not.
 type Offer struct {
-	Time    time.Time        `json:"time"`
-	Request model.RequestID  `json:"request,omitempty"`
-	Task    model.TaskID     `json:"task,omitempty"`
-	Refused platform.Refusal `json:"refused,omitempty"`
+	Time    time.Time       `json:"time"`
+	Request model.RequestID `json:"request,omitempty"`
+	Task    model.TaskID    `json:"task,omitempty"`
+	Refused ports.Refusal   `json:"refused,omitempty"`
 }
 
 // BackendRecord is a backend server's own account of its work.
--- a/internal/standin/task.go
+++ b/internal/standin/task.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // endedTaskKeep is how long an ended task stays in the status.
@@ -11,8 +11,8 @@
 
 // task is one task of a gang on a backend server.
 type task struct {
-	hold       platform.TaskCommand
-	state      platform.TaskState
+	hold       ports.TaskCommand
+	state      ports.TaskState
 	payload    Payload
 	before     time.Duration // run time that the checkpoint it resumed from had
 	leaseUntil time.Time
@@ -24,10 +24,10 @@
 	err        string
 }
 
-func newTask(c platform.TaskCommand, now time.Time) *task {
+func newTask(c ports.TaskCommand, now time.Time) *task {
 	t := &task{
 		hold:       c,
-		state:      platform.TaskHeld,
+		state:      ports.TaskHeld,
 		payload:    parsePayload([]byte(c.Payload)),
 		held:       now,
 		checkpoint: c.Checkpoint,
@@ -46,13 +46,13 @@
 }
 
 func (t *task) start(now time.Time) {
-	t.state = platform.TaskRunning
+	t.state = ports.TaskRunning
 	t.started = now
 }
 
 // save makes a checkpoint, which is the run time so far.
 func (t *task) save(now time.Time) {
-	if t.state == platform.TaskRunning {
+	if t.state == ports.TaskRunning {
 		t.checkpoint = t.progress(now).String()
 	}
 }
@@ -67,17 +67,17 @@
 	if !t.state.Active() {
 		return
 	}
-	if t.state == platform.TaskRunning && failAll {
+	if t.state == ports.TaskRunning && failAll {
 		t.fail("the backend server fails all tasks", now)
 		return
 	}
 	done := t.started.Add(t.payload.run() - t.before)
-	if t.state == platform.TaskRunning && !done.After(now) && !done.After(t.leaseUntil) {
+	if t.state == ports.TaskRunning && !done.After(now) && !done.After(t.leaseUntil) {
 		t.complete(done)
 		return
 	}
 	if !t.leaseUntil.After(now) {
-		t.end(platform.TaskLapsed, t.leaseUntil)
+		t.end(ports.TaskLapsed, t.leaseUntil)
 	}
 }
 
@@ -86,21 +86,21 @@
 		t.fail("the payload asks for a failure", at)
 		return
 	}
-	t.end(platform.TaskDone, at)
+	t.end(ports.TaskDone, at)
 }
 
 func (t *task) fail(message string, at time.Time) {
 	t.err = message
-	t.end(platform.TaskFailed, at)
+	t.end(ports.TaskFailed, at)
 }
 
-func (t *task) end(s platform.TaskState, at time.Time) {
+func (t *task) end(s ports.TaskState, at time.Time) {
 	t.state = s
 	t.ended = at
 }
 
-func (t *task) report(usage float64) platform.TaskReport {
-	return platform.TaskReport{
+func (t *task) report(usage float64) ports.TaskReport {
+	return ports.TaskReport{
 		Task:         t.hold.Task,
 		Job:          t.hold.Job,
 		Attempt:      t.hold.Attempt,
--- a/internal/standin/vmlist.go
+++ b/internal/standin/vmlist.go
@@ -7,28 +7,28 @@
 	"sync"
 	"time"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // vmChange is one change of the VM list. A nil Entry removes the address.
 type vmChange struct {
 	at      time.Time
 	address string
-	entry   *platform.VMEntry
+	entry   *ports.VMEntry
 }
 
 // vmList is a list of VMs that shows each change after a lag.
 type vmList struct {
 	mu      sync.Mutex
-	shown   map[string]platform.VMEntry
+	shown   map[string]ports.VMEntry
 	pending []vmChange // in order of time
 }
 
 func newVMList() *vmList {
-	return &vmList{shown: make(map[string]platform.VMEntry)}
+	return &vmList{shown: make(map[string]ports.VMEntry)}
 }
 
-func (l *vmList) put(e platform.VMEntry, now time.Time) {
+func (l *vmList) put(e ports.VMEntry, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.pending = append(l.pending, vmChange{at: now, address: e.Address, entry: &e})
@@ -41,14 +41,14 @@
 }
 
 // list returns the entries as they were lag ago, ordered by address.
-func (l *vmList) list(now time.Time, lag time.Duration) []platform.VMEntry {
+func (l *vmList) list(now time.Time, lag time.Duration) []ports.VMEntry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.pending) > 0 && !l.pending[0].at.After(now.Add(-lag)) {
 		l.apply(l.pending[0])
 		l.pending = l.pending[1:]
 	}
-	byAddress := func(a, b platform.VMEntry) int { return cmp.Compare(a.Address, b.Address) }
+	byAddress := func(a, b ports.VMEntry) int { return cmp.Compare(a.Address, b.Address) }
 	return slices.SortedFunc(maps.Values(l.shown), byAddress)
 }
 
--- a/internal/vm/node.go
+++ b/internal/vm/node.go
@@ -24,7 +24,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/peer"
 	"github.com/eelgrassreach/eelgrassreach/internal/peer/peerpb"
 	"github.com/eelgrassreach/eelgrassreach/internal/placement"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/query"
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
 	"github.com/eelgrassreach/eelgrassreach/internal/settings"
@@ -66,9 +66,9 @@
 		gate:   command.NewGate(),
 	}
 	n.violations = invariant.NewCounter(metrics.Scope, logger)
-	client := platform.NewHTTPClient(logConnections, false)
-	log := platform.NewLogClient(s.Platform, client)
-	dialer := platform.NewHTTPDialer(platform.DialerOptions{ConnectionsPerServer: s.MaxConns})
+	client := ports.NewHTTPClient(logConnections, false)
+	log := ports.NewLogClient(s.Platform, client)
+	dialer := ports.NewHTTPDialer(ports.DialerOptions{ConnectionsPerServer: s.MaxConns})
 	peers := peer.NewClients()
 
 	n.publisher = journal.NewPublisher(log, journal.PublisherOptions{AppendsPerSecond: appendShare(s.AppendRate, nil)})
@@ -78,7 +78,7 @@
 		Policy:   placement.Reclaiming{},
 		Log:      n.publisher,
 		Dialer:   dialer,
-		VMs:      platform.NewVMListClient(s.Platform, client),
+		VMs:      ports.NewVMListClient(s.Platform, client),
 		Peers:    peers,
 		Reporter: n.violations,
 	})
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/api"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/standin"
 )
 
@@ -109,7 +109,7 @@
 		v.client = api.NewClient(v.listen)
 		if v.serves(t) {
 			c.vms = append(c.vms, v)
-			c.list(t, v, platform.VMLive)
+			c.list(t, v, ports.VMLive)
 			return
 		}
 	}
@@ -148,9 +148,9 @@
 }
 
 // list puts a VM into the platform's list.
-func (c *cluster) list(t *testing.T, v *vm, state platform.VMState) {
+func (c *cluster) list(t *testing.T, v *vm, state ports.VMState) {
 	t.Helper()
-	entry := platform.VMEntry{Address: v.front.address, Role: platform.RoleEntry, AZ: v.zone, State: state}
+	entry := ports.VMEntry{Address: v.front.address, Role: ports.RoleEntry, AZ: v.zone, State: state}
 	assert.NilError(t, standin.PutVM(t.Context(), c.platformURL, entry))
 }
 
--- a/test/e2e/gang_check_test.go
+++ b/test/e2e/gang_check_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/control"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/standin"
 )
 
@@ -76,7 +76,7 @@
 // whole reports whether every member ran to its end.
 func (a *attempt) whole() bool {
 	return len(a.tasks) == a.members && !slices.ContainsFunc(a.tasks, func(r standin.TaskRecord) bool {
-		return r.State != platform.TaskDone
+		return r.State != ports.TaskDone
 	})
 }
 
--- a/test/e2e/jobfaults_test.go
+++ b/test/e2e/jobfaults_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/control"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/standin"
 )
 
@@ -23,7 +23,7 @@
 		{Silent: standin.SilentAfter, Times: 2},
 		{AnswerLost: true, Times: 2},
 	} {
-		f.Paths = []string{platform.PathCommands}
+		f.Paths = []string{ports.PathCommands}
 		t.Run(fmt.Sprintf("silent %s lost %t", f.Silent, f.AnswerLost), func(t *testing.T) {
 			t.Parallel()
 			c := startCluster(t, zone{"a", 2, 2})
@@ -43,7 +43,7 @@
 func TestLogAnswersLost(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, zone{"a", 2, 2})
-	lost := standin.Fault{AnswerLost: true, Paths: []string{platform.PathLog}, Times: 40}
+	lost := standin.Fault{AnswerLost: true, Paths: []string{ports.PathLog}, Times: 40}
 	assert.NilError(t, standin.PutFault(t.Context(), c.platformURL, lost))
 	for n := range 4 {
 		id := model.JobID(fmt.Sprintf("job-%d", n))
@@ -111,7 +111,7 @@
 	eventually(t, func() string {
 		for _, b := range c.backends {
 			for _, task := range b.record(t).Tasks {
-				if task.Job == id && task.State == platform.TaskDone {
+				if task.Job == id && task.State == ports.TaskDone {
 					found = b
 					return ""
 				}
--- a/test/e2e/jobs_test.go
+++ b/test/e2e/jobs_test.go
@@ -14,7 +14,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/api"
 	"github.com/eelgrassreach/eelgrassreach/internal/control"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/standin"
 )
 
@@ -121,7 +121,7 @@
 			lost = b
 		}
 	}
-	lost.fault(t, standin.Fault{Down: true, Paths: []string{platform.PathCommands, platform.PathStatus, platform.PathPing}})
+	lost.fault(t, standin.Fault{Down: true, Paths: []string{ports.PathCommands, ports.PathStatus, ports.PathPing}})
 	eventually(t, func() string {
 		list := c.attempts(t)["gang-1"]
 		if len(list) < 2 || len(list[1].tasks) < 2 {
--- a/test/e2e/load_test.go
+++ b/test/e2e/load_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/api"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/standin"
 )
 
@@ -178,7 +178,7 @@
 		running := make(map[model.RequestID]bool)
 		for _, b := range c.backends {
 			for _, x := range b.record(t).Executions {
-				running[callerID(x.Request)] = x.State == platform.ExecutionRunning
+				running[callerID(x.Request)] = x.State == ports.ExecutionRunning
 			}
 		}
 		for _, r := range o.told {
@@ -214,7 +214,7 @@
 		counts = make(map[model.RequestID]int)
 		for _, b := range c.backends {
 			for _, x := range b.record(t).Executions {
-				if x.State == platform.ExecutionRunning {
+				if x.State == ports.ExecutionRunning {
 					return fmt.Sprintf("%s runs on %s", x.Request, b.id)
 				}
 				counts[callerID(x.Request)] += x.Times
@@ -297,10 +297,10 @@
 		t.Errorf("the answer to %s is cut: %v", r.id, err)
 		return
 	}
-	if callerID(model.RequestID(body.Request)) != r.id || body.Input != platform.Digest(r.body) {
+	if callerID(model.RequestID(body.Request)) != r.id || body.Input != ports.Digest(r.body) {
 		t.Errorf("the caller of %s got the answer to %s", r.id, body.Request)
 	}
-	if len(body.Padding) != answerSize || a.Length != len(a.Body) || a.Digest != platform.Digest(a.Body) {
+	if len(body.Padding) != answerSize || a.Length != len(a.Body) || a.Digest != ports.Digest(a.Body) {
 		t.Errorf("the answer to %s is not whole", r.id)
 	}
 }
--- a/test/e2e/matrix_test.go
+++ b/test/e2e/matrix_test.go
@@ -10,7 +10,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/api"
 	"github.com/eelgrassreach/eelgrassreach/internal/faultmatrix"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/standin"
 )
 
@@ -146,7 +146,7 @@
 // and compares the outcomes with the record.
 func (c *cluster) ordersUnder(t *testing.T, f standin.Fault) []*told {
 	t.Helper()
-	f.Paths = []string{platform.PathExecutions}
+	f.Paths = []string{ports.PathExecutions}
 	for _, b := range c.backends {
 		b.fault(t, f)
 	}
--- a/test/e2e/requests_test.go
+++ b/test/e2e/requests_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/api"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
-	"github.com/eelgrassreach/eelgrassreach/internal/platform"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/standin"
 )
 
@@ -72,7 +72,7 @@
 			c := startCluster(t, zone{"a", 2, 2})
 			l := startLoad(t, c.vms, callers, callTimeout, kindOrder, kindQuote)
 			l.awaitMore(20)
-			c.backends[0].fault(t, standin.Fault{Silent: tc.silence, Paths: []string{platform.PathExecutions}, Times: 6})
+			c.backends[0].fault(t, standin.Fault{Silent: tc.silence, Paths: []string{ports.PathExecutions}, Times: 6})
 			l.awaitMore(100)
 			all := l.stop()
 			c.compare(t, all)
@@ -87,7 +87,7 @@
 	c := startCluster(t, zone{"a", 2, 2})
 	l := startLoad(t, c.vms, callers, callTimeout, kindOrder, kindQuote)
 	l.awaitMore(20)
-	c.backends[0].fault(t, standin.Fault{AnswerLost: true, Paths: []string{platform.PathExecutions}, Times: 20})
+	c.backends[0].fault(t, standin.Fault{AnswerLost: true, Paths: []string{ports.PathExecutions}, Times: 20})
 	l.awaitMore(120)
 	all := l.stop()
 	c.compare(t, all)
