A whole gang is taken over although earlier rounds of its attempt left stopped members

Ruled out: closing as lost (recordLost was not reached); a lapsed lease (all members done).

Change: members that are stopped are left out once the gang is whole without them, and are no proof that it is broken.

--- a/internal/control/adopt.go
+++ b/internal/control/adopt.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/ports"
@@ -108,6 +110,7 @@
 // superviseGathering decides whether a gang that was taken over is whole. Until
 // then it is not renewed, so that a part of one ends with its lease.
 func (s *State) superviseGathering(g *gang) {
+	s.dropUnstarted(g)
 	if len(g.members) == g.size && all(g, runsOrDone) {
 		g.gathering = false
 		g.renewed = s.now.Add(-s.settings.RenewInterval)
@@ -115,7 +118,9 @@
 		s.superviseRunning(g)
 		return
 	}
-	broken := !all(g, func(m *member) bool { return runsOrDone(m) || m.state == ports.TaskHeld })
+	broken := !all(g, func(m *member) bool {
+		return runsOrDone(m) || m.state == ports.TaskHeld || m.state == ports.TaskStopped
+	})
 	heard := s.surveyDone() && s.now.Sub(g.since) >= s.settings.gatherTime()
 	if broken || heard || s.now.Sub(s.term.actedAt) >= s.settings.Lease {
 		g.gathering = false
@@ -123,6 +128,27 @@
 	}
 }
 
+// dropUnstarted removes stopped members once the gang is whole without them. They are
+// left from earlier rounds of holds of the same attempt, which never started: a start
+// goes out only to the members of one whole round.
+func (s *State) dropUnstarted(g *gang) {
+	whole := 0
+	for _, m := range g.members {
+		if runsOrDone(m) {
+			whole++
+		}
+	}
+	if whole != g.size || len(g.members) == whole {
+		return
+	}
+	g.members = slices.DeleteFunc(g.members, func(m *member) bool {
+		if !runsOrDone(m) {
+			delete(s.tasks[m.server], m.task)
+		}
+		return !runsOrDone(m)
+	})
+}
+
 func (s *State) failGathered(g *gang) {
 	why := ending{result: replica.ResultRetry, reason: ReasonPartialTakenOver}
 	for _, m := range g.members {
