--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -21,6 +21,9 @@
 	Next       int64
 }
 
+// StoreAnswered tells that the store has answered a read.
+type StoreAnswered struct{}
+
 // ConfigChanged carries a configuration in force.
 type ConfigChanged struct{ Config *Config }
 
@@ -81,6 +84,7 @@
 type Ticked struct{}
 
 func (RecordsRead) event()    {}
+func (StoreAnswered) event()  {}
 func (ConfigChanged) event()  {}
 func (ServersListed) event()  {}
 func (AppendAnswered) event() {}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -19,11 +19,14 @@
 type follower struct {
 	store     Store
 	partition Partition
-	// wait is how long a read waits for records, pause the time between reads.
+	// wait is how long a read waits for records, pause the time after a read that
+	// brought some, which gathers what comes together.
 	wait  time.Duration
 	pause func() time.Duration
-	sink  func(followed)
-	log   *zap.Logger
+	// always pauses after reads without records too.
+	always bool
+	sink   func(followed)
+	log    *zap.Logger
 }
 
 // followed is what one read brought. AsOf is when the read was sent: everything that
@@ -123,7 +126,7 @@
 		failed = 0
 		next = read.Next
 		f.sink(followed{Records: fresh(read.Records, newest), Synced: next >= read.End, Next: next, AsOf: asOf})
-		if d := f.pause(); d > 0 {
+		if d := f.pause(); d > 0 && (f.always || len(read.Records) > 0) {
 			sleep(ctx, d)
 		}
 	}
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -20,7 +20,10 @@
 	eventQueue = 4096
 	eventBatch = 512
 
-	recordsWait  = 1 * time.Second // a read waits this long; bounds how old "synced" is
+	recordsWait  = 2 * time.Second        // a read waits this long for records
+	configWait   = 1 * time.Second        // bounds how long ago the configuration was confirmed
+	followPause  = 60 * time.Millisecond  // a VM without the term only answers questions
+	holderPause  = 300 * time.Millisecond // the holder looks for claims of others only
 	serversPause = 400 * time.Millisecond
 	idlePause    = 3 * time.Second // a VM without the term needs only capacities
 
@@ -177,6 +180,19 @@
 // Holding reports whether this VM holds the term.
 func (l *Loop) Holding() bool { return l.holding.Load() }
 
+// recordsPause saves calls where records need not be known at once: the holder takes
+// submissions without delay, others answer questions from what they have read.
+func (l *Loop) recordsPause(p Partition) time.Duration {
+	switch {
+	case !l.Holding():
+		return followPause
+	case p == progress:
+		return holderPause
+	default:
+		return 0
+	}
+}
+
 func noPause() time.Duration { return 0 }
 
 // follow restarts the reads of all partitions for a generation of the state.
@@ -186,7 +202,8 @@
 	}
 	ctx, l.stopFollowers = context.WithCancel(ctx)
 	for _, p := range Partitions() {
-		f := &follower{store: l.options.Store, partition: p, wait: recordsWait, pause: noPause, log: l.options.Log}
+		f := &follower{store: l.options.Store, partition: p, wait: recordsWait, log: l.options.Log}
+		f.pause = func() time.Duration { return l.recordsPause(p) }
 		f.sink = func(b followed) {
 			l.post(ctx, RecordsRead{
 				Generation: generation, Partition: p, Records: b.Records,
@@ -198,8 +215,9 @@
 }
 
 func (l *Loop) followConfig(ctx context.Context) {
-	f := &follower{store: l.options.Store, partition: Partition{Topic: configTopic}, wait: recordsWait, pause: noPause, log: l.options.Log}
+	f := &follower{store: l.options.Store, partition: Partition{Topic: configTopic}, wait: configWait, pause: noPause, log: l.options.Log}
 	f.sink = func(b followed) {
+		l.post(ctx, StoreAnswered{})
 		for _, r := range b.Records {
 			if r.Key == configKey {
 				l.configRead(ctx, r)
@@ -227,7 +245,7 @@
 
 func (l *Loop) followServers(ctx context.Context) {
 	entries := make(map[model.BackendServerID]ServerEntry)
-	f := &follower{store: l.options.Store, partition: Partition{Topic: serversTopic}, log: l.options.Log}
+	f := &follower{store: l.options.Store, partition: Partition{Topic: serversTopic}, always: true, log: l.options.Log}
 	f.pause = func() time.Duration { return l.serversPause(ctx) }
 	f.sink = func(b followed) {
 		if b.Initial {
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -139,6 +139,8 @@
 	switch e := e.(type) {
 	case RecordsRead:
 		s.recordsRead(e)
+	case StoreAnswered:
+		s.storeSeen = s.now
 	case ConfigChanged:
 		s.configChanged(e.Config)
 	case ServersListed:
