--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -142,6 +142,8 @@
 		Subcommands: []*ffcli.Command{
 			a.serveCommand(),
 			a.fleetCommand(),
+			a.checkCommand(),
+			a.explainCommand(),
 			a.configCommand(),
 			a.jobCommand(),
 			a.requestCommand(),
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/explain"
 	"github.com/eelgrassreach/eelgrassreach/internal/vm"
 	"github.com/eelgrassreach/eelgrassreach/platform"
 )
@@ -38,3 +40,46 @@
 		},
 	}
 }
+
+// checkCommand checks a settings file of the prepared platform.
+func (a *app) checkCommand() *ffcli.Command {
+	fs := a.flagSet("eelgrassreach check")
+	path := fs.String("platform-settings", os.Getenv(platform.SettingsVariable), "`path` of the settings file")
+	return &ffcli.Command{
+		Name:       "check",
+		ShortUsage: "eelgrassreach check -platform-settings FILE",
+		ShortHelp:  "Checks a settings file of the prepared platform and prints all findings.",
+		FlagSet:    fs,
+		Exec: func(context.Context, []string) error {
+			s, err := platform.ReadSettings(*path)
+			if err != nil {
+				return &exitError{code: ExitUsage, err: err}
+			}
+			_, err = fmt.Fprintf(a.Out, "%s: valid for %s in %s\n", *path, s.Node, s.AZ)
+			return err
+		},
+	}
+}
+
+// explainCommand tells a job's story from log lines.
+func (a *app) explainCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "explain",
+		ShortUsage: "cat LOGS... | eelgrassreach explain ID",
+		ShortHelp:  "Prints what the logs of all VMs say of a job, in order of time.",
+		FlagSet:    a.flagSet("eelgrassreach explain"),
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) != 1 {
+				return usage("explain: want one job ID")
+			}
+			story, err := explain.Story(a.In, args[0])
+			if err != nil {
+				return err
+			}
+			if len(story) == 0 {
+				return &exitError{code: ExitNotFound, err: fmt.Errorf("explain: no line names %s", args[0])}
+			}
+			return explain.Print(a.Out, story)
+		},
+	}
+}
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -52,7 +52,7 @@
 func (h *health) suspect() bool { return h.failures > 0 }
 
 // noteFailure blames a failure on the backend server as long as no success speaks for it.
-func (s *State) noteFailure(v *server, g *job.Group, index int, _ *run) {
+func (s *State) noteFailure(v *server, g *job.Group, index int) {
 	id := string(g.State.Job.ID)
 	if v.health.lastJob != id || v.health.failures == 0 {
 		v.health.failures++
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -406,10 +406,10 @@
 	if e.Checkpoint != "" {
 		s.checkpointed(g, index, e.Run, e.Checkpoint)
 	}
-	s.ended(v, g, index, e, r)
+	s.ended(v, g, index, e)
 }
 
-func (s *State) ended(v *server, g *job.Group, index int, e EndReport, r *run) {
+func (s *State) ended(v *server, g *job.Group, index int, e EndReport) {
 	t := &g.Tasks[index]
 	isCurrent := t.Phase == job.Placed && t.Run == e.Run && t.Server == v.entry.ID
 	s.dirty(g)
@@ -424,7 +424,7 @@
 		if t.Phase != job.Done {
 			t.Failures++
 		}
-		s.noteFailure(v, g, index, r)
+		s.noteFailure(v, g, index)
 	}
 	if isCurrent {
 		t.Phase = job.Waiting
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -44,15 +44,17 @@
 	if err != nil {
 		return err
 	}
-	logger, err := telemetry.NewLogger(o.LogLevel, stdout)
-	if err != nil {
-		return err
-	}
-	logger = logger.With(zap.String("node", settings.Node))
 	metrics, err := telemetry.NewMetrics(settings.AZ)
 	if err != nil {
 		return fmt.Errorf("metrics: %w", err)
 	}
+	output := telemetry.NewBoundedWriter(stdout, metrics.Scope.Counter("log_lines_dropped"))
+	defer output.Close()
+	logger, err := telemetry.NewLogger(o.LogLevel, output)
+	if err != nil {
+		return err
+	}
+	logger = telemetry.Sampled(logger.With(zap.String("node", settings.Node)), metrics.Scope.Counter("log_lines_sampled"))
 	defer func() {
 		if err := metrics.Close(); err != nil {
 			logger.Warn("metrics not closed", zap.Error(err))
