What the store does not take from a VM is stored by a peer; a doubt ends with success only

Change: one try of 1 s here, then peers; a store that refuses is reported at once. A call that may have had its effect is only ever answered by success or as in doubt.

--- a/internal/intake/appender.go
+++ b/internal/intake/appender.go
@@ -128,33 +128,27 @@
 	return err
 }
 
-// settle answers the callers of a group that was stored. The others are sent again
-// until their callers give up; a record that is stored twice counts once.
+// settle answers the callers of a group that was stored or refused. Those whose outcome
+// is not known are sent again until their callers give up; a record that is stored
+// twice counts once.
 func (a *appender) settle(group []*pending, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if err == nil {
-		stored := make(map[*pending]bool, len(group))
-		for _, p := range group {
-			stored[p] = true
-			p.done <- nil
-		}
-		kept := a.queue[:0]
-		for _, p := range a.queue {
-			if !stored[p] {
-				kept = append(kept, p)
-			}
+	settled := make(map[*pending]bool, len(group))
+	for _, p := range group {
+		switch {
+		case err == nil, errors.Is(err, fleet.ErrNothingDone) && !p.doubted:
+			settled[p] = true
+			p.done <- err
+		case !errors.Is(err, fleet.ErrNothingDone):
+			p.doubted = true
 		}
-		a.queue = kept
-		return
 	}
-	if errors.Is(err, fleet.ErrNothingDone) {
-		for _, p := range group {
-			p.sent = p.doubted
+	kept := a.queue[:0]
+	for _, p := range a.queue {
+		if !settled[p] {
+			kept = append(kept, p)
 		}
-		return
-	}
-	for _, p := range group {
-		p.doubted = true
 	}
+	a.queue = kept
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -39,6 +39,9 @@
 	Version int64 // of the configuration that decided, when one did
 	Status  job.Status
 	Pending int
+	// InDoubt tells that the call may have had its effect here. It may be passed on, since
+	// a job that is submitted or cancelled twice counts once.
+	InDoubt bool
 	// RetryAfter is when a refused call may be repeated.
 	RetryAfter time.Duration
 }
@@ -66,6 +69,8 @@
 	// answerMargin is kept of a submitter's patience to deliver the answer.
 	answerMargin = 250 * time.Millisecond
 	maxPatience  = 2500 * time.Millisecond
+	// ownPatience leaves time to have another VM store what the store does not take from this one.
+	ownPatience = 1000 * time.Millisecond
 	// storeRetryAfter is when the store is likely to be back: outages last seconds.
 	storeRetryAfter = 1 * time.Second
 	// silentStore without an answer means that nothing can be stored now.
@@ -241,6 +246,9 @@
 
 func (s *Service) store(ctx context.Context, c Call, id model.JobID, r job.Record) Answer {
 	patience := min(c.Patience-answerMargin, maxPatience)
+	if !c.Passed {
+		patience = min(patience, ownPatience)
+	}
 	call, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	began := boottime.Now()
@@ -250,9 +258,9 @@
 	case err == nil:
 		return Answer{}
 	case errors.Is(err, fleet.ErrNothingDone):
-		return Answer{Result: Unavailable, Reason: "not stored: " + err.Error(), RetryAfter: storeRetryAfter}
+		return Answer{Result: Elsewhere, Reason: "not stored: " + err.Error(), RetryAfter: storeRetryAfter}
 	default:
-		return Answer{Result: OutcomeInDoubt, Reason: "storing: " + err.Error()}
+		return Answer{Result: Elsewhere, InDoubt: true, Reason: "storing: " + err.Error()}
 	}
 }
 
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -15,8 +15,8 @@
 	boundedLines = 8192
 	// Per second and message, this many lines are written, and then one of every
 	// sampledEvery: a busy holder stays under 200 lines a second in all.
-	sampledFirst = 100
-	sampledEvery = 20
+	sampledFirst = 30
+	sampledEvery = 50
 )
 
 // BoundedWriter writes lines in the background and drops them rather than blocks.
