--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -110,6 +110,7 @@
 	draining bool
 	fails    bool // everything that it starts
 	hangs    bool
+	poisoned model.JobID // a job that fails here
 	fence    int64
 	deadline int64
 	runs     map[string]*fakeRun
@@ -259,7 +260,7 @@
 				s.end(w, r, EndedAlone)
 			}
 		case s.hangs:
-		case s.fails && w.now.Sub(r.began) > 200*time.Millisecond:
+		case (s.fails || r.key.Job == s.poisoned) && w.now.Sub(r.began) > 200*time.Millisecond:
 			s.end(w, r, EndedFailed)
 		case w.now.Sub(r.began) >= r.takes:
 			w.oracle.finish(s, r)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -187,6 +187,21 @@
 	}
 }
 
+// A task that failed is tried on another backend server, also when the one where it
+// failed has shown itself sound with another job in the same report.
+func TestFailedTaskRunsElsewhere(t *testing.T) {
+	w := calm(t, 1, 2)
+	first := w.submit(tasks(1, small, 1)).ID
+	second := tasks(1, small, 1)
+	second.Steps[0].EstimatedRuntime = 280 * time.Millisecond // ends together with the failure
+	other := w.submit(second).ID
+	w.servers["s00"].poisoned = first
+	w.run(4 * time.Second)
+	assert.Equal(t, w.status(first), job.StatusDone)
+	assert.Equal(t, w.status(other), job.StatusDone)
+	assert.Equal(t, w.oracle.failures[job.GroupKey{Job: first}.TaskName(0)], 1)
+}
+
 func TestHopelessJobFailsAfterItsAttempts(t *testing.T) {
 	w := calm(t, 2, 3)
 	for _, s := range w.servers {
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
 const (
@@ -53,6 +54,7 @@
 
 // noteFailure blames a failure on the backend server as long as no success speaks for it.
 func (s *State) noteFailure(v *server, g *job.Group, index int) {
+	s.avoidFor(g, v.entry.ID)
 	id := string(g.State.Job.ID)
 	if v.health.lastJob != id || v.health.failures == 0 {
 		v.health.failures++
@@ -106,3 +108,18 @@
 
 // measurablePercent of progress is enough to estimate a run's speed.
 const measurablePercent = 10
+
+// maxAvoided bounds the backend servers that a step keeps away from, since a step that
+// fails everywhere is not their fault.
+const maxAvoided = 4
+
+// avoidFor keeps a step away from a backend server where one of its tasks failed.
+func (s *State) avoidFor(g *job.Group, id model.BackendServerID) {
+	key := g.Key()
+	if s.avoid[key] == nil {
+		s.avoid[key] = make(map[model.BackendServerID]bool)
+	}
+	if len(s.avoid[key]) < maxAvoided {
+		s.avoid[key][id] = true
+	}
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -164,7 +164,7 @@
 	st, step := g.State, g.Step()
 	w := sched.Want{
 		Key: g.Key(), Service: s.serviceOf(st.Job), Step: step, Priority: st.Job.Priority, Guaranteed: covered, Urgent: st.Job.Priority == 0,
-		Due: s.dueAt(g), Remaining: st.Job.LongestChain(), On: make(map[model.BackendServerID]int),
+		Due: s.dueAt(g), Remaining: st.Job.LongestChain(), Avoid: s.avoid[g.Key()], On: make(map[model.BackendServerID]int),
 	}
 	w.Objective = w.Due.Add(st.Job.Objective())
 	for i := range g.Tasks {
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -71,7 +71,9 @@
 	term    termState
 	servers map[model.BackendServerID]*server
 	// strays counts the runs that should not be there, by task; it waits for their end.
-	strays  map[string]int
+	strays map[string]int
+	// avoid names the backend servers where tasks of a step failed.
+	avoid   map[job.GroupKey]map[model.BackendServerID]bool
 	writer  writer
 	advice  map[string]*advice
 	replan  bool
@@ -98,6 +100,7 @@
 		nextOf:     make(map[Partition]int64),
 		touched:    make(map[model.BackendServerID]*server),
 		strays:     make(map[string]int),
+		avoid:      make(map[job.GroupKey]map[model.BackendServerID]bool),
 	}
 	s.resync()
 	return s
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -189,6 +189,7 @@
 	}
 	s.advice = make(map[string]*advice)
 	s.strays = make(map[string]int)
+	s.avoid = make(map[job.GroupKey]map[model.BackendServerID]bool)
 	s.resync()
 }
 
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -216,6 +216,7 @@
 	id := st.Job.ID
 	st.Groups(func(g *job.Group) {
 		delete(s.writer.groups, g.Key())
+		delete(s.avoid, g.Key())
 		s.writer.drops = append(s.writer.drops, job.DroppedProgress(g.Key()))
 	})
 	s.jobs.Drop(id)
