--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/membership"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
@@ -64,34 +65,9 @@
 // Run applies events until ctx ends, and returns when all work has stopped.
 func (l *Loop) Run(ctx context.Context) {
 	l.work.Go(func() { l.readVMs(ctx) })
-	ticker := time.NewTicker(l.options.Settings.Tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			close(l.stopped)
-			l.work.Wait()
-			return
-		case e := <-l.events:
-			l.step(ctx, l.batch(e))
-		case <-ticker.C:
-			l.step(ctx, l.batch(Ticked{}))
-		}
-	}
-}
-
-// batch adds the events that are waiting to the first.
-func (l *Loop) batch(first Event) []Event {
-	events := []Event{first}
-	for len(events) < eventBatch {
-		select {
-		case e := <-l.events:
-			events = append(events, e)
-		default:
-			return events
-		}
-	}
-	return events
+	eventloop.Run(ctx, l.events, Event(Ticked{}), l.options.Settings.Tick, eventBatch, func(events []Event) { l.step(ctx, events) })
+	close(l.stopped)
+	l.work.Wait()
 }
 
 // step publishes the view before a reply, so that a caller who got one finds its
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/boottime"
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
@@ -99,35 +100,10 @@
 	l.work.Go(func() { l.followServers(ctx) })
 	l.work.Go(func() { l.announce(ctx) })
 	go l.receive(ctx) // ends when its socket is closed
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
 	l.step(ctx, nil)
-	for {
-		select {
-		case <-ctx.Done():
-			close(l.stopped)
-			l.work.Wait()
-			return
-		case e := <-l.events:
-			l.step(ctx, l.batch(e))
-		case <-ticker.C:
-			l.step(ctx, l.batch(Ticked{}))
-		}
-	}
-}
-
-// batch adds the events that are waiting to the first.
-func (l *Loop) batch(first Event) []Event {
-	events := []Event{first}
-	for len(events) < eventBatch {
-		select {
-		case e := <-l.events:
-			events = append(events, e)
-		default:
-			return events
-		}
-	}
-	return events
+	eventloop.Run(ctx, l.events, Event(Ticked{}), tickInterval, eventBatch, func(events []Event) { l.step(ctx, events) })
+	close(l.stopped)
+	l.work.Wait()
 }
 
 func (l *Loop) step(ctx context.Context, events []Event) {
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -13,14 +13,15 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
 // Errors of the store and of backend servers.
 var (
 	// ErrNothingDone tells that a call certainly had no effect.
-	ErrNothingDone = errors.New("nothing was done")
+	ErrNothingDone = ports.ErrUnavailable
 	// ErrInDoubt tells that a call may have had its effect, or may still have it.
-	ErrInDoubt = errors.New("no answer; the outcome is not known")
+	ErrInDoubt = ports.ErrInDoubt
 	// ErrFenced tells that a newer token or epoch is in use.
 	ErrFenced = errors.New("fenced by a newer token")
 	// ErrConflict tells that a conditional append found another end.
