--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -32,10 +32,7 @@
 	orderTimeout   = 700 * time.Millisecond
 	holdTimeout    = 900 * time.Millisecond // beyond the time that the report waits
 	adviceTimeout  = 3 * time.Second
-	maxHeartbeat   = 4096 // bytes
-	configKey      = "config"
-	configTopic    = "keyed.op"
-	serversTopic   = "keyed.servers"
+	maxHeartbeat   = 4096             // bytes
 	memberInterval = 20 * time.Second // the announcement is repeated in case it was lost
 )
 
@@ -51,6 +48,15 @@
 	Advise(ctx context.Context, step string, servers []model.BackendServerID) (map[model.BackendServerID]string, time.Duration, error)
 }
 
+// Sources name where operators and backend servers write.
+type Sources struct {
+	// Config holds the newest configuration under ConfigKey.
+	Config    Partition
+	ConfigKey string
+	// Servers holds an entry for each backend server under its ID.
+	Servers Partition
+}
+
 // Decoder reads the records that operators and backend servers write.
 type Decoder interface {
 	Config(value []byte) (*Config, error)
@@ -64,6 +70,7 @@
 	Store     Store
 	Servers   BackendServers
 	Advisor   Advisor
+	Sources   Sources
 	Decoder   Decoder
 	Datagrams Datagrams
 	Log       *zap.Logger
@@ -191,11 +198,11 @@
 }
 
 func (l *Loop) followConfig(ctx context.Context) {
-	f := &follower{store: l.options.Store, partition: Partition{Topic: configTopic}, wait: configWait, pause: noPause, log: l.options.Log}
+	f := &follower{store: l.options.Store, partition: l.options.Sources.Config, wait: configWait, pause: noPause, log: l.options.Log}
 	f.sink = func(b followed) {
 		l.post(ctx, StoreAnswered{})
 		for _, r := range b.Records {
-			if r.Key == configKey {
+			if r.Key == l.options.Sources.ConfigKey {
 				l.configRead(ctx, r)
 			}
 		}
@@ -221,7 +228,7 @@
 
 func (l *Loop) followServers(ctx context.Context) {
 	entries := make(map[model.BackendServerID]ServerEntry)
-	f := &follower{store: l.options.Store, partition: Partition{Topic: serversTopic}, always: true, log: l.options.Log}
+	f := &follower{store: l.options.Store, partition: l.options.Sources.Servers, always: true, log: l.options.Log}
 	f.pause = func() time.Duration { return l.serversPause(ctx) }
 	f.sink = func(b followed) {
 		if b.Initial {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -265,7 +265,7 @@
 	t.Phase, t.Run, t.Server = job.Placed, number, p.Server
 	r := &run{
 		group: g, index: p.Index, name: g.Key().TaskName(p.Index), number: number, server: p.Server,
-		phase: runRecording, far: p.Far, checkpoint: t.Checkpoint,
+		phase: runRecording,
 	}
 	s.servers[p.Server].runs[r.name] = r
 	s.writer.started = append(s.writer.started, r)
@@ -279,7 +279,6 @@
 func (s *State) evict(e sched.Eviction) {
 	g := s.jobs.Job(e.Key.Job).Group(e.Key.Occurrence, e.Key.Step)
 	if r := s.currentRun(g, e.Index); r != nil {
-		r.evicted = true
 		s.count.Preempted.Inc(1)
 		s.wantStop(r, "makes room for "+e.For.String())
 	}
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -156,8 +156,6 @@
 	Run        int64
 	Checkpoint string
 	Percent    int // of the work that is done; 100 for a long-running task at work
-	// Load is the tail in milliseconds of a serving task, else the processor time in use.
-	Load float64
 }
 
 // EndReport is an ended run. Number counts the ends of one incarnation.
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	submissionsTopic = "keyed.submissions"
-	progressTopic    = "keyed.progress"
+	submissionsTopic = "submissions"
+	progressTopic    = "progress"
 
 	// submissionPartitions spreads submissions, since a slow store takes one append
 	// of a partition at a time.
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -49,11 +49,6 @@
 	percent    int
 	progressAt time.Time
 	reportedAt time.Time // when a report last listed it
-	load       float64
-	checkpoint string
-	savedAt    time.Time
-	far        bool
-	evicted    bool
 }
 
 // step returns the step that the run belongs to.
@@ -94,7 +89,7 @@
 	name := g.Key().TaskName(index)
 	v.runs[name] = &run{
 		group: g, index: index, name: name, number: t.Run, server: t.Server, phase: runAdopting,
-		startedAt: s.now, progressAt: s.now, savedAt: s.now, checkpoint: t.Checkpoint,
+		startedAt: s.now, progressAt: s.now,
 	}
 }
 
@@ -306,7 +301,7 @@
 func (s *State) confirmed(r *run, worked time.Duration) {
 	r.phase = runRunning
 	r.startedAt = s.now.Add(-worked)
-	r.progressAt, r.reportedAt, r.savedAt = s.now, s.now, s.now
+	r.progressAt, r.reportedAt = s.now, s.now
 }
 
 func (s *State) startRefused(v *server, r *run, refused *RefusedError) {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -310,12 +310,8 @@
 	if row.Percent != r.percent {
 		r.percent, r.progressAt = row.Percent, s.now
 	}
-	r.load = row.Load
 	if row.Checkpoint != "" {
 		s.checkpointed(r.group, r.index, row.Run, row.Checkpoint)
-		if row.Checkpoint != r.checkpoint {
-			r.checkpoint, r.savedAt = row.Checkpoint, s.now
-		}
 	}
 }
 
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -8,8 +8,6 @@
 	LeaseMax time.Duration
 	// StopTimeout is the longest that a stop takes on a backend server.
 	StopTimeout time.Duration
-	// FarFactor is how much longer tasks take away from their data.
-	FarFactor float64
 	// KeepFinal is how long a job's final state is told.
 	KeepFinal time.Duration
 }
@@ -59,6 +57,7 @@
 	// dropDelay is added to KeepFinal before a job's records are dropped.
 	dropDelay    = 60 * time.Second
 	dropInterval = 5 * time.Second
-	// maxBatchRecords keeps an append below the store's size limit of a call.
+	// maxBatchRecords and maxBatchBytes keep an append well below the store's limit of a call, 2 MB.
 	maxBatchRecords = 200
+	maxBatchBytes   = 1 << 20
 )
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -158,7 +158,7 @@
 func (w *world) addNode() *node {
 	name := fmt.Sprintf("vm%d", len(w.nodes))
 	self := Identity{Node: name, Incarnation: model.Incarnation(name), Address: name, Forward: name}
-	bounds := Bounds{LeaseMax: 10 * time.Second, StopTimeout: 200 * time.Millisecond, FarFactor: 3, KeepFinal: time.Hour}
+	bounds := Bounds{LeaseMax: 10 * time.Second, StopTimeout: 200 * time.Millisecond, KeepFinal: time.Hour}
 	n := &node{name: name, next: make(map[Partition]int64)}
 	n.state = NewState(self, bounds, w.log.With(zap.String("node", name)), NewCounters(tally.NoopScope))
 	w.nodes = append(w.nodes, n)
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -76,38 +76,60 @@
 		ends:     make(map[model.BackendServerID]noted),
 		statuses: make(map[*job.State]job.Status),
 	}
-	var records []job.Record
-	for _, key := range sortedGroups(w.groups) {
-		g := w.groups[key]
-		r, err := job.ProgressRecord(g)
-		if err != nil {
-			s.log.Error("progress not recorded", zap.Stringer("step", key), zap.Error(err))
-			continue
-		}
-		records = append(records, r)
-		b.statuses[g.State] = g.State.Status()
-	}
+	left := newWriter()
+	left.sequence = w.sequence + 1
+	records := s.groupRecords(b, &left)
 	for _, id := range sortedKeys(w.servers) {
 		if v := s.servers[id]; v != nil {
 			n := noted{Born: v.born, Number: v.seen}
-			if r, err := notedRecord(id, n); err == nil {
-				records = append(records, r)
-				b.ends[id] = n
+			r, err := notedRecord(id, n)
+			if err != nil {
+				s.log.Error("ends not recorded", zap.String("server", string(id)), zap.Error(err))
+				continue
 			}
+			records = append(records, r)
+			b.ends[id] = n
 		}
 	}
 	records = append(records, w.drops...)
-	b.runs = w.started
-	sequence := w.sequence + 1
 	b.append = Appending{
 		Partition: progress, Records: records, At: -1,
-		Producer: holderProducer, Epoch: s.term.token, Sequence: sequence,
+		Producer: holderProducer, Epoch: s.term.token, Sequence: left.sequence,
 	}
-	s.writer = newWriter()
-	s.writer.sequence = sequence
+	s.writer = left
 	return b
 }
 
+// groupRecords encodes the groups that changed. Those whose runs wait to be started and
+// that do not fit in the batch are left for the next one; ends are never left behind,
+// since they are acknowledged with the batch.
+func (s *State) groupRecords(b *batch, left *writer) []job.Record {
+	var records []job.Record
+	size := 0
+	for _, key := range sortedGroups(s.writer.groups) {
+		g := s.writer.groups[key]
+		r, err := job.ProgressRecord(g)
+		if err != nil {
+			s.log.Error("progress not recorded", zap.Stringer("step", key), zap.Error(err))
+			continue
+		}
+		if size += len(r.Value); size > maxBatchBytes && len(s.writer.servers) == 0 {
+			left.groups[key] = g
+			continue
+		}
+		records = append(records, r)
+		b.statuses[g.State] = g.State.Status()
+	}
+	for _, r := range s.writer.started {
+		if left.groups[r.group.Key()] != nil {
+			left.started = append(left.started, r)
+		} else {
+			b.runs = append(b.runs, r)
+		}
+	}
+	return records
+}
+
 func sortedGroups(m map[job.GroupKey]*job.Group) []job.GroupKey {
 	return slices.SortedFunc(maps.Keys(m), func(a, b job.GroupKey) int {
 		return cmp.Or(strings.Compare(string(a.Job), string(b.Job)), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step))
--- a/internal/job/check.go
+++ b/internal/job/check.go
@@ -7,7 +7,7 @@
 
 const (
 	maxSteps       = 1000    // bounds the work of one submission's checks
-	maxTasks       = 20000   // tasks of one occurrence; bounds the progress records
+	maxTasks       = 3000    // tasks of one occurrence; a step's progress then fits in a record of 256 KB
 	maxOccurrences = 1000000 // bounds the numbers in task names
 )
 
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -78,8 +78,11 @@
 	if err := json.Unmarshal(r.Value, j); err != nil {
 		return nil, fmt.Errorf("record %s: %w", r.Key, err)
 	}
-	if err := j.Check(); err != nil || j.ID != id {
-		return nil, fmt.Errorf("record %s: job %q: %w", r.Key, j.ID, err)
+	if j.ID != id {
+		return nil, fmt.Errorf("record %s: it holds job %q", r.Key, j.ID)
+	}
+	if err := j.Check(); err != nil {
+		return nil, fmt.Errorf("record %s: %w", r.Key, err)
 	}
 	s, _ := t.Submit(j, now)
 	return s, nil
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -325,7 +325,7 @@
 }
 
 // mayGoFar reports whether a step need not wait for the rack that it runs best on.
-// Away from it tasks take FarFactor times as long: worth it only when waiting longer
+// Away from it tasks take several times as long: worth it only when waiting longer
 // would miss the objective anyway.
 func (d *round) mayGoFar(w *Want) bool {
 	if d.displacing(w) {
