--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -133,6 +133,24 @@
 	assert.Equal(t, w.statusFrom(old, id), job.StatusDone)
 }
 
+// The store refuses the holder and serves the others (inc-f143): a job that is submitted
+// then begins within the bound of a guarantee.
+func TestHolderThatTheStoreRefusesIsReplacedSoon(t *testing.T) {
+	w := calm(t, 3, 4)
+	old := w.holder()
+	w.refused[old.name] = true
+	id := w.submit(tasks(1, small, 1)).ID
+	w.at(100*time.Millisecond, func() { w.submit(tasks(1, small, 1)) })
+	begun := w.now
+	for w.oracle.starts == 0 && w.now.Sub(begun) < 10*time.Second {
+		w.run(20 * time.Millisecond)
+	}
+	took := w.now.Sub(begun)
+	assert.Assert(t, took < 1500*time.Millisecond, "the first start came after %v", took)
+	w.run(3 * time.Second)
+	assert.Equal(t, w.statusFrom(old, id), job.StatusDone)
+}
+
 // statusFrom returns what a VM other than one tells of a job.
 func (w *world) statusFrom(not *node, id model.JobID) job.Status {
 	for _, n := range w.nodes {
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -61,7 +61,7 @@
 // recordsRead applies what was read, in order. The holder skips the records of its
 // own term, which it made itself.
 func (s *State) recordsRead(e RecordsRead) {
-	s.storeSeen = s.now
+	s.observeStore(nil)
 	if e.Generation != s.generation {
 		return
 	}
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -29,6 +29,9 @@
 	// holderStoreTimeout is how long a holder may miss the store before a VM that
 	// reaches it takes over.
 	holderStoreTimeout = 2 * time.Second
+	// holderRefusedTimeout is the same while the store refuses rather than is silent: more
+	// than a rate limit's refusals last, which successful reads interrupt.
+	holderRefusedTimeout = 500 * time.Millisecond
 	// pauseLimit is the gap between two steps after which the VM was frozen.
 	pauseLimit = 700 * time.Millisecond
 
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -67,6 +67,8 @@
 	unsynced   map[Partition]bool
 	nextOf     map[Partition]int64 // up to where each partition has been read
 	storeSeen  time.Time           // the newest answer of the store
+	// refusedSince is when the store began to refuse records of this VM; zero when it does not.
+	refusedSince time.Time
 
 	term    termState
 	servers map[model.BackendServerID]*server
@@ -143,7 +145,7 @@
 	case RecordsRead:
 		s.recordsRead(e)
 	case StoreAnswered:
-		s.storeSeen = s.now
+		s.observeStore(nil)
 	case ConfigChanged:
 		s.configChanged(e.Config)
 	case ServersListed:
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -76,7 +76,7 @@
 	if s.acting() || s.leaving || !s.synced() || s.term.claiming && s.now.Sub(s.term.claimedAt) < claimRetry {
 		return
 	}
-	if s.now.Sub(s.storeSeen) > holderStoreTimeout {
+	if s.storeLost() {
 		return
 	}
 	if s.now.Sub(s.term.heard) < holderTimeout+s.claimDelay() {
@@ -202,7 +202,7 @@
 		Token:       max(s.term.token, s.claim.token()),
 		Holder:      s.acting(),
 		Leaving:     s.leaving,
-		StoreLost:   s.now.Sub(s.storeSeen) > holderStoreTimeout,
+		StoreLost:   s.storeLost(),
 	}
 }
 
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -43,6 +43,7 @@
 	store   *fakeStore
 	servers map[model.BackendServerID]*fakeServer
 	cut     map[[2]string]bool // links without delivery, by name of both ends
+	refused map[string]bool    // nodes that the store turns away
 	late    float64            // share of orders that are carried out seconds later
 	// crossing has late orders reach the next incarnation of a backend server too; see
 	// TestLateStartReachesRestartedServer.
@@ -91,7 +92,7 @@
 	w := &world{
 		t: t, now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
 		store: &fakeStore{parts: make(map[Partition]*fakePart)}, servers: make(map[model.BackendServerID]*fakeServer),
-		cut: make(map[[2]string]bool), log: zap.NewNop(),
+		cut: make(map[[2]string]bool), refused: make(map[string]bool), log: zap.NewNop(),
 	}
 	w.oracle = newOracle(w)
 	w.log = testLogger(w)
@@ -265,6 +266,10 @@
 			w.at(lostAfter, func() { w.deliver(n, lost) })
 			return
 		}
+		if to == "store" && w.refused[n.name] {
+			w.at(delay/2, func() { w.deliver(n, refusedByStore(lost)) })
+			return
+		}
 		answer := call()
 		if w.rng.Float64() < loses {
 			w.at(lostAfter, func() { w.deliver(n, lost) })
@@ -274,6 +279,20 @@
 	})
 }
 
+// refusedByStore is the outcome of a call that the store turned away.
+func refusedByStore(lost Event) Event {
+	switch e := lost.(type) {
+	case AppendAnswered:
+		e.Err = ErrNothingDone
+		return e
+	case ClaimAnswered:
+		e.Err = ErrNothingDone
+		return e
+	default:
+		return lost
+	}
+}
+
 // order sends an order to a backend server. A share is carried out seconds later.
 func (w *world) order(n *node, id model.BackendServerID, call func(*fakeServer) Event, lost Event) {
 	s := w.servers[id]
@@ -322,7 +341,7 @@
 
 // poll reads what is new in every partition.
 func (w *world) poll(n *node) {
-	if n.dead || w.store.down || !w.connected(n.name, "store") || len(n.next) == 0 {
+	if n.dead || w.store.down || w.refused[n.name] || !w.connected(n.name, "store") || len(n.next) == 0 {
 		return
 	}
 	for _, p := range Partitions() {
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -161,10 +161,23 @@
 	}
 }
 
+// observeStore follows whether the store serves this VM.
 func (s *State) observeStore(err error) {
-	if err == nil {
-		s.storeSeen = s.now
+	switch {
+	case err == nil:
+		s.storeSeen, s.refusedSince = s.now, time.Time{}
+	case errors.Is(err, ErrNothingDone) && s.refusedSince.IsZero():
+		s.refusedSince = s.now
+	}
+}
+
+// storeLost reports whether another VM should hold the term as far as the store is
+// concerned: it has been silent for a while, or has refused everything for a shorter one.
+func (s *State) storeLost() bool {
+	if !s.refusedSince.IsZero() && s.now.Sub(s.refusedSince) > holderRefusedTimeout {
+		return true
 	}
+	return s.now.Sub(s.storeSeen) > holderStoreTimeout
 }
 
 // committed carries out what had to be recorded first: starts are ordered, ends are
