--- a/internal/control/check.go
+++ b/internal/control/check.go
@@ -3,12 +3,13 @@
 import (
 	"fmt"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
 )
 
 // checkInvariants checks the promises on gangs after each decision.
 func (s *State) checkInvariants() {
-	for _, id := range sortedKeys(s.gangs) {
+	for _, id := range eventloop.SortedKeys(s.gangs) {
 		s.checkWhole(s.gangs[id])
 	}
 	s.checkSingle()
@@ -38,7 +39,7 @@
 // for a gang started here, gave the permit for another. A gang that was taken over
 // may be of an attempt that this VM has not read yet.
 func (s *State) checkSingle() {
-	for _, id := range sortedKeys(s.gangs) {
+	for _, id := range eventloop.SortedKeys(s.gangs) {
 		g := s.gangs[id]
 		j := s.replica.Job(id)
 		if j == nil || j.Job.Idempotent || !g.startSent || g.gathering || g.phase == JobStopping {
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/config"
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
@@ -548,7 +549,7 @@
 		st, _ := n.state.status(j.Job.ID)
 		fmt.Fprintf(&b, "  %s: %s, %s, attempt %+v\n", j.Job.ID, st.State, st.Reason, j.Attempt)
 	})
-	for _, j := range sortedKeys(n.state.gangs) {
+	for _, j := range eventloop.SortedKeys(n.state.gangs) {
 		g := n.state.gangs[j]
 		fmt.Fprintf(&b, "  %s: %s gathering %v since %v\n", j, g.phase, g.gathering, g.since.Sub(c.now))
 		for _, m := range g.members {
@@ -556,7 +557,7 @@
 				m.task, m.server, m.accelerators, m.state, m.pending, m.until.Sub(c.now))
 		}
 	}
-	for _, id := range sortedKeys(n.state.servers) {
+	for _, id := range eventloop.SortedKeys(n.state.servers) {
 		v := n.state.servers[id]
 		fmt.Fprintf(&b, "  %s live %v gone %v leaving %v surveyed %v fenced %v quarantined %v\n",
 			id, n.state.live(v), v.gone, v.leaving, v.surveyed, v.fenced, v.health.quarantined)
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 )
 
@@ -90,7 +91,7 @@
 	if !s.log.reachable {
 		return
 	}
-	for _, id := range sortedKeys(s.entries) {
+	for _, id := range eventloop.SortedKeys(s.entries) {
 		e := s.entries[id]
 		if e.state == appendNotSent && e.retry && s.now.Sub(e.sent) >= s.settings.RetryDelay {
 			s.sendEntry(e)
--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/config"
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/ports"
@@ -82,7 +83,7 @@
 func (f *fakeServer) status(now time.Time) ports.BackendStatus {
 	f.expire(now)
 	st := ports.BackendStatus{ID: f.info.ID, Leaving: f.leaving, FreeSlots: f.free(), Token: f.token}
-	for _, id := range sortedKeys(f.tasks) {
+	for _, id := range eventloop.SortedKeys(f.tasks) {
 		st.Tasks = append(st.Tasks, f.tasks[id].TaskReport)
 	}
 	return st
--- a/internal/control/gang.go
+++ b/internal/control/gang.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/placement"
 	"github.com/eelgrassreach/eelgrassreach/internal/ports"
@@ -129,9 +130,9 @@
 // superviseGangs moves gangs on as far as their members allow: all of them, or those
 // that were touched.
 func (s *State) superviseGangs(full bool) {
-	ids := sortedKeys(s.touched)
+	ids := eventloop.SortedKeys(s.touched)
 	if full {
-		ids = sortedKeys(s.gangs)
+		ids = eventloop.SortedKeys(s.gangs)
 	}
 	clear(s.touched)
 	for _, id := range ids {
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/config"
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/placement"
 )
@@ -72,12 +73,12 @@
 // by name. For none, the error is that of the availability zone az.
 func fittingZones(cfg *config.Current, org model.Organisation, shape model.GangShape, az model.AZ) ([]model.AZ, error) {
 	byZone := make(map[model.AZ][]model.BackendServer)
-	for _, id := range sortedKeys(cfg.BackendServers) {
+	for _, id := range eventloop.SortedKeys(cfg.BackendServers) {
 		b := cfg.BackendServers[id]
 		byZone[b.AZ] = append(byZone[b.AZ], b)
 	}
 	var fits []model.AZ
-	for _, az := range sortedKeys(byZone) {
+	for _, az := range eventloop.SortedKeys(byZone) {
 		if placement.CheckShape(az, byZone[az], org, shape) == nil {
 			fits = append(fits, az)
 		}
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
@@ -160,7 +161,7 @@
 // renew extends the leases of the gangs that are due, each as a whole: a gang with
 // a member that is not known to be active is not renewed.
 func (s *State) renew() {
-	for _, id := range sortedKeys(s.gangs) {
+	for _, id := range eventloop.SortedKeys(s.gangs) {
 		g := s.gangs[id]
 		if g.gathering || g.phase == JobStopping || s.now.Sub(g.renewed) < s.settings.RenewInterval {
 			continue
@@ -214,7 +215,7 @@
 		}
 		s.memberReported(g, m, r, e.Sent)
 	}
-	for _, task := range sortedKeys(s.tasks[id]) {
+	for _, task := range eventloop.SortedKeys(s.tasks[id]) {
 		ref := s.tasks[id][task]
 		m := ref.member
 		if !listed[task] && m.state.Active() && m.pending == "" && e.Sent.After(m.sent) {
--- a/internal/control/matrix_test.go
+++ b/internal/control/matrix_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/faultmatrix"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
@@ -184,7 +185,7 @@
 	s.stale = true
 	victim := model.BackendServerID(m.peer)
 	if s.servers[victim] == nil {
-		victim = sortedKeys(s.servers)[0]
+		victim = eventloop.SortedKeys(s.servers)[0]
 	}
 	s.servers[victim].die(s.now)
 	return func() { s.stale = false }
@@ -201,7 +202,7 @@
 func (s *scenario) failAll(m moment) func() {
 	f := s.servers[model.BackendServerID(m.peer)]
 	if f == nil {
-		f = s.servers[sortedKeys(s.servers)[0]]
+		f = s.servers[eventloop.SortedKeys(s.servers)[0]]
 	}
 	f.failAll = true
 	for _, t := range f.tasks {
--- a/internal/control/move.go
+++ b/internal/control/move.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/placement"
@@ -18,7 +19,7 @@
 	if !s.log.reachable {
 		return
 	}
-	for _, id := range sortedKeys(s.placement.noCellSince) {
+	for _, id := range eventloop.SortedKeys(s.placement.noCellSince) {
 		if s.placement.waiting[id] != model.Reason(placement.WaitNoHealthyCell) {
 			delete(s.placement.noCellSince, id)
 			continue
--- a/internal/control/oracle_test.go
+++ b/internal/control/oracle_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
@@ -23,7 +24,7 @@
 // facts collects what the backend servers know, which no VM can.
 func (c *cluster) facts() map[model.AttemptID]*attemptFacts {
 	all := make(map[model.AttemptID]*attemptFacts)
-	for _, id := range sortedKeys(c.servers) {
+	for _, id := range eventloop.SortedKeys(c.servers) {
 		f := c.servers[id]
 		f.expire(c.now)
 		for _, t := range f.tasks {
--- a/internal/control/outcome.go
+++ b/internal/control/outcome.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
@@ -46,7 +47,7 @@
 // recordOutcomes appends the outcomes whose attempt the log has, and drops those
 // of attempts that were never claimed or are closed.
 func (s *State) recordOutcomes() {
-	for _, id := range sortedKeys(s.outcomes) {
+	for _, id := range eventloop.SortedKeys(s.outcomes) {
 		o := s.outcomes[id]
 		j := s.replica.Job(id)
 		switch {
@@ -90,7 +91,7 @@
 
 // dropDisownedGangs stops gangs whose job ended while this VM was behind.
 func (s *State) dropDisownedGangs() {
-	for _, id := range sortedKeys(s.gangs) {
+	for _, id := range eventloop.SortedKeys(s.gangs) {
 		if j := s.replica.Job(id); j != nil && j.Ended() {
 			s.stop(s.gangs[id], ending{result: replica.ResultRetry, reason: ReasonRecorded})
 		}
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/invariant"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
@@ -116,10 +117,10 @@
 		z.Servers = append(z.Servers, placement.Server{BackendServer: v.info, Usable: s.usable(v)})
 	}
 	cfg := s.replica.Config().Current()
-	for _, id := range sortedKeys(cfg.Organisations) {
+	for _, id := range eventloop.SortedKeys(cfg.Organisations) {
 		z.Organisations = append(z.Organisations, cfg.Organisations[id])
 	}
-	for _, id := range sortedKeys(s.gangs) {
+	for _, id := range eventloop.SortedKeys(s.gangs) {
 		if p := s.placed(s.gangs[id]); len(p.Members) > 0 {
 			z.Placed = append(z.Placed, p)
 		}
@@ -290,7 +291,7 @@
 
 // claimNotSent handles a claim that certainly is not in the log.
 func (s *State) claimNotSent(e journal.Entry) {
-	for _, id := range sortedKeys(s.gangs) {
+	for _, id := range eventloop.SortedKeys(s.gangs) {
 		g := s.gangs[id]
 		if g.claim == entryKey(e.ID) && g.permit == permitClaimed {
 			s.stop(g, ending{result: replica.ResultRetry, reason: ReasonLogDown})
--- a/internal/control/random_test.go
+++ b/internal/control/random_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/rapidseed"
 )
@@ -33,7 +34,7 @@
 }
 
 func (m *machine) server() *fakeServer {
-	ids := sortedKeys(m.servers)
+	ids := eventloop.SortedKeys(m.servers)
 	return m.servers[ids[rapid.IntRange(0, len(ids)-1).Draw(m.t, "server")]]
 }
 
@@ -51,7 +52,7 @@
 }
 
 func (m *machine) cancelJob(*rapid.T) {
-	ids := sortedKeys(m.jobs)
+	ids := eventloop.SortedKeys(m.jobs)
 	if len(ids) == 0 || !m.chance(3) {
 		return
 	}
@@ -166,7 +167,7 @@
 // unended returns a job that the log knows and that has not ended.
 func (m *machine) unended() (model.JobID, JobStatus) {
 	n := m.nodes[len(m.nodes)-1]
-	for _, id := range sortedKeys(m.jobs) {
+	for _, id := range eventloop.SortedKeys(m.jobs) {
 		if n.state.replica.Job(id) == nil {
 			continue
 		}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/membership"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/ports"
@@ -78,7 +79,7 @@
 			s.placement.dirty = true
 		}
 	}
-	s.serverIDs = sortedKeys(s.servers)
+	s.serverIDs = eventloop.SortedKeys(s.servers)
 }
 
 // pollServers asks for the reports that are due.
@@ -222,7 +223,7 @@
 		Applied:      s.replica.Applied(),
 		LogReachable: s.log.reachable,
 		Leaving:      s.drain.requested,
-		Cancelled:    sortedKeys(s.cancels),
+		Cancelled:    eventloop.SortedKeys(s.cancels),
 	}
 	if !s.acting() {
 		return h
--- a/internal/control/submit.go
+++ b/internal/control/submit.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
@@ -138,7 +139,7 @@
 	if s.log.reachable {
 		return
 	}
-	for _, id := range sortedKeys(s.local) {
+	for _, id := range eventloop.SortedKeys(s.local) {
 		l := s.local[id]
 		s.grant(l)
 		if l.permit == permitHere && !s.schedules(l.job.HomeAZ) || l.permit == permitOffered {
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/config"
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/replica"
 )
@@ -54,7 +55,7 @@
 	}
 	silent := s.silentZones()
 	orgs := s.replica.Config().Current().Organisations
-	for _, id := range sortedKeys(orgs) {
+	for _, id := range eventloop.SortedKeys(orgs) {
 		for _, g := range orgs[id].Guarantees {
 			if silent[g.AZ] {
 				list = append(list, GuaranteeState{Organisation: id, Guarantee: g})
--- a/internal/control/waiter.go
+++ b/internal/control/waiter.go
@@ -1,11 +1,10 @@
 package control
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/journal"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
@@ -39,7 +38,7 @@
 }
 
 func (s *State) expireWaiters() {
-	for _, entry := range sortedKeys(s.waiters) {
+	for _, entry := range eventloop.SortedKeys(s.waiters) {
 		list := slices.DeleteFunc(s.waiters[entry], func(w waiter) bool { return w.expired(s) })
 		s.keepWaiters(entry, list)
 	}
@@ -53,11 +52,6 @@
 	s.waiters[entryID] = list
 }
 
-// sortedKeys makes the order of actions independent of map order.
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
-	return slices.Sorted(maps.Keys(m))
-}
-
 // publishWaiter waits for the verdict on a configuration change.
 type publishWaiter struct{ id ReplyID }
 
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -2,10 +2,28 @@
 package eventloop
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 )
 
+// Sleep waits for d or the end of ctx.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// SortedKeys makes the order of a transition's actions independent of map order.
+func SortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
+
 // Run calls step with the events that are waiting, at most batch at a time, and with
 // tick at intervals, until ctx ends.
 func Run[E any](ctx context.Context, events <-chan E, tick E, interval time.Duration, batch int, step func([]E)) {
--- a/internal/fleet/advice.go
+++ b/internal/fleet/advice.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/sched"
@@ -45,7 +46,7 @@
 
 func (s *State) askAdvice(a *advice, key string, w *sched.Want) {
 	var ask []model.BackendServerID
-	for _, id := range sortedKeys(s.servers) {
+	for _, id := range eventloop.SortedKeys(s.servers) {
 		v := s.servers[id]
 		if len(ask) < adviceServers && s.usable(v) && v.entry.Service == w.Service && !a.asked[id] {
 			ask = append(ask, id)
--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
@@ -143,7 +144,7 @@
 
 // crash ends everything; the backend server comes back under the same ID.
 func (s *fakeServer) crash(w *world) {
-	for _, name := range sortedKeys(s.runs) {
+	for _, name := range eventloop.SortedKeys(s.runs) {
 		r := s.runs[name]
 		if r == nil {
 			continue // ended with its gang
@@ -220,7 +221,7 @@
 		return e.Number <= o.Noted
 	})
 	report := Report{Born: s.born.UnixMilli(), Clock: s.clock(w), Ended: slices.Clone(s.ended)}
-	for _, name := range sortedKeys(s.runs) {
+	for _, name := range eventloop.SortedKeys(s.runs) {
 		r := s.runs[name]
 		percent := int(100 * w.now.Sub(r.began) / r.takes)
 		if s.hangs || r.waiting {
@@ -249,7 +250,7 @@
 	if s.dead {
 		return
 	}
-	for _, name := range sortedKeys(s.runs) {
+	for _, name := range eventloop.SortedKeys(s.runs) {
 		r := s.runs[name]
 		switch {
 		case r == nil: // ended with its gang
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
@@ -183,7 +184,7 @@
 
 func TestHungTaskRunsElsewhere(t *testing.T) {
 	w := calm(t, 2, 3)
-	for _, id := range sortedKeys(w.servers)[:1] {
+	for _, id := range eventloop.SortedKeys(w.servers)[:1] {
 		w.servers[id].hangs = true
 	}
 	id := w.submit(tasks(3, all, 2)).ID
@@ -193,7 +194,7 @@
 
 func TestServerThatFailsAllLosesWork(t *testing.T) {
 	w := calm(t, 2, 3)
-	bad := w.servers[sortedKeys(w.servers)[0]]
+	bad := w.servers[eventloop.SortedKeys(w.servers)[0]]
 	bad.fails = true
 	for range 6 {
 		w.submit(tasks(2, small, 1))
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/boottime"
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 )
 
 const (
@@ -45,9 +46,7 @@
 	for ctx.Err() == nil {
 		next, newest, err := f.initial(ctx)
 		if err == nil {
-			if failed > 0 {
-				f.log.Info("store answers again", zap.String("topic", f.partition.Topic), zap.Int("failed_reads", failed))
-			}
+			f.answered(failed)
 			failed = 0
 			f.tail(ctx, next, newest)
 			continue
@@ -64,7 +63,14 @@
 	if failed == 1 {
 		f.log.Warn("store does not answer", zap.String("topic", f.partition.Topic), zap.Int("partition", f.partition.Number), zap.Error(err))
 	}
-	sleep(ctx, followRetry)
+	eventloop.Sleep(ctx, followRetry)
+}
+
+// answered reports the end of failed reads.
+func (f *follower) answered(failed int) {
+	if failed > 0 {
+		f.log.Info("store answers again", zap.String("topic", f.partition.Topic), zap.Int("failed_reads", failed))
+	}
 }
 
 // initial reads the newest record of each key. It returns the offset from which to
@@ -120,14 +126,12 @@
 				zap.Int64("next", next), zap.Int64("first_kept", read.First))
 			return
 		}
-		if failed > 0 {
-			f.log.Info("store answers again", zap.String("topic", f.partition.Topic), zap.Int("failed_reads", failed))
-		}
+		f.answered(failed)
 		failed = 0
 		next = read.Next
 		f.sink(followed{Records: fresh(read.Records, newest), Synced: next >= read.End, Next: next, AsOf: asOf})
 		if d := f.pause(); d > 0 && (f.always || len(read.Records) > 0) {
-			sleep(ctx, d)
+			eventloop.Sleep(ctx, d)
 		}
 	}
 }
@@ -153,13 +157,3 @@
 	}
 	return kept
 }
-
-// sleep returns early when ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -251,7 +251,7 @@
 // serversPause waits less at the holder, also when the term was taken meanwhile.
 func (l *Loop) serversPause(ctx context.Context) time.Duration {
 	for waited := time.Duration(0); waited < idlePause && !l.Holding(); waited += serversPause {
-		sleep(ctx, serversPause)
+		eventloop.Sleep(ctx, serversPause)
 	}
 	return serversPause
 }
@@ -281,7 +281,7 @@
 			l.options.Log.Info("announcement of this VM not confirmed", zap.Error(err))
 			pause = time.Second
 		}
-		sleep(ctx, pause)
+		eventloop.Sleep(ctx, pause)
 	}
 }
 
@@ -290,9 +290,7 @@
 	if err != nil {
 		return err
 	}
-	call, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	_, err = l.options.Store.Append(call, Appending{Partition: Partition{Topic: submissionsTopic}, Records: []job.Record{r}, At: -1})
+	_, err = l.append(ctx, Appending{Partition: Partition{Topic: submissionsTopic}, Records: []job.Record{r}, At: -1})
 	return err
 }
 
@@ -303,7 +301,7 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				l.options.Log.Warn("heartbeats cannot be received", zap.Error(err))
-				sleep(ctx, followRetry)
+				eventloop.Sleep(ctx, followRetry)
 			}
 			continue
 		}
--- a/internal/fleet/oracle_test.go
+++ b/internal/fleet/oracle_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
@@ -155,7 +156,7 @@
 // allEnded fails the test when a job has no final state, or a wrong one.
 func (o *oracle) allEnded() {
 	o.w.t.Helper()
-	for _, id := range sortedKeys(o.jobs) {
+	for _, id := range eventloop.SortedKeys(o.jobs) {
 		j := o.jobs[id]
 		status := o.w.status(id)
 		_, cancelled := o.cancelled[id]
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/sched"
@@ -61,7 +62,7 @@
 
 func (s *State) snapshot() sched.Snapshot {
 	snap := sched.Snapshot{Now: s.now}
-	for _, id := range sortedKeys(s.servers) {
+	for _, id := range eventloop.SortedKeys(s.servers) {
 		if v := s.servers[id]; s.usable(v) {
 			snap.Servers = append(snap.Servers, s.serverView(v))
 		}
--- a/internal/fleet/query.go
+++ b/internal/fleet/query.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
@@ -70,7 +71,7 @@
 // PeerForwards lists where other VMs take passed-on calls.
 func (s *State) PeerForwards() []string {
 	var list []string
-	for _, node := range sortedKeys(s.peers) {
+	for _, node := range eventloop.SortedKeys(s.peers) {
 		if node != s.self.Node {
 			list = append(list, s.peers[node].Forward)
 		}
--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/rapidseed"
@@ -59,7 +60,7 @@
 	if c.draw("chance", 3) > 0 {
 		return
 	}
-	for _, id := range sortedKeys(c.oracle.jobs) {
+	for _, id := range eventloop.SortedKeys(c.oracle.jobs) {
 		if c.draw("job", 4) == 0 {
 			c.cancel(id)
 			return
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -62,7 +62,7 @@
 
 // adoptPlaced expects the runs that older holders have recorded.
 func (s *State) adoptPlaced() {
-	leaseEnd := s.now.Add(time.Duration(float64(s.bounds.LeaseMax)*slowClock) + holderAuthority)
+	leaseEnd := s.now.Add(s.longestLease() + holderAuthority)
 	for _, v := range s.servers {
 		v.runs = make(map[string]*run)
 		v.leaseEnd = leaseEnd
@@ -383,17 +383,12 @@
 		s.forget(v, r)
 		s.keepLoose(v, r)
 	}
-	key, index, err := job.ParseTaskName(e.Task)
+	g, index, err := s.groupOf(e.Task)
 	if err != nil {
 		s.log.Error("an end names an unknown task", zap.String("server", string(v.entry.ID)), zap.Error(err))
 		return
 	}
-	st := s.jobs.Job(key.Job)
-	if st == nil {
-		return
-	}
-	g := st.Group(key.Occurrence, key.Step)
-	if g == nil || index >= len(g.Tasks) {
+	if g == nil {
 		return
 	}
 	s.log.Info("run ended", zap.String("task", e.Task), zap.Int64("run", e.Run), zap.String("server", string(v.entry.ID)),
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -2,12 +2,11 @@
 
 import (
 	"errors"
-	"maps"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
@@ -78,7 +77,7 @@
 	if s.acting() && v.surveyed && e.Born > v.born {
 		s.reborn(e.ID, v, e.Born)
 		v.surveyed = false
-		v.leaseEnd = s.now.Add(time.Duration(float64(s.bounds.LeaseMax) * slowClock))
+		v.leaseEnd = s.now.Add(s.longestLease())
 		v.nextHold = s.now
 	}
 }
@@ -94,7 +93,7 @@
 			r.doubt, r.fencedOff = true, false
 		}
 	}
-	for _, name := range sortedKeys(v.loose) {
+	for _, name := range eventloop.SortedKeys(v.loose) {
 		r := v.loose[name]
 		if v.runs[name] == nil && r.mayArrive(s.now) {
 			r.phase, r.stray, r.stopping, r.doubt, r.fencedOff = runOrdered, true, false, true, false
@@ -165,6 +164,11 @@
 	return deadline
 }
 
+// longestLease is how long a lease lasts at most, on our clock.
+func (s *State) longestLease() time.Duration {
+	return time.Duration(float64(s.bounds.LeaseMax) * slowClock)
+}
+
 // clockTold takes a reading of the backend server's clock.
 func (s *State) clockTold(v *server, clock int64) {
 	if clock > v.clock {
@@ -193,7 +197,7 @@
 	}
 	s.log.Warn("leases ended on a silent backend server", zap.String("server", string(id)),
 		zap.Int("runs", len(v.runs)), zap.Duration("heard_before", s.now.Sub(v.heard)))
-	for _, name := range sortedKeys(v.runs) {
+	for _, name := range eventloop.SortedKeys(v.runs) {
 		if r := v.runs[name]; r.phase != runRecording {
 			s.release(v, r, "lease ended")
 		}
@@ -289,7 +293,7 @@
 	if len(e.Report.Ended) >= endsPerReport {
 		return
 	}
-	for _, name := range sortedKeys(v.runs) {
+	for _, name := range eventloop.SortedKeys(v.runs) {
 		if r := v.runs[name]; r != nil && !running[name] {
 			s.runMissing(v, r, e.Sent)
 		}
@@ -317,16 +321,12 @@
 
 // unexpectedRun stops a run that should not be there.
 func (s *State) unexpectedRun(v *server, row RunReport) {
-	key, index, err := job.ParseTaskName(row.Task)
+	g, index, err := s.groupOf(row.Task)
 	if err != nil {
 		s.log.Error("a backend server runs an unknown task", zap.String("server", string(v.entry.ID)), zap.Error(err))
 		return
 	}
-	var g *job.Group
-	if st := s.jobs.Job(key.Job); st != nil {
-		g = st.Group(key.Occurrence, key.Step)
-	}
-	if g == nil || index >= len(g.Tasks) {
+	if g == nil {
 		s.log.Warn("a backend server runs a task of a job that is not known", zap.String("server", string(v.entry.ID)), zap.String("task", row.Task))
 		return
 	}
@@ -342,6 +342,22 @@
 	s.wantStop(r, "not expected there")
 }
 
+// groupOf finds the group of a task by its name; nil when its job is not known.
+func (s *State) groupOf(name string) (g *job.Group, index int, err error) {
+	key, index, err := job.ParseTaskName(name)
+	if err != nil {
+		return nil, 0, err
+	}
+	st := s.jobs.Job(key.Job)
+	if st == nil {
+		return nil, 0, nil
+	}
+	if g = st.Group(key.Occurrence, key.Step); g == nil || index >= len(g.Tasks) {
+		return nil, 0, nil
+	}
+	return g, index, nil
+}
+
 // runMissing follows up a run that a report sent at sent does not list.
 func (s *State) runMissing(v *server, r *run, sent time.Time) {
 	if r.phase == runRecording || r.inFlight || !sent.After(r.answered) {
@@ -353,7 +369,3 @@
 	}
 	s.release(v, r, "no longer there")
 }
-
-func sortedKeys[K ~string, V any](m map[K]V) []K {
-	return slices.Sorted(maps.Keys(m))
-}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
@@ -188,7 +189,7 @@
 		due = s.servers
 		s.dropJobs()
 	}
-	ids := sortedKeys(due)
+	ids := eventloop.SortedKeys(due)
 	for _, id := range ids {
 		s.expireLeases(id, due[id])
 		s.superviseRuns(due[id])
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
@@ -79,7 +80,7 @@
 	left := newWriter()
 	left.sequence = w.sequence + 1
 	records := s.groupRecords(b, &left)
-	for _, id := range sortedKeys(w.servers) {
+	for _, id := range eventloop.SortedKeys(w.servers) {
 		if v := s.servers[id]; v != nil {
 			n := noted{Born: v.born, Number: v.seen}
 			r, err := notedRecord(id, n)
--- a/internal/intake/appender.go
+++ b/internal/intake/appender.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -102,13 +103,7 @@
 func (a *appender) take() []*pending {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	kept := a.queue[:0]
-	for _, p := range a.queue {
-		if !p.gone {
-			kept = append(kept, p)
-		}
-	}
-	a.queue = kept
+	a.queue = slices.DeleteFunc(a.queue, func(p *pending) bool { return p.gone })
 	n := min(len(a.queue), maxGroup)
 	group := append([]*pending(nil), a.queue[:n]...)
 	for _, p := range group {
@@ -144,11 +139,5 @@
 			p.doubted = true
 		}
 	}
-	kept := a.queue[:0]
-	for _, p := range a.queue {
-		if !settled[p] {
-			kept = append(kept, p)
-		}
-	}
-	a.queue = kept
+	a.queue = slices.DeleteFunc(a.queue, func(p *pending) bool { return settled[p] })
 }
--- a/internal/journal/publisher.go
+++ b/internal/journal/publisher.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/ports"
 )
 
@@ -190,7 +191,7 @@
 		}
 		p.send(ctx, packet)
 		p.deliver()
-		sleep(ctx, p.interval())
+		eventloop.Sleep(ctx, p.interval())
 	}
 	p.stop()
 	p.deliver()
@@ -283,13 +284,3 @@
 	default:
 	}
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
