Weak or overloaded holders yield; nothing starts without knowledge of cancellations

Ruled out: a lost cancellation (VMs read it back), a job told as final without one.

Change: a start needs its job's submissions read up to within the bound on cancellations; a holder offers the term to a stronger VM, or to an equal one when its events wait too long; a claim is told to the peers, and weaker ones give way.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -11,7 +11,8 @@
 
 // RecordsRead carries records of a followed partition, also when there are none. Initial
 // is set for the records of the first read; Synced tells that they reach its end. Records
-// of an older Generation come from a read that was given up.
+// of an older Generation come from a read that was given up. If Synced, everything that
+// was stored up to AsOf has been read.
 type RecordsRead struct {
 	Generation int
 	Partition  Partition
@@ -19,6 +20,7 @@
 	Initial    bool
 	Synced     bool
 	Next       int64
+	AsOf       time.Time
 }
 
 // StoreAnswered tells that the store has answered a read.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -261,6 +261,77 @@
 }
 
 // A frozen holder wakes after another has taken the term: it starts nothing.
+// A holder that has not read submissions for longer than the bound on cancellations
+// (fresh-7d9b of swanbank-ribs-grown, UNASKED) starts nothing: the job may be cancelled.
+func TestHolderWithoutCancellationsStartsNothing(t *testing.T) {
+	w := calm(t, 1, 1)
+	w.submit(tasks(1, all, 5))
+	w.run(100 * time.Millisecond)
+	waiting := w.submit(tasks(2, all, 2)).ID
+	w.run(500 * time.Millisecond)
+	w.stale[w.holder().name] = true
+	w.cancel(waiting)
+	w.run(8 * time.Second)
+	assert.Equal(t, w.oracle.starts, 1, "a task of a cancelled job was started")
+	delete(w.stale, w.holder().name)
+	next := w.submit(tasks(1, all, 1)).ID
+	w.run(3 * time.Second)
+	assert.Equal(t, w.status(waiting), job.StatusCancelled)
+	assert.Equal(t, w.status(next), job.StatusDone)
+}
+
+// A weak VM that took the term while the strong ones were away hands it over without
+// losing what runs.
+func TestWeakHolderYieldsToAStrongerVM(t *testing.T) {
+	w := newWorld(t, 1, 0, 4)
+	weak := w.addNodeOf(192)
+	w.run(3 * time.Second)
+	assert.Equal(t, w.holder(), weak)
+	id := w.submit(tasks(4, all, 8)).ID
+	w.run(time.Second)
+	strong := w.addNodeOf(800)
+	w.addNodeOf(192)
+	w.run(4 * time.Second)
+	assert.Equal(t, w.holder(), strong)
+	assert.Assert(t, !weak.state.Holding())
+	w.run(5 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+	assert.Equal(t, w.oracle.starts, 4)
+}
+
+// A holder of which events wait too long, on a VM that has turned slow, is replaced by
+// one of equal strength; a short jam changes nothing.
+func TestOverloadedHolderIsReplaced(t *testing.T) {
+	w := calm(t, 3, 4)
+	w.run(10 * time.Second)
+	old := w.holder()
+	old.lag = 2 * overloadLag
+	w.run(overloadAfter / 2)
+	old.lag = 0
+	w.run(3 * time.Second)
+	assert.Equal(t, w.holder(), old)
+	old.lag = 2 * overloadLag
+	w.run(3 * time.Second)
+	assert.Assert(t, w.holder() != nil && w.holder() != old, "the overloaded VM kept the term")
+}
+
+// VMs without a holder give way to the strongest claim, also when the store is slow to
+// confirm it.
+func TestWeakVMGivesWayToAClaim(t *testing.T) {
+	w := newWorld(t, 1, 0, 4)
+	weak := w.addNodeOf(192)
+	w.run(100 * time.Millisecond)
+	h := Heartbeat{Node: "strong", Claiming: true}
+	weak.state.peers[h.Node] = Peer{Node: h.Node, MilliCPU: 800}
+	for range 6 {
+		w.deliver(weak, HeartbeatHeard{Heartbeat: h})
+		w.run(500 * time.Millisecond)
+	}
+	assert.Assert(t, !weak.state.Holding())
+	w.run(3 * time.Second)
+	assert.Equal(t, w.holder(), weak)
+}
+
 func TestThawedHolderStartsNothing(t *testing.T) {
 	w := calm(t, 3, 4)
 	old := w.holder()
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -22,7 +22,7 @@
 	partition Partition
 	// wait is how long a read waits for records, pause the time after a read that
 	// brought some, which gathers what comes together.
-	wait  time.Duration
+	wait  func() time.Duration
 	pause func() time.Duration
 	// always pauses after reads without records too.
 	always bool
@@ -30,8 +30,8 @@
 	log    *zap.Logger
 }
 
-// followed is what one read brought. AsOf is when the read was sent: everything that
-// was stored before is included if Synced is set.
+// followed is what one read brought. Everything that was stored before AsOf is included
+// if Synced is set.
 type followed struct {
 	Records []StoredRecord
 	Initial bool
@@ -114,8 +114,8 @@
 func (f *follower) tail(ctx context.Context, next int64, newest map[string]int64) {
 	failed := 0
 	for ctx.Err() == nil {
-		asOf := boottime.Now()
-		read, err := f.read(ctx, next)
+		asOf, wait := boottime.Now(), f.wait()
+		read, err := f.read(ctx, next, wait)
 		if err != nil {
 			failed++
 			f.failed(ctx, err, failed)
@@ -129,6 +129,9 @@
 		f.answered(failed)
 		failed = 0
 		next = read.Next
+		if len(read.Records) == 0 && boottime.Now().Sub(asOf) >= wait {
+			asOf = asOf.Add(wait) // it was not answered before its wait was over
+		}
 		f.sink(followed{Records: fresh(read.Records, newest), Synced: next >= read.End, Next: next, AsOf: asOf})
 		if d := f.pause(); d > 0 && (f.always || len(read.Records) > 0) {
 			eventloop.Sleep(ctx, d)
@@ -136,10 +139,10 @@
 	}
 }
 
-func (f *follower) read(ctx context.Context, next int64) (Reading, error) {
-	call, cancel := context.WithTimeout(ctx, f.wait+answerTimeout)
+func (f *follower) read(ctx context.Context, next int64, wait time.Duration) (Reading, error) {
+	call, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
-	return f.store.Read(call, f.partition, next, f.wait)
+	return f.store.Read(call, f.partition, next, wait)
 }
 
 // fresh drops records that are older than what the initial read brought of their key.
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -22,6 +22,7 @@
 	eventBatch = 512
 
 	recordsWait  = 2 * time.Second        // a read waits this long for records
+	holderWait   = 700 * time.Millisecond // at the holder, which starts nothing without knowing of cancellations
 	configWait   = 1 * time.Second        // bounds how long ago the configuration was confirmed
 	followPause  = 60 * time.Millisecond  // a VM without the term only answers questions
 	holderPause  = 300 * time.Millisecond // the holder looks for claims of others only
@@ -81,7 +82,7 @@
 type Loop struct {
 	options Options
 	state   *State
-	events  chan Event
+	events  chan queued
 	stopped chan struct{}
 	work    sync.WaitGroup
 	config  atomic.Pointer[Config]
@@ -91,12 +92,18 @@
 	stopFollowers context.CancelFunc
 }
 
+// queued is an event with the time at which it was posted; zero for a tick.
+type queued struct {
+	event Event
+	at    time.Time
+}
+
 // New returns a loop that does nothing until Run.
 func New(o Options) *Loop {
 	return &Loop{
 		options: o,
 		state:   NewState(o.Identity, o.Bounds, o.Log, o.Counters),
-		events:  make(chan Event, eventQueue),
+		events:  make(chan queued, eventQueue),
 		stopped: make(chan struct{}),
 	}
 }
@@ -108,13 +115,21 @@
 	l.work.Go(func() { l.announce(ctx) })
 	go l.receive(ctx) // ends when its socket is closed
 	l.step(ctx, nil)
-	eventloop.Run(ctx, l.events, Event(Ticked{}), tickInterval, eventBatch, func(events []Event) { l.step(ctx, events) })
+	eventloop.Run(ctx, l.events, queued{event: Ticked{}}, tickInterval, eventBatch, func(batch []queued) { l.step(ctx, batch) })
 	close(l.stopped)
 	l.work.Wait()
 }
 
-func (l *Loop) step(ctx context.Context, events []Event) {
-	actions := l.state.Step(events, Clock{Now: boottime.Now(), Wall: time.Now()})
+func (l *Loop) step(ctx context.Context, batch []queued) {
+	c := Clock{Now: boottime.Now(), Wall: time.Now()}
+	events := make([]Event, 0, len(batch))
+	for _, q := range batch {
+		events = append(events, q.event)
+		if !q.at.IsZero() {
+			c.Lag = max(c.Lag, c.Now.Sub(q.at))
+		}
+	}
+	actions := l.state.Step(events, c)
 	l.holding.Store(l.state.acting())
 	for _, a := range actions {
 		l.carryOut(ctx, a)
@@ -124,7 +139,7 @@
 // post gives an event to the loop, unless it has stopped.
 func (l *Loop) post(ctx context.Context, e Event) {
 	select {
-	case l.events <- e:
+	case l.events <- queued{event: e, at: boottime.Now()}:
 	case <-l.stopped:
 	case <-ctx.Done():
 	}
@@ -163,6 +178,13 @@
 // Holding reports whether this VM holds the term.
 func (l *Loop) Holding() bool { return l.holding.Load() }
 
+func (l *Loop) recordsWait() time.Duration {
+	if l.Holding() {
+		return holderWait
+	}
+	return recordsWait
+}
+
 // recordsPause saves calls where records need not be known at once: the holder takes
 // submissions without delay, others answer questions from what they have read.
 func (l *Loop) recordsPause(p Partition) time.Duration {
@@ -185,12 +207,12 @@
 	}
 	ctx, l.stopFollowers = context.WithCancel(ctx)
 	for _, p := range Partitions() {
-		f := &follower{store: l.options.Store, partition: p, wait: recordsWait, log: l.options.Log}
+		f := &follower{store: l.options.Store, partition: p, wait: l.recordsWait, log: l.options.Log}
 		f.pause = func() time.Duration { return l.recordsPause(p) }
 		f.sink = func(b followed) {
 			l.post(ctx, RecordsRead{
 				Generation: generation, Partition: p, Records: b.Records,
-				Initial: b.Initial, Synced: b.Synced, Next: b.Next,
+				Initial: b.Initial, Synced: b.Synced, Next: b.Next, AsOf: b.AsOf,
 			})
 		}
 		l.work.Go(func() { f.run(ctx) })
@@ -198,7 +220,7 @@
 }
 
 func (l *Loop) followConfig(ctx context.Context) {
-	f := &follower{store: l.options.Store, partition: l.options.Sources.Config, wait: configWait, pause: noPause, log: l.options.Log}
+	f := &follower{store: l.options.Store, partition: l.options.Sources.Config, wait: func() time.Duration { return configWait }, pause: noPause, log: l.options.Log}
 	f.sink = func(b followed) {
 		l.post(ctx, StoreAnswered{})
 		for _, r := range b.Records {
@@ -228,7 +250,7 @@
 
 func (l *Loop) followServers(ctx context.Context) {
 	entries := make(map[model.BackendServerID]ServerEntry)
-	f := &follower{store: l.options.Store, partition: l.options.Sources.Servers, always: true, log: l.options.Log}
+	f := &follower{store: l.options.Store, partition: l.options.Sources.Servers, wait: noPause, always: true, log: l.options.Log}
 	f.pause = func() time.Duration { return l.serversPause(ctx) }
 	f.sink = func(b followed) {
 		if b.Initial {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -70,7 +70,9 @@
 	open := s.openJobs()
 	covered := s.covered(open)
 	for _, st := range open {
-		s.addWants(&snap, st, covered[st])
+		if s.cancelsKnown(st.Job.ID) {
+			s.addWants(&snap, st, covered[st])
+		}
 	}
 	if slices.ContainsFunc(snap.Wants, func(w sched.Want) bool { return w.Guaranteed || w.Urgent }) {
 		snap.Held = s.held(covered)
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -76,6 +76,9 @@
 		s.apply(target, r, e.Initial)
 	}
 	s.nextOf[e.Partition] = e.Next
+	if e.Synced {
+		s.readAsOf[e.Partition] = e.AsOf
+	}
 	if e.Synced && s.unsynced[e.Partition] {
 		delete(s.unsynced, e.Partition)
 		s.finishSync()
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -140,10 +140,18 @@
 			s.wantStop(r, "start without an answer")
 			return
 		}
-		s.orderStart(v, r)
+		if s.cancelsKnown(st.Job.ID) {
+			s.orderStart(v, r)
+		}
 	}
 }
 
+// cancelsKnown reports whether a task of the job may be started: a cancellation that was
+// acknowledged longer ago than the bound would have been read.
+func (s *State) cancelsKnown(id model.JobID) bool {
+	return s.now.Sub(s.readAsOf[SubmissionPartition(id)]) <= s.bounds.CancelBound-startMargin
+}
+
 func (s *State) orderStart(v *server, r *run) {
 	span := lease
 	if s.onlyUnconfirmed(v) {
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -10,6 +10,8 @@
 	StopTimeout time.Duration
 	// KeepFinal is how long a job's final state is told.
 	KeepFinal time.Duration
+	// CancelBound is how long after the acknowledgement of a cancellation a task may still be started.
+	CancelBound time.Duration
 }
 
 // Timings of the loop.
@@ -24,8 +26,24 @@
 	holderTimeout = 900 * time.Millisecond
 	claimStagger  = 150 * time.Millisecond // between VMs, so that one claims first
 	maxStaggered  = 5                      // VMs that wait for each other; more would delay a take-over
-	weakerDelay   = 500 * time.Millisecond // per class of stronger VMs, which may be gone
+	weakerDelay   = 1 * time.Second        // per class of stronger VMs, which may be gone
 	claimRetry    = 1 * time.Second        // an append's timeout
+	// yieldToStronger is how long a holder acts before it hands the term to a stronger VM:
+	// its survey is over by then.
+	yieldToStronger = 1500 * time.Millisecond
+	// yieldOverloaded is the same for an overloaded holder and its equals: several
+	// take-overs, so that the term does not wander when no VM can carry the load.
+	yieldOverloaded = 10 * time.Second
+	// peerAlive is how recently a successor has to have answered a heartbeat: two intervals missed.
+	peerAlive = 750 * time.Millisecond
+	// overloadLag is how long events may wait for the loop: far above a round's cost, and
+	// small against the bounds of seconds that starts have to keep to.
+	overloadLag = 250 * time.Millisecond
+	// overloadAfter is how long events wait too long before the VM counts as overloaded;
+	// what gathers in a pause is worked off sooner.
+	overloadAfter = 1 * time.Second
+	// startMargin is kept of CancelBound for recording a placement and delivering its start.
+	startMargin = 1 * time.Second
 	// holderStoreTimeout is how long a holder may miss the store before a VM that
 	// reaches it takes over.
 	holderStoreTimeout = 2 * time.Second
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -26,6 +26,8 @@
 type Clock struct {
 	Now  time.Time
 	Wall time.Time
+	// Lag is how long the oldest event of the step has waited.
+	Lag time.Duration
 }
 
 // noted is the newest end of a backend server's incarnation that is recorded.
@@ -67,9 +69,13 @@
 	generation int
 	unsynced   map[Partition]bool
 	nextOf     map[Partition]int64 // up to where each partition has been read
-	storeSeen  time.Time           // the newest answer of the store
+	// readAsOf is the time up to which everything stored in a partition has been read.
+	readAsOf  map[Partition]time.Time
+	storeSeen time.Time // the newest answer of the store
 	// refusedSince is when the store began to refuse records of this VM; zero when it does not.
 	refusedSince time.Time
+	// laggingSince is when events began to wait too long; zero when they do not.
+	laggingSince time.Time
 
 	term    termState
 	servers map[model.BackendServerID]*server
@@ -101,6 +107,7 @@
 		servers:    make(map[model.BackendServerID]*server),
 		advice:     make(map[string]*advice),
 		nextOf:     make(map[Partition]int64),
+		readAsOf:   make(map[Partition]time.Time),
 		touched:    make(map[model.BackendServerID]*server),
 		strays:     make(map[string]int),
 		avoid:      make(map[job.GroupKey]map[model.BackendServerID]bool),
@@ -130,6 +137,7 @@
 		s.previous, s.term.heard, s.storeSeen = s.now, s.now, s.now
 	}
 	s.checkPause()
+	s.observeLag(c.Lag)
 	for _, e := range events {
 		s.handle(e)
 	}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -53,6 +53,10 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// StoreLost tells that the store has not answered the sender for a while.
 	StoreLost bool `json:"storeLost,omitempty"`
+	// Yielding tells that the holder wants a VM that carries the load better to follow.
+	Yielding bool `json:"yielding,omitempty"`
+	// Claiming tells that the sender claims the term at this moment.
+	Claiming bool `json:"claiming,omitempty"`
 }
 
 // termState is this VM's part in the term.
@@ -66,6 +70,10 @@
 	claimedAt time.Time
 	beatAt    time.Time
 	answered  map[string]time.Time // peers by node, when they last answered
+	able      map[string]time.Time // the same for those that could take the term
+	yielding  bool
+	// deferUntil is up to when a claim that was heard of has precedence.
+	deferUntil time.Time
 }
 
 // acting reports whether this VM holds the term.
@@ -79,7 +87,7 @@
 	if s.storeLost() {
 		return
 	}
-	if s.now.Sub(s.term.heard) < holderTimeout+s.claimDelay() {
+	if s.now.Before(s.term.deferUntil) || s.now.Sub(s.term.heard) < holderTimeout+s.claimDelay() {
 		return
 	}
 	s.claimTerm()
@@ -124,6 +132,9 @@
 		Epoch:     s.nextOf[progress] + 1,
 		Sequence:  0,
 	}})
+	h := s.heartbeat()
+	h.Claiming = true
+	s.tellPeers(h)
 }
 
 // claimAnswered only logs: the claim counts when it is read back, so that an answer
@@ -165,7 +176,8 @@
 	s.term.claiming = false
 	s.term.token = c.token()
 	s.term.actedAt = s.now
-	s.term.answered = make(map[string]time.Time)
+	s.term.answered, s.term.able = make(map[string]time.Time), make(map[string]time.Time)
+	s.term.yielding = false
 	s.writer = newWriter()
 	s.log.Info("term taken", zap.Int64("token", s.term.token), zap.Int("jobs", s.jobs.Len()))
 	s.count.TermsTaken.Inc(1)
@@ -203,6 +215,7 @@
 		Holder:      s.acting(),
 		Leaving:     s.leaving,
 		StoreLost:   s.storeLost(),
+		Yielding:    s.term.yielding,
 	}
 }
 
@@ -212,6 +225,11 @@
 		return
 	}
 	s.term.beatAt = s.now
+	s.considerYielding()
+	s.tellPeers(s.heartbeat())
+}
+
+func (s *State) tellPeers(h Heartbeat) {
 	var to []string
 	for node, p := range s.peers {
 		if node != s.self.Node {
@@ -220,7 +238,46 @@
 	}
 	slices.SortFunc(to, cmp.Compare)
 	if len(to) > 0 {
-		s.emit(SendHeartbeat{Heartbeat: s.heartbeat(), To: to})
+		s.emit(SendHeartbeat{Heartbeat: h, To: to})
+	}
+}
+
+// considerYielding has a VM take over that carries the load better: a stronger one, or
+// any as strong as this one when events wait too long here.
+func (s *State) considerYielding() {
+	strength, acted := s.self.MilliCPU, s.now.Sub(s.term.actedAt)
+	best := -1
+	for node, at := range s.term.able {
+		if p, known := s.peers[node]; known && s.now.Sub(at) <= peerAlive {
+			best = max(best, p.MilliCPU)
+		}
+	}
+	yield := best > strength && acted >= yieldToStronger || best == strength && s.overloaded() && acted >= yieldOverloaded
+	if yield && !s.term.yielding {
+		s.log.Warn("term is offered to other VMs", zap.Int64("token", s.term.token), zap.Bool("overloaded", s.overloaded()),
+			zap.Int("milli_cpu", strength), zap.Int("milli_cpu_of_strongest", best))
+	}
+	s.term.yielding = yield
+}
+
+// observeLag follows whether events wait too long for the loop.
+func (s *State) observeLag(lag time.Duration) {
+	switch {
+	case lag < overloadLag:
+		s.laggingSince = time.Time{}
+	case s.laggingSince.IsZero():
+		s.laggingSince = s.now
+	}
+}
+
+func (s *State) overloaded() bool {
+	return !s.laggingSince.IsZero() && s.now.Sub(s.laggingSince) >= overloadAfter
+}
+
+// claimHeard gives way to a claim of a VM that is at least as strong.
+func (s *State) claimHeard(h Heartbeat) {
+	if p, known := s.peers[h.Node]; known && p.MilliCPU >= s.self.MilliCPU && !s.term.claiming {
+		s.term.deferUntil = s.now.Add(claimRetry)
 	}
 }
 
@@ -228,8 +285,15 @@
 	if h.Node == s.self.Node {
 		return
 	}
+	if h.Claiming {
+		s.claimHeard(h)
+		return
+	}
 	if s.acting() {
 		s.term.answered[h.Node] = s.now
+		if !h.Leaving && !h.StoreLost {
+			s.term.able[h.Node] = s.now
+		}
 		if h.Holder && h.Token > s.term.token {
 			s.stepDown("a newer holder was heard", h.Node)
 		}
@@ -239,7 +303,7 @@
 		return
 	}
 	s.term.holder = h
-	if h.Leaving || h.StoreLost {
+	if h.Leaving || h.StoreLost || h.Yielding {
 		s.term.heard = earlier(s.term.heard, s.now.Add(-holderTimeout))
 	} else {
 		s.term.heard = s.now
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -44,6 +44,7 @@
 	servers map[model.BackendServerID]*fakeServer
 	cut     map[[2]string]bool // links without delivery, by name of both ends
 	refused map[string]bool    // nodes that the store turns away
+	stale   map[string]bool    // nodes that read nothing of submissions
 	late    float64            // share of orders that are carried out seconds later
 	// crossing has late orders reach the next incarnation of a backend server too; see
 	// TestLateStartReachesRestartedServer.
@@ -61,6 +62,7 @@
 	queue      []Event
 	generation int
 	next       map[Partition]int64
+	lag        time.Duration // of its events
 }
 
 type dueItem struct {
@@ -92,7 +94,7 @@
 	w := &world{
 		t: t, now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
 		store: &fakeStore{parts: make(map[Partition]*fakePart)}, servers: make(map[model.BackendServerID]*fakeServer),
-		cut: make(map[[2]string]bool), refused: make(map[string]bool), log: zap.NewNop(),
+		cut: make(map[[2]string]bool), refused: make(map[string]bool), stale: make(map[string]bool), log: zap.NewNop(),
 	}
 	w.oracle = newOracle(w)
 	w.log = testLogger(w)
@@ -154,12 +156,13 @@
 	w.now = end
 }
 
-func (w *world) clock() Clock { return Clock{Now: w.now, Wall: w.now} }
+func (w *world) addNode() *node { return w.addNodeOf(0) }
 
-func (w *world) addNode() *node {
+// addNodeOf starts a VM with so many thousandths of a core.
+func (w *world) addNodeOf(milliCPU int) *node {
 	name := fmt.Sprintf("vm%d", len(w.nodes))
-	self := Identity{Node: name, Incarnation: model.Incarnation(name), Address: name, Forward: name}
-	bounds := Bounds{LeaseMax: 10 * time.Second, StopTimeout: 200 * time.Millisecond, KeepFinal: time.Hour}
+	self := Identity{Node: name, Incarnation: model.Incarnation(name), Address: name, Forward: name, MilliCPU: milliCPU}
+	bounds := Bounds{LeaseMax: 10 * time.Second, StopTimeout: 200 * time.Millisecond, KeepFinal: time.Hour, CancelBound: 3 * time.Second}
 	n := &node{name: name, next: make(map[Partition]int64)}
 	n.state = NewState(self, bounds, w.log.With(zap.String("node", name)), NewCounters(tally.NoopScope))
 	w.nodes = append(w.nodes, n)
@@ -197,7 +200,7 @@
 	case n.frozen:
 		n.queue = append(n.queue, events...)
 	default:
-		for _, a := range n.state.Step(events, w.clock()) {
+		for _, a := range n.state.Step(events, Clock{Now: w.now, Wall: w.now, Lag: n.lag}) {
 			w.carryOut(n, a)
 		}
 	}
@@ -334,7 +337,7 @@
 		for _, p := range Partitions() {
 			records := w.store.newest(p)
 			n.next[p] = w.store.end(p)
-			w.deliver(n, RecordsRead{Generation: generation, Partition: p, Records: records, Initial: true, Synced: true, Next: n.next[p]})
+			w.deliver(n, RecordsRead{Generation: generation, Partition: p, Records: records, Initial: true, Synced: true, Next: n.next[p], AsOf: w.now})
 		}
 	})
 }
@@ -345,9 +348,12 @@
 		return
 	}
 	for _, p := range Partitions() {
+		if w.stale[n.name] && p.Topic == submissionsTopic {
+			continue
+		}
 		records := w.store.from(p, n.next[p])
 		n.next[p] = w.store.end(p)
-		w.deliver(n, RecordsRead{Generation: n.generation, Partition: p, Records: records, Synced: true, Next: n.next[p]})
+		w.deliver(n, RecordsRead{Generation: n.generation, Partition: p, Records: records, Synced: true, Next: n.next[p], AsOf: w.now})
 	}
 }
 
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -226,6 +226,10 @@
 		s.release(v, r, "stopped before its start")
 		return
 	}
+	if !s.cancelsKnown(r.group.State.Job.ID) {
+		s.release(v, r, "cancellations are not known up to now")
+		return
+	}
 	r.orderedAt = s.now
 	s.orderStart(v, r)
 }
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -90,7 +90,7 @@
 		Identity: fleet.Identity{
 			Node: s.Node, Incarnation: model.Incarnation(model.RandomID()), Address: peerAddress, Forward: peerAddress, MilliCPU: s.MilliCPU,
 		},
-		Bounds:    fleet.Bounds{LeaseMax: s.LeaseMax, StopTimeout: s.StopTimeout, KeepFinal: s.StatusKept},
+		Bounds:    fleet.Bounds{LeaseMax: s.LeaseMax, StopTimeout: s.StopTimeout, KeepFinal: s.StatusKept, CancelBound: s.CancelBound},
 		Store:     store,
 		Servers:   platform.NewServers(),
 		Advisor:   platform.NewAdvisor(s.AdviceAddress),
