Refused reads count towards handing the term over

Cause: only appends reported refusals, so a holder with nothing to record noticed that the store turned it away only after 2 s of silence.

Change: reads that the store refuses are refusals (nothing done) and are told to the loop.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -23,8 +23,8 @@
 	AsOf       time.Time
 }
 
-// StoreAnswered tells that the store has answered a read.
-type StoreAnswered struct{}
+// StoreAnswered tells that the store has answered a read, or with Err how that failed.
+type StoreAnswered struct{ Err error }
 
 // ConfigChanged carries a configuration in force.
 type ConfigChanged struct{ Config *Config }
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -27,7 +27,9 @@
 	// always pauses after reads without records too.
 	always bool
 	sink   func(followed)
-	log    *zap.Logger
+	// failure is told of every read that failed; it may be nil.
+	failure func(error)
+	log     *zap.Logger
 }
 
 // followed is what one read brought. Everything that was stored before AsOf is included
@@ -60,6 +62,9 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if f.failure != nil {
+		f.failure(err)
+	}
 	if failed == 1 {
 		f.log.Warn("store does not answer", zap.String("topic", f.partition.Topic), zap.Int("partition", f.partition.Number), zap.Error(err))
 	}
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -209,6 +209,7 @@
 	for _, p := range Partitions() {
 		f := &follower{store: l.options.Store, partition: p, wait: l.recordsWait, log: l.options.Log}
 		f.pause = func() time.Duration { return l.recordsPause(p) }
+		f.failure = func(err error) { l.post(ctx, StoreAnswered{Err: err}) }
 		f.sink = func(b followed) {
 			l.post(ctx, RecordsRead{
 				Generation: generation, Partition: p, Records: b.Records,
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -154,7 +154,7 @@
 	case RecordsRead:
 		s.recordsRead(e)
 	case StoreAnswered:
-		s.observeStore(nil)
+		s.observeStore(e.Err)
 	case ConfigChanged:
 		s.configChanged(e.Config)
 	case ServersListed:
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -344,7 +344,11 @@
 
 // poll reads what is new in every partition.
 func (w *world) poll(n *node) {
-	if n.dead || w.store.down || w.refused[n.name] || !w.connected(n.name, "store") || len(n.next) == 0 {
+	if w.refused[n.name] {
+		w.deliver(n, StoreAnswered{Err: ErrNothingDone})
+		return
+	}
+	if n.dead || w.store.down || !w.connected(n.name, "store") || len(n.next) == 0 {
 		return
 	}
 	for _, p := range Partitions() {
