Reports wait for the record of the ends before them

Cause: a backend server answers at once while it has ends that were not acknowledged, so the holder asked in a loop from each end to the store's answer; seconds long when the store was slow or down. The acknowledgement itself never waited for the next end.

Change: after a report with new ends the next one waits for their record, at most 0.5 s; the acknowledging call waits for an end like any other.

Test: TestReportsWaitForTheRecordOfEnds (fails without the change: calls in a loop).

--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -118,6 +118,7 @@
 	ended    []EndReport
 	number   int64
 	barred   map[string]int64 // the highest run of a task that was stopped or ended
+	holds    int              // that were answered
 }
 
 func (w *world) addServer() *fakeServer {
@@ -213,6 +214,7 @@
 	if s.fenced(o.Token) {
 		return Report{}, &RefusedError{Reason: RefusedFence, Clock: s.clock(w)}
 	}
+	s.holds++
 	s.deadline = max(s.deadline, o.Deadline)
 	s.ended = slices.DeleteFunc(s.ended, func(e EndReport) bool {
 		if e.Number <= o.Noted {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -123,6 +123,25 @@
 	assert.Equal(t, w.oracle.starts, 4, "leases lapsed during the outage")
 }
 
+// Ends that the store does not take are repeated in every report: the holder must not ask
+// for the next one in a loop, and still extends the leases of what runs on.
+func TestReportsWaitForTheRecordOfEnds(t *testing.T) {
+	w := calm(t, 2, 1)
+	j := tasks(1, small, 1)
+	j.Steps = append(j.Steps, job.Step{Count: 1, Need: small, EstimatedRuntime: 12 * time.Second})
+	id := w.submit(j).ID
+	w.run(500 * time.Millisecond)
+	w.store.down = true
+	w.run(time.Second)
+	before := w.servers["s00"].holds
+	w.run(10 * time.Second)
+	assert.Assert(t, w.servers["s00"].holds-before <= int(10*time.Second/unrecordedHold)+1)
+	w.store.down = false
+	w.run(4 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+	assert.Equal(t, w.oracle.starts, 2)
+}
+
 // The store turns the holder away and serves the others: the term moves on.
 func TestHolderWithoutTheStoreIsReplaced(t *testing.T) {
 	w := calm(t, 3, 4)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -130,7 +130,7 @@
 	o := Hold{Server: id, Address: v.entry.Address, Token: s.term.token}
 	if v.surveyed {
 		o.Noted = v.recorded
-		if len(v.runs) > 0 && v.told == v.recorded {
+		if len(v.runs) > 0 {
 			o.Wait = s.reportWait(v)
 		}
 		if v.failing == 0 && !s.isolated() {
@@ -253,8 +253,12 @@
 }
 
 // nextHold is when a backend server is asked again: at once when something runs there
-// or has to be acknowledged.
+// or has to be acknowledged. While ends are not recorded yet it would repeat them at
+// once; recording them makes it due.
 func (s *State) nextHold(v *server) time.Time {
+	if v.seen > v.recorded {
+		return s.now.Add(unrecordedHold)
+	}
 	if len(v.runs) > 0 || v.recorded > v.told {
 		return s.now
 	}
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -66,10 +66,13 @@
 	holdWait      = 1 * time.Second        // a report waits this long for an end
 	earlyHoldWait = 450 * time.Millisecond // half of stallMinimum
 	holdRetry     = 150 * time.Millisecond // after a failed call
-	idleHold      = 5 * time.Second        // reports of backend servers without tasks
-	startRetryFor = 1200 * time.Millisecond
-	stopRetry     = 300 * time.Millisecond // StopTimeout and a round trip
-	unlistedLimit = 3 * time.Second        // entries of live backend servers are back within 2 s of an outage
+	// unrecordedHold is the same while the store does not take the ends of the newest
+	// report: often enough to extend leases and to see further ends.
+	unrecordedHold = 500 * time.Millisecond
+	idleHold       = 5 * time.Second // reports of backend servers without tasks
+	startRetryFor  = 1200 * time.Millisecond
+	stopRetry      = 300 * time.Millisecond // StopTimeout and a round trip
+	unlistedLimit  = 3 * time.Second        // entries of live backend servers are back within 2 s of an outage
 
 	// clockSlack covers round trips when a deadline is worked out.
 	clockSlack = 50 * time.Millisecond
