VMs without the term read the store less often

Change: 120 ms between reads of progress, 400 ms between reads of submissions; only the holder needs these at once, and a job that is not known is looked up in the store.

Take-over reads on with the holder's pauses.

--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -21,13 +21,16 @@
 	eventQueue = 4096
 	eventBatch = 512
 
-	recordsWait  = 2 * time.Second        // a read waits this long for records
-	holderWait   = 700 * time.Millisecond // at the holder, which starts nothing without knowing of cancellations
-	configWait   = 1 * time.Second        // bounds how long ago the configuration was confirmed
-	followPause  = 60 * time.Millisecond  // a VM without the term only answers questions
-	holderPause  = 300 * time.Millisecond // the holder looks for claims of others only
-	serversPause = 400 * time.Millisecond
-	idlePause    = 3 * time.Second // a VM without the term needs only capacities
+	recordsWait = 2 * time.Second        // a read waits this long for records
+	holderWait  = 700 * time.Millisecond // at the holder, which starts nothing without knowing of cancellations
+	configWait  = 1 * time.Second        // bounds how long ago the configuration was confirmed
+	// A VM without the term only answers questions: of the states that submitters wait for,
+	// and of jobs that it can look up in the store.
+	followPause     = 120 * time.Millisecond
+	submissionPause = 400 * time.Millisecond
+	holderPause     = 300 * time.Millisecond // the holder looks for claims of others only
+	serversPause    = 400 * time.Millisecond
+	idlePause       = 3 * time.Second // a VM without the term needs only capacities
 
 	appendTimeout  = 800 * time.Millisecond // three times a slow store's answer
 	orderTimeout   = 700 * time.Millisecond
@@ -189,8 +192,10 @@
 // submissions without delay, others answer questions from what they have read.
 func (l *Loop) recordsPause(p Partition) time.Duration {
 	switch {
-	case !l.Holding():
+	case !l.Holding() && p == progress:
 		return followPause
+	case !l.Holding():
+		return submissionPause
 	case p == progress:
 		return holderPause
 	default:
