Stragglers are moved, and slow backend servers take no work for a while

Nothing noticed: more than half of all gangs of five had a slow member and waited for it.

Change: internal/straggler compares each task's rate with the mean of its step; below 0.4 of it the backend server takes no work for 6 s, and the run is moved if it ends clearly sooner elsewhere.

--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -111,6 +111,7 @@
 	draining bool
 	fails    bool // everything that it starts
 	hangs    bool
+	slow     int         // times as long as elsewhere, for what is started; 0 for 1
 	poisoned model.JobID // a job that fails here
 	fence    int64
 	deadline int64
@@ -194,6 +195,7 @@
 		return refuse(RefusedRoom)
 	}
 	r.began = w.now
+	r.takes *= time.Duration(max(s.slow, 1))
 	s.runs[o.Task] = r
 	w.oracle.started(s, r, by)
 	return clock, nil
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -211,6 +211,24 @@
 	assert.Equal(t, w.status(id), job.StatusDone)
 }
 
+// One member on a backend server that is six times as slow holds up its whole gang: it is
+// moved, and the backend server takes no work for a while.
+func TestGangLeavesASlowServer(t *testing.T) {
+	w := calm(t, 2, 6)
+	slow := w.servers["s01"]
+	slow.slow = 6
+	j := tasks(4, all, 4)
+	j.Steps[0].Gang = true
+	first := w.submit(j).ID
+	w.run(6800 * time.Millisecond)
+	assert.Equal(t, w.status(first), job.StatusDone)
+	before := w.oracle.starts
+	second := w.submit(j).ID
+	w.run(5 * time.Second)
+	assert.Equal(t, w.status(second), job.StatusDone)
+	assert.Equal(t, w.oracle.starts-before, 4, "the second gang was moved too")
+}
+
 func TestServerThatFailsAllLosesWork(t *testing.T) {
 	w := calm(t, 2, 3)
 	bad := w.servers[eventloop.SortedKeys(w.servers)[0]]
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -7,6 +7,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/straggler"
 )
 
 const (
@@ -29,8 +30,9 @@
 	// failures counts jobs that failed here since the last success, the last one's ID kept.
 	failures int
 	lastJob  string
-	// quarantinedUntil is the time before which it takes no work.
-	quarantinedUntil time.Time
+	// quarantinedUntil is the time before which it takes no work, slowUntil the same for
+	// one on which tasks make little progress.
+	quarantinedUntil, slowUntil time.Time
 }
 
 func (h *health) refused(now time.Time, reason Refusal) {
@@ -47,7 +49,7 @@
 }
 
 func (h *health) usable(now time.Time) bool {
-	return !now.Before(h.pausedUntil) && !now.Before(h.quarantinedUntil)
+	return !now.Before(h.pausedUntil) && !now.Before(h.quarantinedUntil) && !now.Before(h.slowUntil)
 }
 
 func (h *health) suspect() bool { return h.failures > 0 }
@@ -84,6 +86,40 @@
 	s.wantStop(r, "no progress")
 }
 
+// slowPause is how long a slow backend server takes no work after it was last seen to be;
+// one task that finds it slow still is moved after a second.
+const slowPause = 6 * time.Second
+
+// paceMeasured compares a run's newest rate with those of its step, and moves a
+// straggler to another backend server if it ends sooner there.
+func (s *State) paceMeasured(v *server, r *run) {
+	if !r.current() || r.stopping || r.step().LongRunning || r.step().Fills || len(r.group.Tasks) < 2 {
+		return
+	}
+	key := r.group.Key()
+	step := s.steps[key]
+	if step == nil {
+		step = straggler.NewStep(len(r.group.Tasks))
+		s.steps[key] = step
+	}
+	step.Set(r.index, r.pace)
+	if !step.Slow(r.index) {
+		return
+	}
+	if !s.now.Before(v.health.slowUntil) {
+		s.log.Warn("backend server is slow", zap.String("server", string(r.server)), zap.String("task", r.name),
+			zap.Int("percent", r.percent), zap.Duration("running", s.now.Sub(r.startedAt)))
+	}
+	v.health.slowUntil = s.now.Add(slowPause)
+	saved := 0
+	if r.step().Checkpoints {
+		saved = r.percent
+	}
+	if step.WorthMoving(r.index, r.percent, saved, restartCost) {
+		s.wantStop(r, "much slower than the other tasks of its step")
+	}
+}
+
 // drainMargin is how much longer than told a draining backend server usually stays.
 const drainMargin = 500 * time.Millisecond
 
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -271,6 +271,9 @@
 		phase: runRecording,
 	}
 	s.servers[p.Server].runs[r.name] = r
+	if step := s.steps[p.Key]; step != nil {
+		step.Clear(p.Index)
+	}
 	s.writer.started = append(s.writer.started, r)
 	s.dirty(g)
 	s.replan = false
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/straggler"
 )
 
 // runPhase is how far a run has come, as the holder knows it.
@@ -47,6 +48,7 @@
 	stray      bool // not the task's current run
 
 	percent    int
+	pace       straggler.Progress
 	progressAt time.Time
 	reportedAt time.Time // when a report last listed it
 }
@@ -293,6 +295,9 @@
 		r.doubt = false
 		if r.phase == runOrdered {
 			s.confirmed(r, 0)
+			if e.Order.Checkpoint == "" {
+				r.pace = straggler.Begin(0, s.now)
+			}
 		}
 	case errors.As(e.Err, &refused):
 		s.clockTold(v, refused.Clock)
@@ -453,6 +458,9 @@
 			s.wantStop(r, "task is done")
 		}
 	}
+	if g.Done() {
+		delete(s.steps, g.Key())
+	}
 }
 
 // checkpointed takes the newest checkpoint of a run; that of any member holds for a gang.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -315,6 +315,9 @@
 		s.confirmed(r, s.workDone(r, row.Percent))
 	}
 	r.doubt, r.reportedAt = false, s.now
+	if r.pace.Observe(row.Percent, s.now) {
+		s.paceMeasured(v, r)
+	}
 	if row.Percent != r.percent {
 		r.percent, r.progressAt = row.Percent, s.now
 	}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -8,6 +8,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/straggler"
 )
 
 // Identity is who this VM is.
@@ -82,7 +83,9 @@
 	// strays counts the runs that should not be there, by task; it waits for their end.
 	strays map[string]int
 	// avoid names the backend servers where tasks of a step failed.
-	avoid   map[job.GroupKey]map[model.BackendServerID]bool
+	avoid map[job.GroupKey]map[model.BackendServerID]bool
+	// steps compares the progress of the tasks of each step.
+	steps   map[job.GroupKey]*straggler.Step
 	writer  writer
 	advice  map[string]*advice
 	replan  bool
@@ -111,6 +114,7 @@
 		touched:    make(map[model.BackendServerID]*server),
 		strays:     make(map[string]int),
 		avoid:      make(map[job.GroupKey]map[model.BackendServerID]bool),
+		steps:      make(map[job.GroupKey]*straggler.Step),
 	}
 	s.resync()
 	return s
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -13,6 +13,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/straggler"
 )
 
 // holderProducer is the producer whose epoch is the token of the term, so that the
@@ -202,6 +203,7 @@
 	s.advice = make(map[string]*advice)
 	s.strays = make(map[string]int)
 	s.avoid = make(map[job.GroupKey]map[model.BackendServerID]bool)
+	s.steps = make(map[job.GroupKey]*straggler.Step)
 	s.resync()
 }
 
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -257,6 +257,7 @@
 	st.Groups(func(g *job.Group) {
 		delete(s.writer.groups, g.Key())
 		delete(s.avoid, g.Key())
+		delete(s.steps, g.Key())
 		s.writer.drops = append(s.writer.drops, job.DroppedProgress(g.Key()))
 	})
 	s.jobs.Drop(id)
--- /dev/null
+++ b/internal/straggler/straggler_test.go
@@ -0,0 +1,74 @@
+package straggler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var testNow = time.Unix(1000, 0)
+
+// gang returns a step of which the tasks have had these rates in the first second.
+func gang(percents ...int) *Step {
+	s := NewStep(len(percents))
+	for i, percent := range percents {
+		p := Begin(0, testNow)
+		p.Observe(percent, testNow.Add(time.Second))
+		s.Set(i, p)
+	}
+	return s
+}
+
+// Rates of a day with backend servers six times as slow: 36 %/s against 6 %/s.
+func TestSlowMemberOfAGang(t *testing.T) {
+	s := gang(36, 38, 6, 36)
+	for i := range 4 {
+		assert.Equal(t, s.Slow(i), i == 2, "task %d", i)
+	}
+	assert.Assert(t, s.WorthMoving(2, 6, 0, 300*time.Millisecond))
+}
+
+func TestUnevenTasksAreNoStragglers(t *testing.T) {
+	s := gang(16, 12, 20, 9)
+	for i := range 4 {
+		assert.Assert(t, !s.Slow(i), "task %d", i)
+	}
+}
+
+func TestOneTaskHasNothingToBeComparedWith(t *testing.T) {
+	assert.Assert(t, !gang(1).Slow(0))
+	assert.Assert(t, !gang(0, 0).Slow(0))
+}
+
+func TestMostOfAWideStepIsSlow(t *testing.T) {
+	s := gang(5, 5, 5, 30, 30, 30)
+	assert.Assert(t, s.Slow(0) && !s.Slow(3))
+}
+
+// A long task that is half done is not started anew for a slow phase of some seconds,
+// unless its work is saved.
+func TestMovingCountsWhatIsLost(t *testing.T) {
+	s := gang(12, 12, 2)
+	assert.Assert(t, !s.WorthMoving(2, 50, 0, 300*time.Millisecond))
+	assert.Assert(t, s.WorthMoving(2, 50, 49, 300*time.Millisecond))
+	assert.Assert(t, !gang(40, 40, 10).WorthMoving(2, 90, 0, 300*time.Millisecond), "it ends within a second")
+}
+
+// A run that resumes at 60% has not done these in its first second.
+func TestResumedRunIsMeasuredFromItsFirstReport(t *testing.T) {
+	var p Progress
+	assert.Assert(t, !p.Observe(60, testNow.Add(time.Second)))
+	assert.Assert(t, p.Observe(70, testNow.Add(2*time.Second)))
+	assert.Equal(t, p.rate, 10.0)
+}
+
+func TestObserveNeedsAWindow(t *testing.T) {
+	p := Begin(0, testNow)
+	assert.Assert(t, !p.Observe(10, testNow.Add(100*time.Millisecond)))
+	assert.Assert(t, p.Observe(20, testNow.Add(500*time.Millisecond)))
+	assert.Equal(t, p.rate, 40.0)
+	assert.Assert(t, p.Observe(20, testNow.Add(time.Second)), "no progress is a rate of zero")
+	assert.Equal(t, p.rate, 0.0)
+	assert.Assert(t, !p.Observe(100, testNow.Add(2*time.Second)), "a task that waits for its gang has no rate")
+}
