Ends of jobs that have not been read yet wait

Ruled out: records of the old holder lost at the change of the term (all are read before the claim).

Change: an end of a job that is not known waits, with those after it, until submissions are read up to the start of the term; placed tasks of a job that is read later are adopted then.

Test: TestEndsOfJobsNotReadYetWait (stays running for ever without the change).

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -119,6 +119,29 @@
 	w.oracle.allEnded()
 }
 
+// The new holder has not read a job that the old one has started (hunt-5102-19 of
+// swanbank-ribs, TWICE): the end of its task must not be acknowledged before it has.
+func TestEndsOfJobsNotReadYetWait(t *testing.T) {
+	w := calm(t, 2, 2)
+	old := w.holder()
+	for _, n := range w.nodes {
+		w.stale[n.name] = n != old
+	}
+	id := w.submit(tasks(1, small, 1)).ID
+	long := w.submit(tasks(1, small, 9)).ID
+	w.run(500 * time.Millisecond)
+	assert.Equal(t, w.oracle.starts, 2)
+	old.dead = true
+	w.run(4 * time.Second)
+	assert.Assert(t, w.holder() != nil)
+	clear(w.stale)
+	w.run(2 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+	w.run(5 * time.Second)
+	assert.Equal(t, w.status(long), job.StatusDone)
+	assert.Equal(t, w.oracle.starts, 2)
+}
+
 func TestAllVMsKilledLosesNothing(t *testing.T) {
 	w := calm(t, 3, 4)
 	running, waiting := w.submit(tasks(4, all, 6)).ID, w.submit(tasks(1, all, 1)).ID
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -117,6 +117,10 @@
 		age := min(max(s.wall.Sub(changed.Job.Accepted), 0), maxAge)
 		changed.Seen = s.now.Add(-age)
 	}
+	if s.acting() {
+		// An older holder may have placed tasks of a job that is read only now.
+		s.adoptJob(changed, s.now.Add(s.longestLease()))
+	}
 	s.replan = true
 }
 
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -70,14 +70,21 @@
 		v.leaseEnd = leaseEnd
 		v.nextHold = s.now
 	}
-	s.jobs.All(func(st *job.State) {
-		st.Groups(func(g *job.Group) {
-			for i := range g.Tasks {
-				if g.Tasks[i].Phase == job.Placed {
-					s.adopt(g, i, leaseEnd)
-				}
+	s.jobs.All(func(st *job.State) { s.adoptJob(st, leaseEnd) })
+}
+
+// adoptJob expects the runs of a job's placed tasks that are not expected yet.
+func (s *State) adoptJob(st *job.State, leaseEnd time.Time) {
+	st.Groups(func(g *job.Group) {
+		for i := range g.Tasks {
+			t := &g.Tasks[i]
+			if t.Phase != job.Placed {
+				continue
 			}
-		})
+			if v := s.servers[t.Server]; v == nil || v.runs[g.Key().TaskName(i)] == nil {
+				s.adopt(g, i, leaseEnd)
+			}
+		}
 	})
 }
 
@@ -383,10 +390,15 @@
 	return v, r
 }
 
-// endReported applies the end of a run, once.
-func (s *State) endReported(v *server, e EndReport) {
+// endReported applies the end of a run, once. It returns false for an end that has to
+// wait, with those after it, since its job may be stored and has not been read yet.
+func (s *State) endReported(v *server, e EndReport) bool {
 	if e.Number <= v.seen {
-		return
+		return true
+	}
+	g, index, err := s.groupOf(e.Task)
+	if err == nil && g == nil && !s.submissionKnown(e.Task) {
+		return false
 	}
 	v.seen = e.Number
 	s.writer.servers[v.entry.ID] = true
@@ -396,13 +408,13 @@
 		s.forget(v, r)
 		s.keepLoose(v, r)
 	}
-	g, index, err := s.groupOf(e.Task)
 	if err != nil {
 		s.log.Error("an end names an unknown task", zap.String("server", string(v.entry.ID)), zap.Error(err))
-		return
+		return true
 	}
 	if g == nil {
-		return
+		s.log.Warn("an end names a job that is not stored", zap.String("server", string(v.entry.ID)), zap.String("task", e.Task))
+		return true
 	}
 	s.log.Info("run ended", zap.String("task", e.Task), zap.Int64("run", e.Run), zap.String("server", string(v.entry.ID)),
 		zap.String("how", string(e.How)), zap.Int64("end", e.Number))
@@ -410,6 +422,14 @@
 		s.checkpointed(g, index, e.Run, e.Checkpoint)
 	}
 	s.ended(v, g, index, e)
+	return true
+}
+
+// submissionKnown reports whether the submission of a task's job would have been read if
+// it had been stored before this VM took the term.
+func (s *State) submissionKnown(task string) bool {
+	key, _, err := job.ParseTaskName(task)
+	return err != nil || !s.readAsOf[SubmissionPartition(key.Job)].Before(s.term.actedAt)
 }
 
 func (s *State) ended(v *server, g *job.Group, index int, e EndReport) {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -287,7 +287,10 @@
 // applyReport compares a report with what the holder expects.
 func (s *State) applyReport(v *server, e HoldAnswered) {
 	for _, end := range e.Report.Ended {
-		s.endReported(v, end)
+		if !s.endReported(v, end) {
+			s.log.Info("ends wait for submissions to be read", zap.String("server", string(v.entry.ID)), zap.Int64("end", end.Number))
+			return
+		}
 	}
 	running := make(map[string]bool, len(e.Report.Running))
 	for _, row := range e.Report.Running {
