Urgent work without a guarantee throws away at most twice its own work

Change: preemption for an urgent step beyond the guarantee stops nothing when the unsaved work is more than twice the step's own. Reclaim of a guarantee is not limited.

Test: TestUrgentWorkDoesNotThrowAwayMuchMore.

--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 )
@@ -61,13 +62,17 @@
 //
 // It answers the reclaim: an organisation's guaranteed accelerators are lent to
 // others and asked back at once. Victims are those that lose the least unsaved work;
-// none is stopped that does not free what is needed. The same fit chooses the rooms
+// none is stopped that does not free what is needed, nor for urgent work without a
+// guarantee that loses more than maxLoss allows. The same fit chooses the rooms
 // that will place the want once they are free, so that no second round of victims follows.
 func (d *round) preempt(w *Want, far bool) bool {
 	a := d.fit(w, reclaimable, far)
 	if len(a.rooms) < len(w.Tasks) && (w.Step.Gang || len(a.rooms) == 0) {
 		return false
 	}
+	if !w.Guaranteed && a.price > maxLoss*w.work() {
+		return false
+	}
 	count := make(map[*room]int)
 	for _, r := range a.rooms {
 		count[r]++
@@ -81,6 +86,18 @@
 	return len(a.rooms) == len(w.Tasks)
 }
 
+// maxLoss is how many times its own work a step without a guarantee may have others throw
+// away: small urgent steps in a burst would otherwise stop wide gangs again and again.
+const maxLoss = 2
+
+// leastRuntime stands for estimates that are missing or too small to compare with.
+const leastRuntime = time.Second
+
+// work is what the want's tasks do, in core-seconds by its submitter's estimate.
+func (w *Want) work() float64 {
+	return float64(len(w.Tasks)) * w.Step.Need.CoreWeight() * max(w.Step.EstimatedRuntime, leastRuntime).Seconds()
+}
+
 // stopPrice is what it costs to have room for n tasks of the want.
 func (d *round) stopPrice(w *Want, r *room, n int) float64 {
 	price := 0.0
--- a/internal/sched/round_test.go
+++ b/internal/sched/round_test.go
@@ -156,6 +156,25 @@
 	assert.Equal(t, len(p.Evictions)+len(p.Placements), 0)
 }
 
+// A burst of small urgent steps meets a wide gang that has worked for a while: stopping it
+// would throw away many times the work of the step, unless a guarantee asks for it.
+func TestUrgentWorkDoesNotThrowAwayMuchMore(t *testing.T) {
+	step := job.Step{Count: 1, Need: whole, EstimatedRuntime: 2 * time.Second}
+	own := whole.CoreWeight() * 2
+	for name, c := range map[string]struct {
+		change  func(*Want)
+		unsaved float64
+		evicted int
+	}{
+		"cheap":      {urgent, own, 1},
+		"dear":       {urgent, 3 * own, 0},
+		"guaranteed": {guaranteed, 3 * own, 1},
+	} {
+		p := Decide(newCluster(1).hold("gang", 0, whole, c.unsaved).want("quote", step, c.change).Snapshot)
+		assert.Equal(t, len(p.Evictions), c.evicted, name)
+	}
+}
+
 func TestUrgentWorkDisplacesOnlyWhatIsLessUrgent(t *testing.T) {
 	c := newCluster(1).hold("urgent", 0, whole, 1)
 	c.Held[0].Urgent = true
