A holder to which the store is silent hands the term over after 1.3 s

Change: the holder's timeout is its reads' wait and a slow store's answer. Whether it is isolated, so that leases are extended no more, is still judged after 2 s.

Test: TestSilentStoreMovesTheTermSoon (fails with 2 s).

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -200,6 +200,22 @@
 	assert.Equal(t, w.statusFrom(old, id), job.StatusDone)
 }
 
+// The store is silent to the holder and answers the others (inc-f143, inc-94ef): another VM
+// has the term within the goal for a take-over.
+func TestSilentStoreMovesTheTermSoon(t *testing.T) {
+	w := calm(t, 3, 4)
+	old := w.holder()
+	w.submit(tasks(1, small, 1))
+	w.run(100 * time.Millisecond) // the store has just answered
+	w.cut[link(old.name, "store")] = true
+	began := w.now
+	for (w.holder() == nil || w.holder() == old) && w.now.Sub(began) < 10*time.Second {
+		w.run(20 * time.Millisecond)
+	}
+	took := w.now.Sub(began)
+	assert.Assert(t, took <= 2*time.Second, "the term moved after %v", took)
+}
+
 // The store refuses the holder and serves the others (inc-f143): a job that is submitted
 // then begins within the bound of a guarantee.
 func TestHolderThatTheStoreRefusesIsReplacedSoon(t *testing.T) {
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -44,9 +44,12 @@
 	overloadAfter = 1 * time.Second
 	// startMargin is kept of CancelBound for recording a placement and delivering its start.
 	startMargin = 1 * time.Second
-	// holderStoreTimeout is how long a holder may miss the store before a VM that
-	// reaches it takes over.
-	holderStoreTimeout = 2 * time.Second
+	// storeTimeout is how long the store may not answer a VM before it counts as lost: a
+	// read that waits recordsWait.
+	storeTimeout = 2 * time.Second
+	// holderStoreTimeout is the same for the holder, whose reads wait holderWait and take
+	// 0.3 s of a slow store; then a VM that reaches the store takes over.
+	holderStoreTimeout = 1300 * time.Millisecond
 	// holderRefusedTimeout is the same while the store refuses rather than is silent: more
 	// than a rate limit's refusals last, which successful reads interrupt.
 	holderRefusedTimeout = 500 * time.Millisecond
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -326,11 +326,11 @@
 // isolated reports whether neither the store nor any peer has answered for a while.
 // Another VM may then have the term, so that leases are extended no more.
 func (s *State) isolated() bool {
-	if s.now.Sub(s.storeSeen) <= holderStoreTimeout || s.now.Sub(s.term.actedAt) <= holderStoreTimeout {
+	if s.now.Sub(s.storeSeen) <= storeTimeout || s.now.Sub(s.term.actedAt) <= storeTimeout {
 		return false
 	}
 	for _, at := range s.term.answered {
-		if s.now.Sub(at) <= holderStoreTimeout {
+		if s.now.Sub(at) <= storeTimeout {
 			return false
 		}
 	}
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -178,7 +178,10 @@
 	if !s.refusedSince.IsZero() && s.now.Sub(s.refusedSince) > holderRefusedTimeout {
 		return true
 	}
-	return s.now.Sub(s.storeSeen) > holderStoreTimeout
+	if s.acting() {
+		return s.now.Sub(s.storeSeen) > holderStoreTimeout
+	}
+	return s.now.Sub(s.storeSeen) > storeTimeout
 }
 
 // committed carries out what had to be recorded first: starts are ordered, ends are
