Tasks away from their data are no stragglers

Found while reading the diff: a task off its step's rack takes three times as long as those near, which is below the straggler's share, so its backend server was taken out of use and the task moved, perhaps far again.

Change: tasks away from their data are not compared. Test: TestTasksAwayFromTheirDataAreNoStragglers (more than 12 starts without the change).

--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -133,6 +133,9 @@
 	return s
 }
 
+// farFactor is how many times as long a task takes away from its data.
+const farFactor = 3
+
 var fakeCapacity = job.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: 8}
 
 func (s *fakeServer) clock(w *world) int64 { return startClock + w.now.Sub(s.born).Milliseconds() }
@@ -196,6 +199,9 @@
 	}
 	r.began = w.now
 	r.takes *= time.Duration(max(s.slow, 1))
+	if rack := r.step(w).DataRack; rack != "" && rack != s.rack {
+		r.takes *= farFactor
+	}
 	s.runs[o.Task] = r
 	w.oracle.started(s, r, by)
 	return clock, nil
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -292,6 +292,18 @@
 	assert.Equal(t, w.oracle.starts-before, 4, "the second gang was moved too")
 }
 
+// Tasks away from their data are slower than the others of their step, wherever they run:
+// they stay, and their backend servers are used.
+func TestTasksAwayFromTheirDataAreNoStragglers(t *testing.T) {
+	w := calm(t, 2, 2)
+	j := tasks(12, small, 4)
+	j.Steps[0].DataRack, j.Steps[0].MaxPerServer = "r0", 2
+	id := w.submit(j).ID
+	w.run(40 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+	assert.Equal(t, w.oracle.starts, 12, "tasks were moved")
+}
+
 func TestServerThatFailsAllLosesWork(t *testing.T) {
 	w := calm(t, 2, 3)
 	bad := w.servers[eventloop.SortedKeys(w.servers)[0]]
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -96,6 +96,9 @@
 	if !r.current() || r.stopping || r.step().LongRunning || r.step().Fills || len(r.group.Tasks) < 2 {
 		return
 	}
+	if rack := r.step().DataRack; rack != "" && rack != v.entry.Rack {
+		return // slower than those near the data on any backend server
+	}
 	key := r.group.Key()
 	step := s.steps[key]
 	if step == nil {
