--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -119,7 +119,7 @@
 func (f *follower) tail(ctx context.Context, next int64, newest map[string]int64) {
 	failed := 0
 	for ctx.Err() == nil {
-		asOf, wait := boottime.Now(), f.wait()
+		sent, wait := boottime.Now(), f.wait()
 		read, err := f.read(ctx, next, wait)
 		if err != nil {
 			failed++
@@ -134,10 +134,15 @@
 		f.answered(failed)
 		failed = 0
 		next = read.Next
-		if len(read.Records) == 0 && boottime.Now().Sub(asOf) >= wait {
-			asOf = asOf.Add(wait) // it was not answered before its wait was over
+		asOf, took := sent, boottime.Now().Sub(sent)
+		if len(read.Records) == 0 && took >= wait {
+			asOf = sent.Add(wait) // it was not answered before its wait was over
 		}
 		f.sink(followed{Records: fresh(read.Records, newest), Synced: next >= read.End, Next: next, AsOf: asOf})
+		if len(read.Records) == 0 && took < wait/2 {
+			eventloop.Sleep(ctx, followRetry) // a store whose reads are behind does not wait
+			continue
+		}
 		if d := f.pause(); d > 0 && (f.always || len(read.Records) > 0) {
 			eventloop.Sleep(ctx, d)
 		}
