--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -109,11 +109,7 @@
 	w.run(2 * time.Second)
 	leaving := w.holder()
 	w.deliver(leaving, DrainBegun{})
-	began := w.now
-	for (w.holder() == nil || w.holder() == leaving) && w.now.Sub(began) < 10*time.Second {
-		w.run(10 * time.Millisecond)
-	}
-	took := w.now.Sub(began)
+	took := w.untilReplaced(leaving)
 	assert.Assert(t, took < 500*time.Millisecond, "the term was handed over after %v", took)
 	w.run(8 * time.Second)
 	w.oracle.allEnded()
@@ -208,11 +204,7 @@
 	w.submit(tasks(1, small, 1))
 	w.run(100 * time.Millisecond) // the store has just answered
 	w.cut[link(old.name, "store")] = true
-	began := w.now
-	for (w.holder() == nil || w.holder() == old) && w.now.Sub(began) < 10*time.Second {
-		w.run(20 * time.Millisecond)
-	}
-	took := w.now.Sub(began)
+	took := w.untilReplaced(old)
 	assert.Assert(t, took <= 2*time.Second, "the term moved after %v", took)
 }
 
@@ -234,6 +226,16 @@
 	assert.Equal(t, w.statusFrom(old, id), job.StatusDone)
 }
 
+// untilReplaced lets time pass until another VM than old holds the term, at most 10 s, and
+// returns how long that took.
+func (w *world) untilReplaced(old *node) time.Duration {
+	began := w.now
+	for (w.holder() == nil || w.holder() == old) && w.now.Sub(began) < 10*time.Second {
+		w.run(10 * time.Millisecond)
+	}
+	return w.now.Sub(began)
+}
+
 // statusFrom returns what a VM other than one tells of a job.
 func (w *world) statusFrom(not *node, id model.JobID) job.Status {
 	for _, n := range w.nodes {
