Report the backlog and lost work by priority and cause

Once a second the holder now writes a line for each priority: what waits, for how long, what was placed, and the runs stopped with their unsaved work by cause. The metrics page has the same counts. No decision changes.

--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -85,7 +85,7 @@
 	v.health.quarantinedUntil = s.now.Add(quarantineDuration)
 	s.log.Warn("backend server quarantined", zap.String("server", string(v.entry.ID)), zap.String("task", r.name),
 		zap.Int("percent", r.percent), zap.Duration("without_progress", s.now.Sub(r.progressAt)))
-	s.requestStop(r, "no progress")
+	s.requestStop(r, stopStalled, "no progress")
 }
 
 // slowServerPause is how long no tasks are placed on a backend server after it was last found
@@ -121,7 +121,7 @@
 		saved = r.percent
 	}
 	if rates.WorthMoving(r.index, r.percent, saved, restartCost) {
-		s.requestStop(r, "much slower than the other tasks of its step")
+		s.requestStop(r, stopStraggler, "much slower than the other tasks of its step")
 	}
 }
 
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -15,6 +16,7 @@
 	RunsDone, RunsFailed                     tally.Counter
 	JobsDone, JobsFailed, JobsCancelled      tally.Counter
 	RoundLatency, CommitLatency, JobDuration tally.Histogram
+	scope                                    tally.Scope
 }
 
 // NewCounters registers the metrics.
@@ -35,6 +37,7 @@
 		RoundLatency:  scope.Histogram("round_seconds", short),
 		CommitLatency: scope.Histogram("commit_seconds", short),
 		JobDuration:   scope.Histogram("job_seconds", long),
+		scope:         scope,
 	}
 }
 
@@ -50,3 +53,18 @@
 	case job.StatusQueued, job.StatusRunning:
 	}
 }
+
+// runStopped counts a stopped run and the unsaved work that it loses, in core-seconds.
+func (c Counters) runStopped(priority int, cause stopCause, lostWork float64) {
+	scope := c.scope.Tagged(map[string]string{"priority": strconv.Itoa(priority), "cause": string(cause)})
+	scope.Counter("runs_stopped").Inc(1)
+	scope.Counter("lost_core_milliseconds").Inc(int64(lostWork * 1000))
+}
+
+// backlog sets the gauges of what waits.
+func (c Counters) backlog(priority int, b *priorityBacklog) {
+	scope := c.scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)})
+	scope.Gauge("waiting_gangs").Update(float64(b.gangs))
+	scope.Gauge("waiting_tasks").Update(float64(b.tasks))
+	scope.Gauge("oldest_wait_seconds").Update(b.oldestWait.Seconds())
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -35,10 +35,12 @@
 	began := time.Now()
 	snapshot := s.snapshot()
 	if len(snapshot.Pending) == 0 {
+		s.reportBacklog(snapshot, sched.Plan{})
 		return
 	}
 	p := sched.Decide(snapshot)
 	s.metrics.RoundLatency.RecordDuration(time.Since(began))
+	s.reportBacklog(snapshot, p)
 	s.applyPlacements(p.Placements)
 	for _, e := range p.Evictions {
 		s.evict(e)
@@ -289,6 +291,6 @@
 	g := s.jobs.Job(e.Key.Job).Group(e.Key.Occurrence, e.Key.Step)
 	if r := s.currentRun(g, e.Index); r != nil {
 		s.metrics.Preempted.Inc(1)
-		s.requestStop(r, "makes room for "+e.For.String())
+		s.requestStop(r, stopPreempted, "makes room for "+e.For.String())
 	}
 }
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -129,7 +129,7 @@
 func (s *State) superviseRun(v *server, r *run) {
 	st := r.group.State
 	if !r.stopping && (st.Cancelled || r.group.Failed() || st.Recorded == job.StatusFailed) {
-		s.requestStop(r, "job ended")
+		s.requestStop(r, stopNotNeeded, "job ended")
 	}
 	if r.stopping {
 		if v.entry.Address != "" && !r.stopConfirmed {
@@ -138,7 +138,7 @@
 		return
 	}
 	if v.entry.Draining && s.outlasts(v, r) {
-		s.requestStop(r, "backend server leaves before its end")
+		s.requestStop(r, stopDraining, "backend server leaves before its end")
 		return
 	}
 	if s.stalled(r) {
@@ -147,7 +147,7 @@
 	}
 	if r.phase == runOrdered && r.startInDoubt {
 		if s.now.Sub(r.orderedAt) > startRetryPeriod {
-			s.requestStop(r, "start without an answer")
+			s.requestStop(r, stopInDoubt, "start without an answer")
 			return
 		}
 		if s.cancellationsKnown(st.Job.ID) {
@@ -202,19 +202,20 @@
 }
 
 // requestStop has a run stopped, together with the other members of its gang.
-func (s *State) requestStop(r *run, reason string) {
+func (s *State) requestStop(r *run, cause stopCause, reason string) {
 	if r.stopping {
 		return
 	}
 	r.stopping, r.stoppingSince = true, s.now
 	r.nextCallAt = time.Time{}
+	s.countStop(r, cause)
 	if v := s.servers[r.server]; v != nil {
 		s.touch(v)
 	}
 	s.log.Info("run is stopped", zap.String("task", r.name), zap.Int64("run", r.number),
 		zap.String("server", string(r.server)), zap.String("reason", reason))
 	if r.step().Gang && r.current() {
-		s.stopGang(r.group, r.number, reason)
+		s.stopGang(r.group, r.number, cause, reason)
 	}
 }
 
@@ -222,10 +223,10 @@
 const gangReasonPrefix = "gang member: "
 
 // stopGang stops all members of a gang that have the given run number.
-func (s *State) stopGang(g *job.Group, number int64, reason string) {
+func (s *State) stopGang(g *job.Group, number int64, cause stopCause, reason string) {
 	for i := range g.Tasks {
 		if m := s.currentRun(g, i); m != nil && m.number == number {
-			s.requestStop(m, gangReasonPrefix+strings.TrimPrefix(reason, gangReasonPrefix))
+			s.requestStop(m, cause, gangReasonPrefix+strings.TrimPrefix(reason, gangReasonPrefix))
 		}
 	}
 }
@@ -260,7 +261,7 @@
 	s.log.Info("task waits again", zap.String("task", r.name), zap.Int64("run", r.number),
 		zap.String("server", string(r.server)), zap.String("reason", reason))
 	if r.step().Gang {
-		s.stopGang(r.group, r.number, reason)
+		s.stopGang(r.group, r.number, stopGangBroken, reason)
 	}
 }
 
@@ -343,7 +344,7 @@
 		v.nextHoldAt = s.now
 	}
 	if r.startInDoubt {
-		s.requestStop(r, "refused after a start in doubt")
+		s.requestStop(r, stopInDoubt, "refused after a start in doubt")
 		return
 	}
 	s.requeue(v, r, "start refused: "+string(refused.Reason))
@@ -454,7 +455,7 @@
 	if isCurrent {
 		t.Phase = job.Waiting
 		if g.Step().Gang {
-			s.stopGang(g, e.Run, string(e.Outcome))
+			s.stopGang(g, e.Run, stopGangBroken, string(e.Outcome))
 		}
 	}
 }
@@ -477,7 +478,7 @@
 		r := s.currentRun(g, i)
 		g.Tasks[i].Phase = job.Done
 		if r != nil && !g.Step().Gang {
-			s.requestStop(r, "task is done")
+			s.requestStop(r, stopNotNeeded, "task is done")
 		}
 	}
 	if g.Done() {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -100,7 +100,7 @@
 			r.phase, r.orphan, r.stopping, r.startInDoubt, r.stopConfirmed = runOrdered, true, false, true, false
 			v.runs[name] = r
 			s.orphans[name]++
-			s.requestStop(r, "its start may still arrive after the restart")
+			s.requestStop(r, stopInDoubt, "its start may still arrive after the restart")
 		}
 		delete(v.abandoned, name)
 	}
@@ -351,7 +351,7 @@
 	r := &run{group: g, index: index, name: row.Task, number: row.Run, server: v.entry.ID, phase: runRunning, orphan: true, startedAt: s.now, progressAt: s.now}
 	v.runs[row.Task] = r
 	s.orphans[row.Task]++
-	s.requestStop(r, "not expected there")
+	s.requestStop(r, stopUnexpected, "not expected there")
 }
 
 // groupOf returns the group of a task by the task's name; nil if the job is not known.
@@ -376,7 +376,7 @@
 		return
 	}
 	if r.startInDoubt && !r.stopConfirmed {
-		s.requestStop(r, "start in doubt")
+		s.requestStop(r, stopInDoubt, "start in doubt")
 		return
 	}
 	s.requeue(v, r, "no longer there")
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -96,8 +96,11 @@
 	stepRates map[job.GroupKey]*straggler.StepRates
 	writer    writer
 	advice    map[string]*advice
-	replan    bool
-	lastPlan  time.Time
+	// backlog collects the next backlog report, by priority.
+	backlog           map[int]*priorityBacklog
+	backlogReportedAt time.Time
+	replan            bool
+	lastPlan          time.Time
 	// touched are the backend servers that the events of this step concern.
 	touched       map[model.BackendServerID]*server
 	lastFullCheck time.Time
@@ -117,6 +120,7 @@
 		replicated: newReplicated(),
 		servers:    make(map[model.BackendServerID]*server),
 		advice:     make(map[string]*advice),
+		backlog:    make(map[int]*priorityBacklog),
 		nextOf:     make(map[Partition]int64),
 		readAsOf:   make(map[Partition]time.Time),
 		touched:    make(map[model.BackendServerID]*server),
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -212,7 +212,7 @@
 	}
 	st.SetRecorded(status, s.now)
 	s.log.Info("job state", zap.String("job", string(st.Job.ID)), zap.String("state", string(st.Recorded)),
-		zap.Duration("age", s.now.Sub(st.FirstSeen)))
+		zap.Int("priority", st.Job.Priority), zap.Int64("runs", st.NewestRun()), zap.Duration("age", s.now.Sub(st.FirstSeen)))
 	if status.Final() {
 		s.metrics.jobFinished(status, s.now.Sub(st.FirstSeen))
 	}
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -83,6 +83,18 @@
 	return false
 }
 
+// NewestRun returns the highest run number of all tasks: how often the most restarted task
+// was placed.
+func (s *State) NewestRun() int64 {
+	var newest int64
+	for _, g := range s.groups {
+		for i := range g.Tasks {
+			newest = max(newest, g.Tasks[i].Run)
+		}
+	}
+	return newest
+}
+
 // Status derives the state from the progress so far.
 func (s *State) Status() Status {
 	if s.Recorded.Final() {
