Hold room for waiting gangs

Cause: a round gave room that a waiting gang could not use yet to whatever came later in the order and fitted. Smaller tasks of a lower priority took each part of the room as it became free, so a whole rack never did. It is the class of backfilling without a reservation.

Change: a gang that finds no room holds the servers where it can start first, by when the tasks there are expected to end, against later steps of the round; up to 40% of a service's capacity. Expired gangs hold nothing. Runs are counted by their estimated runtime before their start is confirmed.

--- a/internal/fleet/backlog_test.go
+++ b/internal/fleet/backlog_test.go
@@ -9,6 +9,8 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
 )
 
 // The backlog report tells by priority what waits and what was stopped, also when single
@@ -39,3 +41,21 @@
 	assert.Assert(t, counters["lost_core_milliseconds+cause=preempted,priority=1"].Value() > 0)
 	assert.Equal(t, scope.Snapshot().Gauges()["waiting_tasks+priority=1"].Value(), 1.0)
 }
+
+// A gang of priority 1 meets its objective although smaller jobs of priority 2 arrive
+// faster than they end, and any of them fits as soon as another one ends (incident SHORT).
+func TestGangMeetsItsObjectiveBesideSmallerJobs(t *testing.T) {
+	const seconds = 4
+	w := newWorldWithHolder(t, 1, 12)
+	w.every(300*time.Millisecond, func() {
+		small := newJob(12, oneAccelerator, seconds) // 40 tasks a second; 24 end
+		small.Priority = 2
+		w.submit(small)
+	})
+	w.run(5 * time.Second)
+	gang := newJob(5, wholeServer, seconds)
+	gang.Steps[0].Gang, gang.Steps[0].SameRack = true, true
+	id := w.submit(gang).ID
+	w.run(3 * seconds * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -92,19 +92,31 @@
 func (s *State) serverView(v *server) sched.Server {
 	free := v.entry.Capacity
 	var releasing job.Resources
+	ends := make([]sched.ExpectedEnd, 0, len(v.runs))
 	for _, r := range v.runs {
 		need := r.step().Reserved()
 		free = free.Sub(need)
-		if s.releasesSoon(r) {
+		switch {
+		case s.releasesSoon(r):
 			releasing = releasing.Add(need)
+		case !r.step().LongRunning:
+			ends = append(ends, sched.ExpectedEnd{Need: need, After: s.timeToEnd(r)})
 		}
 	}
 	return sched.Server{
 		ID: v.entry.ID, Service: v.entry.Service, Rack: v.entry.Rack, Labels: v.entry.Labels,
-		Capacity: v.entry.Capacity, Free: free, Releasing: releasing, Suspect: v.health.suspect(),
+		Capacity: v.entry.Capacity, Free: free, Releasing: releasing, Ends: ends, Suspect: v.health.suspect(),
 	}
 }
 
+// timeToEnd estimates when a run ends by itself, also before its start is confirmed.
+func (s *State) timeToEnd(r *run) time.Duration {
+	if r.phase == runRecording || r.phase == runOrdered {
+		return r.step().EstimatedRuntime
+	}
+	return s.remaining(r)
+}
+
 // releasesSoon reports whether a run is being stopped and should end soon. The capacity of
 // one that is overdue is not counted on.
 func (s *State) releasesSoon(r *run) bool {
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -13,8 +13,12 @@
 	*Server
 	index int
 	free  job.Resources
+	// held is for gangs that wait; it is part of what is free or will become free.
+	held job.Resources
 	// releasing is what is being released and not yet reserved for a pending step.
 	releasing job.Resources
+	// ends lists the running tasks that end by themselves, the first one first.
+	ends []ExpectedEnd
 	// preemptible holds the tasks that may be stopped, the cheapest first.
 	preemptible []*PreemptibleTask
 	// reclaimableByGuaranteed and reclaimableByUrgent are what these tasks would release
@@ -26,7 +30,7 @@
 type supply int
 
 const (
-	freeNow     supply = iota // what no task uses
+	freeNow     supply = iota // what no task uses and no gang waits for
 	freeSoon                  // also what is being released
 	reclaimable               // also what preemptible tasks would release if stopped
 )
@@ -35,7 +39,7 @@
 func (srv *serverState) available(p *PendingStep, s supply) job.Resources {
 	switch {
 	case s == freeNow:
-		return srv.free
+		return srv.free.Sub(srv.held)
 	case s == freeSoon:
 		return srv.free.Add(srv.releasing)
 	case p.Guaranteed:
--- /dev/null
+++ b/internal/sched/hold.go
@@ -0,0 +1,96 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// maxHeldShare bounds the part of a service's capacity that is held for waiting gangs, so
+// that smaller tasks can still start. A single gang may exceed it.
+const maxHeldShare = 0.4
+
+// holdRoom holds room for a gang that found none: the servers on which all of its tasks can
+// start first, by when the tasks there are expected to end. Later steps of the round cannot
+// use that room unless they preempt.
+//
+// It answers a load of smaller, less urgent tasks that arrive faster than they end.
+// Without it they take each part of the room as it becomes free, and the gang starves.
+func (d *round) holdRoom(p *PendingStep) {
+	if !p.Step.Gang || p.expired(d.now) {
+		return
+	}
+	need := p.Step.Reserved()
+	size := need.CoreWeight() * float64(len(p.Tasks))
+	if held := d.held[p.Service]; held > 0 && held+size > maxHeldShare*d.capacity[p.Service] {
+		return
+	}
+	slots := d.earliestSlots(p)
+	if slots == nil {
+		return
+	}
+	d.held[p.Service] += size
+	for _, slot := range slots {
+		slot.server.held = slot.server.held.Add(need)
+	}
+}
+
+// slot is room for one task of a step on a server, expected to be free after a time.
+type slot struct {
+	server *serverState
+	after  time.Duration
+}
+
+// earliestSlots returns one slot for each task of a gang, where the last of them becomes
+// free first; nil if there are too few. They are near the step's data and on one rack if
+// the step asks for that and could ever fit there.
+func (d *round) earliestSlots(p *PendingStep) []slot {
+	eligible := filter(d.servers, func(srv *serverState) bool { return srv.eligible(p) })
+	near := filter(eligible, func(srv *serverState) bool { return srv.nearData(p) })
+	if !d.fitsNearWhenEmpty(p, near) {
+		return firstSlots(p, eligible)
+	}
+	if !p.Step.SameRack {
+		return firstSlots(p, near)
+	}
+	var best []slot
+	for _, rack := range byRack(near) {
+		slots := firstSlots(p, rack)
+		if slots != nil && (best == nil || slots[len(slots)-1].after < best[len(best)-1].after) {
+			best = slots
+		}
+	}
+	return best
+}
+
+// firstSlots returns the slots on the servers that become free first, one for each task of
+// the step; nil if there are too few.
+func firstSlots(p *PendingStep, servers []*serverState) []slot {
+	var slots []slot
+	for _, srv := range servers {
+		slots = append(slots, srv.slots(p)...)
+	}
+	if len(slots) < len(p.Tasks) {
+		return nil
+	}
+	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.after, b.after) })
+	return slots[:len(p.Tasks)]
+}
+
+// slots returns the room for the step's tasks on the server, in the order in which it
+// becomes free as tasks end.
+func (srv *serverState) slots(p *PendingStep) []slot {
+	var slots []slot
+	available := srv.free.Add(srv.releasing).Sub(srv.held)
+	addUntilFull := func(after time.Duration) {
+		for n := tasksThatFit(p.Step, available); len(slots) < n; {
+			slots = append(slots, slot{srv, after})
+		}
+	}
+	addUntilFull(0)
+	for _, end := range srv.ends {
+		available = available.Add(end.Need)
+		addUntilFull(end.After)
+	}
+	return slots
+}
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
@@ -14,6 +16,8 @@
 	byID        map[model.BackendServerID]*serverState
 	gangCost    map[job.GroupKey]float64 // unsaved work of all preemptible tasks of a gang
 	unplaceable map[fitKey]bool          // keys of steps for which no room was found
+	capacity    map[string]float64       // of each service, in cores
+	held        map[string]float64       // what is held of it for waiting gangs, in cores
 	plan        Plan
 }
 
@@ -33,10 +37,14 @@
 		byID:        make(map[model.BackendServerID]*serverState, len(s.Servers)),
 		gangCost:    make(map[job.GroupKey]float64),
 		unplaceable: make(map[fitKey]bool),
+		capacity:    make(map[string]float64),
+		held:        make(map[string]float64),
 	}
 	for i := range s.Servers {
 		v := &s.Servers[i]
-		srv := &serverState{Server: v, index: i, free: v.Free, releasing: v.Releasing}
+		srv := &serverState{Server: v, index: i, free: v.Free, releasing: v.Releasing, ends: v.Ends}
+		slices.SortFunc(srv.ends, func(a, b ExpectedEnd) int { return cmp.Compare(a.After, b.After) })
+		d.capacity[v.Service] += v.Capacity.CoreWeight()
 		d.servers = append(d.servers, srv)
 		d.byID[v.ID] = srv
 	}
@@ -45,17 +53,26 @@
 }
 
 // schedule places a pending step. If it does not fit and may preempt, schedule reserves for
-// it room that is being released, or stops other tasks.
+// it room that is being released, or stops other tasks. For a gang that still does not fit,
+// it holds the room where the gang can start first.
 func (d *round) schedule(p *PendingStep) {
 	a := d.fit(p, freeNow, !d.mayPreempt(p) && d.mayGoFar(p))
 	d.place(p, a)
-	if !d.mayPreempt(p) || len(a.servers) == len(p.Tasks) {
+	if len(a.servers) == len(p.Tasks) {
+		return
+	}
+	if !d.mayPreempt(p) {
+		d.holdRoom(p)
 		return
 	}
 	rest := *p
 	rest.Tasks = p.Tasks[len(a.servers):]
 	rest.TasksPerServer = d.countTasksPerServer(p, a)
-	if d.reserveOrPreempt(&rest, false) || !d.mayGoFar(p) {
+	if d.reserveOrPreempt(&rest, false) {
+		return
+	}
+	if !d.mayGoFar(p) {
+		d.holdRoom(&rest)
 		return
 	}
 	a = d.fit(&rest, freeNow, true)
@@ -64,7 +81,9 @@
 		last := rest
 		last.Tasks = rest.Tasks[n:]
 		last.TasksPerServer = d.countTasksPerServer(&rest, a)
-		d.reserveOrPreempt(&last, true)
+		if !d.reserveOrPreempt(&last, true) {
+			d.holdRoom(&last)
+		}
 	}
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -23,11 +23,19 @@
 	Free job.Resources
 	// Releasing is what tasks that have been told to stop still use.
 	Releasing job.Resources
+	// Ends lists the running tasks that end by themselves.
+	Ends []ExpectedEnd
 	// Suspect is set while a task has failed on the backend server and none has succeeded
 	// since. It is then used only when no other one fits.
 	Suspect bool
 }
 
+// ExpectedEnd is a task that is expected to end and release its resources after a time.
+type ExpectedEnd struct {
+	Need  job.Resources
+	After time.Duration
+}
+
 // PendingStep is a step whose dependencies are done and that has waiting tasks.
 type PendingStep struct {
 	Key     job.GroupKey
