Long-running tasks may use earmarked room

TestLongRunningTasksUseEarmarkedRoom fails without the change.

The room that waiting gangs keep is now called earmarked, since 'hold' already names the call that extends leases (docs/GLOSSARY.md).

--- a/internal/sched/hold.go
+++ b/internal/sched/earmark.go
@@ -6,32 +6,32 @@
 	"time"
 )
 
-// maxHeldShare bounds the part of a service's capacity that is held for waiting gangs, so
+// maxEarmarkedShare bounds the part of a service's capacity that is earmarked for waiting gangs, so
 // that smaller tasks can still start. A single gang may exceed it.
-const maxHeldShare = 0.4
+const maxEarmarkedShare = 0.4
 
-// holdRoom holds room for a gang that found none: the servers on which all of its tasks can
+// earmarkRoom earmarks room for a gang that found none: the servers on which all of its tasks can
 // start first, by when the tasks there are expected to end. Later steps of the round cannot
 // use that room unless they preempt.
 //
 // It answers a load of smaller, less urgent tasks that arrive faster than they end.
 // Without it they take each part of the room as it becomes free, and the gang starves.
-func (d *round) holdRoom(p *PendingStep) {
+func (d *round) earmarkRoom(p *PendingStep) {
 	if !p.Step.Gang || p.expired(d.now) {
 		return
 	}
 	need := p.Step.Reserved()
 	size := need.CoreWeight() * float64(len(p.Tasks))
-	if held := d.held[p.Service]; held > 0 && held+size > maxHeldShare*d.capacity[p.Service] {
+	if earmarked := d.earmarked[p.Service]; earmarked > 0 && earmarked+size > maxEarmarkedShare*d.capacity[p.Service] {
 		return
 	}
 	slots := d.earliestSlots(p)
 	if slots == nil {
 		return
 	}
-	d.held[p.Service] += size
+	d.earmarked[p.Service] += size
 	for _, slot := range slots {
-		slot.server.held = slot.server.held.Add(need)
+		slot.server.earmarked = slot.server.earmarked.Add(need)
 	}
 }
 
@@ -81,7 +81,7 @@
 // becomes free as tasks end.
 func (srv *serverState) slots(p *PendingStep) []slot {
 	var slots []slot
-	available := srv.free.Add(srv.releasing).Sub(srv.held)
+	available := srv.free.Add(srv.releasing).Sub(srv.earmarked)
 	addUntilFull := func(after time.Duration) {
 		for n := tasksThatFit(p.Step, available); len(slots) < n; {
 			slots = append(slots, slot{srv, after})
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -13,8 +13,8 @@
 	*Server
 	index int
 	free  job.Resources
-	// held is for gangs that wait; it is part of what is free or will become free.
-	held job.Resources
+	// earmarked is for gangs that wait; it is part of what is free or will become free.
+	earmarked job.Resources
 	// releasing is what is being released and not yet reserved for a pending step.
 	releasing job.Resources
 	// ends lists the running tasks that end by themselves, the first one first.
@@ -38,8 +38,10 @@
 // available returns the resources that the step may use on the server.
 func (srv *serverState) available(p *PendingStep, s supply) job.Resources {
 	switch {
+	case s == freeNow && p.Step.LongRunning:
+		return srv.free // these tasks have to be at work at all times
 	case s == freeNow:
-		return srv.free.Sub(srv.held)
+		return srv.free.Sub(srv.earmarked)
 	case s == freeSoon:
 		return srv.free.Add(srv.releasing)
 	case p.Guaranteed:
@@ -191,6 +193,7 @@
 	dataRack, rack         model.RackID
 	members                int // of a gang
 	gang, sameRack, far    bool
+	longRunning            bool
 	guaranteed, mayPreempt bool
 	supply                 supply
 	evictions              int
@@ -201,7 +204,7 @@
 func (d *round) fitKeyOf(p *PendingStep, s supply, far bool) (fitKey, bool) {
 	k := fitKey{
 		need: p.Step.Reserved(), service: p.Service, label: p.Step.Label, dataRack: p.Step.DataRack, rack: p.Rack,
-		gang: p.Step.Gang, sameRack: p.Step.SameRack, far: far, guaranteed: p.Guaranteed, mayPreempt: d.mayPreempt(p), supply: s,
+		gang: p.Step.Gang, sameRack: p.Step.SameRack, far: far, longRunning: p.Step.LongRunning, guaranteed: p.Guaranteed, mayPreempt: d.mayPreempt(p), supply: s,
 	}
 	if p.Step.Gang {
 		k.members = len(p.Tasks)
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// Room is held on the rack whose tasks end first. The other one stays open to smaller tasks.
-func TestRoomIsHeldWhereTheGangStartsFirst(t *testing.T) {
+// Room is earmarked on the rack whose tasks end first. The other one stays open to smaller tasks.
+func TestRoomIsEarmarkedWhereTheGangStartsFirst(t *testing.T) {
 	small := job.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 1}
 	c := newCluster(8)
 	for i := range c.Servers {
@@ -137,8 +137,8 @@
 }
 
 // However many gangs wait, smaller tasks can start on the part of the capacity that may not
-// be held.
-func TestHeldRoomIsBounded(t *testing.T) {
+// be earmarked.
+func TestEarmarkedRoomIsBounded(t *testing.T) {
 	small := job.Resources{MilliCPU: 4000, MemoryMB: 8000, Accelerators: 1}
 	c := newCluster(20)
 	for i := range c.Servers {
@@ -153,11 +153,11 @@
 	for _, placed := range placedOn(Decide(c.Snapshot), "scan") {
 		n += placed
 	}
-	assert.Equal(t, n, 12*7, "tasks on the 60% of 20 backend servers that may not be held")
+	assert.Equal(t, n, 12*7, "tasks on the 60% of 20 backend servers that may not be earmarked")
 }
 
 // A gang that can no longer end in useful time must not keep others from doing so.
-func TestExpiredGangHoldsNoRoom(t *testing.T) {
+func TestExpiredGangEarmarksNoRoom(t *testing.T) {
 	c := newCluster(4).addPreemptible("other", 0, whole, 1)
 	c.addPending("plan", job.Step{Count: 4, Need: whole, Gang: true}, func(p *PendingStep) {
 		p.Due, p.Objective = testNow.Add(-40*time.Second), testNow.Add(-30*time.Second)
@@ -168,3 +168,15 @@
 	})
 	assert.Equal(t, len(placedOn(Decide(c.Snapshot), "scan")), 3)
 }
+
+// Long-running tasks have to be at work at all times, so they do not wait behind a gang.
+func TestLongRunningTasksUseEarmarkedRoom(t *testing.T) {
+	c := newCluster(4).addPreemptible("other", 0, whole, 1)
+	c.Servers[0].Ends = []ExpectedEnd{{Need: whole, After: time.Second}}
+	c.addPending("plan", job.Step{Count: 4, Need: whole, Gang: true}, func(p *PendingStep) { p.Priority = 1 })
+	c.addPending("scan", job.Step{Count: 1, Need: whole}, func(p *PendingStep) { p.Priority = 2 })
+	c.addPending("serve", job.Step{Count: 1, Need: whole, LongRunning: true}, func(p *PendingStep) { p.Priority = 2 })
+	plan := Decide(c.Snapshot)
+	assert.Equal(t, len(placedOn(plan, "scan")), 0)
+	assert.Equal(t, len(placedOn(plan, "serve")), 1)
+}
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -17,7 +17,7 @@
 	gangCost    map[job.GroupKey]float64 // unsaved work of all preemptible tasks of a gang
 	unplaceable map[fitKey]bool          // keys of steps for which no room was found
 	capacity    map[string]float64       // of each service, in cores
-	held        map[string]float64       // what is held of it for waiting gangs, in cores
+	earmarked   map[string]float64       // what is earmarked of it for waiting gangs, in cores
 	plan        Plan
 }
 
@@ -38,7 +38,7 @@
 		gangCost:    make(map[job.GroupKey]float64),
 		unplaceable: make(map[fitKey]bool),
 		capacity:    make(map[string]float64),
-		held:        make(map[string]float64),
+		earmarked:   make(map[string]float64),
 	}
 	for i := range s.Servers {
 		v := &s.Servers[i]
@@ -54,7 +54,7 @@
 
 // schedule places a pending step. If it does not fit and may preempt, schedule reserves for
 // it room that is being released, or stops other tasks. For a gang that still does not fit,
-// it holds the room where the gang can start first.
+// it earmarks the room where the gang can start first.
 func (d *round) schedule(p *PendingStep) {
 	a := d.fit(p, freeNow, !d.mayPreempt(p) && d.mayGoFar(p))
 	d.place(p, a)
@@ -62,7 +62,7 @@
 		return
 	}
 	if !d.mayPreempt(p) {
-		d.holdRoom(p)
+		d.earmarkRoom(p)
 		return
 	}
 	rest := *p
@@ -72,7 +72,7 @@
 		return
 	}
 	if !d.mayGoFar(p) {
-		d.holdRoom(&rest)
+		d.earmarkRoom(&rest)
 		return
 	}
 	a = d.fit(&rest, freeNow, true)
@@ -82,7 +82,7 @@
 		last.Tasks = rest.Tasks[n:]
 		last.TasksPerServer = d.countTasksPerServer(&rest, a)
 		if !d.reserveOrPreempt(&last, true) {
-			d.holdRoom(&last)
+			d.earmarkRoom(&last)
 		}
 	}
 }
