--- a/internal/fleet/backlog.go
+++ b/internal/fleet/backlog.go
@@ -55,7 +55,7 @@
 
 // reportBacklog logs, for each priority, what still waits after a round, at most once per
 // backlogInterval. It tells apart work that waits from work that is stopped and started
-// again.
+// again, also when the lines on single runs are sampled away.
 func (s *State) reportBacklog(snap sched.Snapshot, plan sched.Plan) {
 	placed := make(map[job.GroupKey]int)
 	for _, p := range plan.Placements {
--- a/internal/sched/earmark.go
+++ b/internal/sched/earmark.go
@@ -6,13 +6,13 @@
 	"time"
 )
 
-// maxEarmarkedShare bounds the part of a service's capacity that is earmarked for waiting gangs, so
-// that smaller tasks can still start. A single gang may exceed it.
+// maxEarmarkedShare bounds the part of a service's capacity that is earmarked for waiting
+// gangs, so that smaller tasks can still start. A single gang may exceed it.
 const maxEarmarkedShare = 0.4
 
-// earmarkRoom earmarks room for a gang that found none: the servers on which all of its tasks can
-// start first, by when the tasks there are expected to end. Later steps of the round cannot
-// use that room unless they preempt.
+// earmarkRoom earmarks room for a gang that found none: the servers on which all of its
+// tasks can start first, by when the tasks there are expected to end. Later steps of the
+// round cannot use that room unless they preempt or are long-running.
 //
 // It answers a load of smaller, less urgent tasks that arrive faster than they end.
 // Without it they take each part of the room as it becomes free, and the gang starves.
