Report how old the knowledge behind a start order is

The age of the list is now in 'task placed' and 'term taken', and an order that is sent on a list or a decision older than a second gets a line. Two histograms hold the same. No decision changes.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -29,8 +29,12 @@
 // ConfigChanged carries a new version of the configuration.
 type ConfigChanged struct{ Config *Config }
 
-// ServersListed carries the current entries of all backend servers.
-type ServersListed struct{ Servers []ServerEntry }
+// ServersListed carries the entries of all backend servers. All that was stored about them
+// before AsOf has been read.
+type ServersListed struct {
+	Servers []ServerEntry
+	AsOf    time.Time
+}
 
 // AppendAnswered carries the outcome of the Append action with this number.
 type AppendAnswered struct {
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -262,6 +262,7 @@
 
 func (l *Loop) followServers(ctx context.Context) {
 	entries := make(map[model.BackendServerID]ServerEntry)
+	var asOf time.Time
 	f := &follower{store: l.options.Store, partition: l.options.Sources.Servers, wait: noPause, alwaysPause: true, log: l.options.Log}
 	f.pause = func() time.Duration { return l.serversPause(ctx) }
 	f.sink = func(b readBatch) {
@@ -271,13 +272,14 @@
 		for _, r := range b.Records {
 			l.serverRead(entries, r)
 		}
-		if len(b.Records) > 0 || b.Initial {
-			list := make([]ServerEntry, 0, len(entries))
-			for _, e := range entries {
-				list = append(list, e)
-			}
-			l.post(ctx, ServersListed{Servers: list})
+		if b.Synced {
+			asOf = b.AsOf
+		}
+		list := make([]ServerEntry, 0, len(entries))
+		for _, e := range entries {
+			list = append(list, e)
 		}
+		l.post(ctx, ServersListed{Servers: list, AsOf: asOf})
 	}
 	f.run(ctx)
 }
@@ -385,12 +387,29 @@
 }
 
 func (l *Loop) start(ctx context.Context, o Start) Event {
+	l.observeStart(o)
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	clock, err := l.options.Servers.Start(call, o)
 	return StartAnswered{Order: o, Clock: clock, Err: err}
 }
 
+// oldStart is the age of the decision, or of the entries of backend servers, from which on a start
+// order is logged: a read of the entries and the storing of the placement usually take less.
+const oldStart = time.Second
+
+// observeStart reports how old the decision and the knowledge behind a start order are.
+func (l *Loop) observeStart(o Start) {
+	now := boottime.Now()
+	delay, listAge := now.Sub(o.DecidedAt), now.Sub(o.ListedAsOf)
+	l.options.Counters.StartDelay.RecordDuration(delay)
+	l.options.Counters.ListAge.RecordDuration(listAge)
+	if max(delay, listAge) > oldStart {
+		l.options.Log.Warn("start order sent on old knowledge", zap.String("task", o.Task), zap.Int64("run", o.Run),
+			zap.String("server", string(o.Server)), zap.Duration("since_placement", delay), zap.Duration("list_age", listAge))
+	}
+}
+
 func (l *Loop) stop(ctx context.Context, o Stop) Event {
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -16,7 +16,10 @@
 	RunsDone, RunsFailed                     tally.Counter
 	JobsDone, JobsFailed, JobsCancelled      tally.Counter
 	RoundLatency, CommitLatency, JobDuration tally.Histogram
-	scope                                    tally.Scope
+	// StartDelay is the time from a placement to the sending of its start order, ListAge the age of
+	// the entries of backend servers at that time.
+	StartDelay, ListAge tally.Histogram
+	scope               tally.Scope
 }
 
 // NewCounters registers the metrics.
@@ -37,6 +40,8 @@
 		RoundLatency:  scope.Histogram("round_seconds", short),
 		CommitLatency: scope.Histogram("commit_seconds", short),
 		JobDuration:   scope.Histogram("job_seconds", long),
+		StartDelay:    scope.Histogram("start_delay_seconds", short),
+		ListAge:       scope.Histogram("list_age_seconds", short),
 		scope:         scope,
 	}
 }
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -285,7 +285,7 @@
 	t.Phase, t.Run, t.Server = job.Placed, number, p.Server
 	r := &run{
 		group: g, index: p.Index, name: g.Key().TaskName(p.Index), number: number, server: p.Server,
-		phase: runRecording,
+		phase: runRecording, placedAt: s.now,
 	}
 	s.servers[p.Server].runs[r.name] = r
 	if rates := s.stepRates[p.Key]; rates != nil {
@@ -296,7 +296,8 @@
 	s.replan = false
 	s.metrics.Placed.Inc(1)
 	s.log.Info("task placed", zap.String("task", r.name), zap.Int64("run", number), zap.String("server", string(p.Server)),
-		zap.Bool("far", p.Far), zap.Duration("age", s.now.Sub(s.dueAt(g))), zap.Int64("config", s.config.Version))
+		zap.Bool("far", p.Far), zap.Duration("age", s.now.Sub(s.dueAt(g))), zap.Int64("config", s.config.Version),
+		zap.Duration("list_age", s.now.Sub(s.serversAsOf)))
 }
 
 func (s *State) evict(e sched.Eviction) {
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -93,6 +93,9 @@
 	Token      int64
 	Checkpoint string
 	Ticket     string
+	// DecidedAt is when the run was placed, and ListedAsOf the time up to which the entries of
+	// backend servers were known when the order was given.
+	DecidedAt, ListedAsOf time.Time
 }
 
 // Stop is an order to end a run of a task, or to refuse its start if that arrives later.
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -33,10 +33,10 @@
 	server model.BackendServerID
 	phase  runPhase
 
-	orderedAt, startedAt time.Time
-	inFlight             bool      // a start or stop order is unanswered
-	answeredAt           time.Time // when a start or stop order was last answered
-	nextCallAt           time.Time // the earliest time for the next order
+	placedAt, orderedAt, startedAt time.Time
+	inFlight                       bool      // a start or stop order is unanswered
+	answeredAt                     time.Time // when a start or stop order was last answered
+	nextCallAt                     time.Time // the earliest time for the next order
 	// startInDoubt is set while a start order without an answer may still be carried out;
 	// stopConfirmed once a stop was confirmed after it, which rules that out.
 	startInDoubt, stopConfirmed bool
@@ -179,6 +179,8 @@
 		Token:      s.term.token,
 		Checkpoint: t.Checkpoint,
 		Ticket:     s.ticketFor(r),
+		DecidedAt:  r.placedAt,
+		ListedAsOf: s.serversAsOf,
 	}})
 	if !v.holdInFlight {
 		v.nextHoldAt = s.now
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -43,9 +43,12 @@
 	health    health
 }
 
-func (s *State) serversListed(entries []ServerEntry) {
-	present := make(map[model.BackendServerID]bool, len(entries))
-	for _, e := range entries {
+func (s *State) serversListed(l ServersListed) {
+	if l.AsOf.After(s.serversAsOf) {
+		s.serversAsOf = l.AsOf
+	}
+	present := make(map[model.BackendServerID]bool, len(l.Servers))
+	for _, e := range l.Servers {
 		present[e.ID] = true
 		s.serverListed(e)
 	}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -87,6 +87,8 @@
 
 	term    termState
 	servers map[model.BackendServerID]*server
+	// serversAsOf is the time up to which all entries of backend servers have been read.
+	serversAsOf time.Time
 	// orphans counts the runs of each task that are not its current run. The task is not placed
 	// again before they end.
 	orphans map[string]int
@@ -174,7 +176,7 @@
 	case ConfigChanged:
 		s.configChanged(e.Config)
 	case ServersListed:
-		s.serversListed(e.Servers)
+		s.serversListed(e)
 	case AppendAnswered:
 		s.appendAnswered(e)
 	case ClaimAnswered:
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -186,7 +186,8 @@
 	s.term.peerAnswers, s.term.eligiblePeers = make(map[string]time.Time), make(map[string]time.Time)
 	s.term.yielding = false
 	s.writer = newWriter()
-	s.log.Info("term taken", zap.Int64("token", s.term.token), zap.Int("jobs", s.jobs.Len()))
+	s.log.Info("term taken", zap.Int64("token", s.term.token), zap.Int("jobs", s.jobs.Len()),
+		zap.Duration("list_age", s.now.Sub(s.serversAsOf)))
 	s.metrics.TermsTaken.Inc(1)
 	s.adoptPlaced()
 	s.replan = true
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -382,7 +382,7 @@
 	slices.SortFunc(list, func(a, b ServerEntry) int { return cmp.Compare(a.ID, b.ID) })
 	for _, n := range w.nodes {
 		if !w.store.down && w.connected(n.name, "store") {
-			w.deliver(n, ServersListed{Servers: list})
+			w.deliver(n, ServersListed{Servers: list, AsOf: w.now})
 		}
 	}
 }
