Failing test: a new holder starts tasks on a leaving backend server

The fakes now read the entries of the backend servers as rarely as the VMs do, and the oracle checks the bound on starts after an announcement, for VMs that no fault has affected for 3 s.

--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -109,7 +109,8 @@
 	dead            bool
 	unlisted        bool
 	draining        bool
-	failsAll        bool // every run fails
+	drainingSince   time.Time // when it announced that it leaves
+	failsAll        bool      // every run fails
 	hangs           bool
 	slowdown        int         // factor for the duration of new runs; 0 means 1
 	failsJob        model.JobID // the tasks of this job fail here
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -24,6 +24,10 @@
 	testQueue   = "repairs"
 	service     = "desk"
 	startClock  = 5000 // milliseconds on a backend server's clock at its start
+	// drainBound is how long after a backend server has announced that it leaves a VM without
+	// faults for inTouchAfter may still start tasks there.
+	drainBound   = 2500 * time.Millisecond
+	inTouchAfter = 3 * time.Second
 )
 
 // failer is implemented by testing.T and rapid.T.
@@ -46,6 +50,8 @@
 	cutLinks           map[[2]string]bool // links that deliver nothing, by the names of both ends
 	storeRefuses       map[string]bool    // nodes whose calls the store refuses
 	withoutSubmissions map[string]bool    // nodes that read no submissions
+	listsUnread        bool               // no node can read the entries of the backend servers
+	carryingOutLate    bool               // a late order is being carried out
 	// readPause is the shortest time between two reads of a node.
 	readPause time.Duration
 	lateShare float64 // share of orders that are delivered seconds late
@@ -66,6 +72,8 @@
 	generation  int
 	nextOffsets map[Partition]int64
 	lag         time.Duration // queueing delay of its events
+	listedAt    time.Time     // when it last read the entries of the backend servers
+	disturbedAt time.Time     // when a fault last affected it or its way to the store
 	lastRead    time.Time     // when it last read the store
 }
 
@@ -109,7 +117,8 @@
 	for range vms {
 		w.addNode()
 	}
-	w.every(400*time.Millisecond, w.listServers)
+	w.every(holderServersPause, w.listServers)
+	w.every(tickInterval, w.observeFaults)
 	return w
 }
 
@@ -168,7 +177,7 @@
 	name := fmt.Sprintf("vm%d", len(w.nodes))
 	self := Identity{Node: name, Incarnation: model.Incarnation(name), Address: name, Forward: name, MilliCPU: milliCPU}
 	bounds := Bounds{LeaseMax: 10 * time.Second, StopTimeout: 200 * time.Millisecond, FinalStateRetention: time.Hour, CancelBound: 3 * time.Second}
-	n := &node{name: name, nextOffsets: make(map[Partition]int64)}
+	n := &node{name: name, nextOffsets: make(map[Partition]int64), disturbedAt: w.now}
 	n.state = NewState(self, bounds, w.log.With(zap.String("node", name)), NewCounters(tally.NoopScope))
 	w.nodes = append(w.nodes, n)
 	w.deliver(n, ConfigChanged{Config: testConfig(64)})
@@ -310,7 +319,9 @@
 		startedAt := s.startedAt
 		w.at(time.Duration(2000+w.rng.IntN(8000))*time.Millisecond, func() {
 			if s.startedAt.Equal(startedAt) || w.lateAcrossRestarts {
+				w.carryingOutLate = true
 				call(s)
+				w.carryingOutLate = false
 			}
 		})
 		w.at(callTimeout, func() { w.deliver(n, lost) })
@@ -372,7 +383,21 @@
 	}
 }
 
+// listServers lets the nodes read the entries of the backend servers. A node without the term
+// does so less often.
 func (w *world) listServers() {
+	for _, n := range w.nodes {
+		if n.state.HoldsTerm() || w.now.Sub(n.listedAt) >= nonHolderServersPause {
+			w.listServersTo(n)
+		}
+	}
+}
+
+func (w *world) listServersTo(n *node) {
+	if w.store.down || w.listsUnread || !w.connected(n.name, "store") {
+		return
+	}
+	n.listedAt = w.now
 	var list []ServerEntry
 	for _, s := range w.servers {
 		if !s.dead && !s.unlisted {
@@ -380,11 +405,30 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b ServerEntry) int { return cmp.Compare(a.ID, b.ID) })
+	w.deliver(n, ServersListed{Servers: list, AsOf: w.now})
+}
+
+// observeFaults records which nodes faults affect, and when backend servers announce that they
+// leave.
+func (w *world) observeFaults() {
 	for _, n := range w.nodes {
-		if !w.store.down && w.connected(n.name, "store") {
-			w.deliver(n, ServersListed{Servers: list, AsOf: w.now})
+		if n.frozen || w.store.down || w.store.lossRate > 0 || w.storeRefuses[n.name] || w.lateShare > 0 || !w.connected(n.name, "store") {
+			n.disturbedAt = w.now
 		}
 	}
+	for _, s := range w.servers {
+		switch {
+		case !s.draining:
+			s.drainingSince = time.Time{}
+		case s.drainingSince.IsZero() && !s.unlisted && !w.store.down:
+			s.drainingSince = w.now
+		}
+	}
+}
+
+// inTouch reports whether no fault has affected the node for inTouchAfter.
+func (w *world) inTouch(name string) bool {
+	return slices.ContainsFunc(w.nodes, func(n *node) bool { return n.name == name && w.now.Sub(n.disturbedAt) >= inTouchAfter })
 }
 
 // submit stores a job and returns it; nil when the store is down.
