A new holder places on a list of backend servers that it has just read

Callers' tasks were started on backend servers that had announced more than 2.5 s before that they leave (DRAIN). Cause: a VM without the term reads the servers' entries every 3 s, and a new holder placed on that list until its next read, 0.4 to 0.8 s after the take-over. A list up to 3.4 s old was seen at take-overs, and every late start was sent within 1.2 s of one.

A VM now reads the list when it claims and when it takes the term, and places tasks only while the list is at most DrainBound less the time to store and deliver a start old, so a placement cannot rest on an older one whatever the reason. The pause between the holder's reads follows the bound if that is small.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -135,6 +135,9 @@
 	Servers []model.BackendServerID
 }
 
+// ReadServers makes the loop read the entries of the backend servers now.
+type ReadServers struct{}
+
 // Resync restarts the reads of all partitions, at the start and after the term was lost:
 // the state may then hold changes that were not stored.
 type Resync struct{ Generation int }
@@ -146,4 +149,5 @@
 func (OrderHold) action()     {}
 func (SendHeartbeat) action() {}
 func (RequestAdvice) action() {}
+func (ReadServers) action()   {}
 func (Resync) action()        {}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -27,7 +27,9 @@
 	pause func() time.Duration
 	// alwaysPause also pauses after reads without records.
 	alwaysPause bool
-	sink        func(readBatch)
+	// wake ends a pause early; it may be nil.
+	wake <-chan struct{}
+	sink func(readBatch)
 	// onFailure is called for every failed read; it may be nil.
 	onFailure func(error)
 	log       *zap.Logger
@@ -145,7 +147,7 @@
 			continue
 		}
 		if d := f.pause(); d > 0 && (f.alwaysPause || len(read.Records) > 0) {
-			eventloop.Sleep(ctx, d)
+			eventloop.SleepUntil(ctx, d, f.wake)
 		}
 	}
 }
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -95,6 +95,8 @@
 	holdsTerm         atomic.Bool
 	needsFreshRecords atomic.Bool
 	stopFollowers     context.CancelFunc
+	// readServers wakes the reader of the backend servers' entries.
+	readServers chan struct{}
 }
 
 // queuedEvent is an event with the time at which it was posted; zero for a tick.
@@ -110,6 +112,8 @@
 		state:   NewState(o.Identity, o.Bounds, o.Log, o.Counters),
 		events:  make(chan queuedEvent, eventQueue),
 		stopped: make(chan struct{}),
+
+		readServers: make(chan struct{}, 1),
 	}
 }
 
@@ -263,8 +267,8 @@
 func (l *Loop) followServers(ctx context.Context) {
 	entries := make(map[model.BackendServerID]ServerEntry)
 	var asOf time.Time
-	f := &follower{store: l.options.Store, partition: l.options.Sources.Servers, wait: noPause, alwaysPause: true, log: l.options.Log}
-	f.pause = func() time.Duration { return l.serversPause(ctx) }
+	f := &follower{store: l.options.Store, partition: l.options.Sources.Servers, wait: noPause, alwaysPause: true, wake: l.readServers, log: l.options.Log}
+	f.pause = l.serversPause
 	f.sink = func(b readBatch) {
 		if b.Initial {
 			clear(entries)
@@ -284,13 +288,12 @@
 	f.run(ctx)
 }
 
-// serversPause returns the pause after a read of the backend servers' entries. Without the
-// term it first waits itself, and returns early when this VM takes the term.
-func (l *Loop) serversPause(ctx context.Context) time.Duration {
-	for waited := time.Duration(0); waited < nonHolderServersPause && !l.HoldsTerm(); waited += holderServersPause {
-		eventloop.Sleep(ctx, holderServersPause)
+// serversPause returns the pause after a read of the backend servers' entries.
+func (l *Loop) serversPause() time.Duration {
+	if l.HoldsTerm() {
+		return min(holderServersPause, l.options.Bounds.DrainBound/5)
 	}
-	return holderServersPause
+	return nonHolderServersPause
 }
 
 // serverRead applies a record to the entries. A record without a value removes the entry; one
@@ -375,6 +378,11 @@
 		l.goroutines.Go(func() { l.post(ctx, l.advise(ctx, a)) })
 	case SendHeartbeat:
 		l.sendHeartbeat(a)
+	case ReadServers:
+		select {
+		case l.readServers <- struct{}{}:
+		default: // a read is already due
+		}
 	case Resync:
 		l.follow(ctx, a.Generation)
 	}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -47,10 +47,10 @@
 	}
 }
 
-// canPlan reports whether enough is known to place tasks: all listed backend servers have
-// reported, or firstReportTimeout has passed.
+// canPlan reports whether enough is known to place tasks: the entries of the backend servers
+// were read recently, and all listed ones have reported or firstReportTimeout has passed.
 func (s *State) canPlan() bool {
-	if s.config == nil || len(s.servers) == 0 {
+	if s.config == nil || len(s.servers) == 0 || !s.serversKnown() {
 		return false
 	}
 	if s.now.Sub(s.term.takenAt) >= firstReportTimeout {
@@ -64,6 +64,12 @@
 	return true
 }
 
+// serversKnown reports whether the entries of the backend servers were read recently enough to
+// place tasks: one that announced more than DrainBound before the start that it leaves is then known.
+func (s *State) serversKnown() bool {
+	return s.now.Sub(s.serversAsOf) <= s.bounds.DrainBound-min(startMargin, s.bounds.DrainBound*2/5)
+}
+
 func (s *State) snapshot() sched.Snapshot {
 	snap := sched.Snapshot{Now: s.now}
 	for _, id := range eventloop.SortedKeys(s.servers) {
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -13,6 +13,9 @@
 	// CancelBound is how long after the acknowledgement of a cancellation a task of the job may
 	// still be started.
 	CancelBound time.Duration
+	// DrainBound is how long after a backend server has announced that it leaves a task may still
+	// be started there.
+	DrainBound time.Duration
 }
 
 // Timings of the loop.
@@ -45,8 +48,8 @@
 	// overloadAfter is how long the lag has to exceed overloadLag before the VM counts as
 	// overloaded; the backlog of a pause is processed faster than that.
 	overloadAfter = 1 * time.Second
-	// startMargin is the part of CancelBound reserved for storing a placement and delivering its
-	// start order.
+	// startMargin is the part of CancelBound and of DrainBound reserved for storing a placement and
+	// delivering its start order.
 	startMargin = 1 * time.Second
 	// storeTimeout is the time without an answer after which a VM regards the store as lost. It
 	// is as long as a read's wait, nonHolderRecordsWait.
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -139,6 +139,7 @@
 		Epoch:     s.claim.token() + 1,
 		Sequence:  0,
 	}})
+	s.emit(ReadServers{})
 	h := s.heartbeat()
 	h.Claiming = true
 	s.sendToPeers(h)
@@ -189,6 +190,7 @@
 	s.log.Info("term taken", zap.Int64("token", s.term.token), zap.Int("jobs", s.jobs.Len()),
 		zap.Duration("list_age", s.now.Sub(s.serversAsOf)))
 	s.metrics.TermsTaken.Inc(1)
+	s.emit(ReadServers{})
 	s.adoptPlaced()
 	s.replan = true
 }
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -176,7 +176,7 @@
 func (w *world) addNodeOf(milliCPU int) *node {
 	name := fmt.Sprintf("vm%d", len(w.nodes))
 	self := Identity{Node: name, Incarnation: model.Incarnation(name), Address: name, Forward: name, MilliCPU: milliCPU}
-	bounds := Bounds{LeaseMax: 10 * time.Second, StopTimeout: 200 * time.Millisecond, FinalStateRetention: time.Hour, CancelBound: 3 * time.Second}
+	bounds := Bounds{LeaseMax: 10 * time.Second, StopTimeout: 200 * time.Millisecond, FinalStateRetention: time.Hour, CancelBound: 3 * time.Second, DrainBound: drainBound}
 	n := &node{name: name, nextOffsets: make(map[Partition]int64), disturbedAt: w.now}
 	n.state = NewState(self, bounds, w.log.With(zap.String("node", name)), NewCounters(tally.NoopScope))
 	w.nodes = append(w.nodes, n)
@@ -270,6 +270,8 @@
 				w.at(linkDelay, func() { w.deliver(w.nodes[i], HeartbeatReceived{Heartbeat: a.Heartbeat}) })
 			}
 		}
+	case ReadServers:
+		w.at(storeDelay, func() { w.listServersTo(n) })
 	case Resync:
 		n.generation = a.Generation
 		w.resync(n)
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -92,7 +92,10 @@
 		Identity: fleet.Identity{
 			Node: s.Node, Incarnation: model.Incarnation(model.RandomID()), Address: peerAddress, Forward: peerAddress, MilliCPU: s.MilliCPU,
 		},
-		Bounds:    fleet.Bounds{LeaseMax: s.LeaseMax, StopTimeout: s.StopTimeout, FinalStateRetention: s.FinalStateRetention, CancelBound: s.CancelBound},
+		Bounds: fleet.Bounds{
+			LeaseMax: s.LeaseMax, StopTimeout: s.StopTimeout, FinalStateRetention: s.FinalStateRetention,
+			CancelBound: s.CancelBound, DrainBound: s.DrainBound,
+		},
 		Store:     store,
 		Servers:   platform.NewServers(),
 		Advisor:   platform.NewAdvisor(s.AdviceAddress),
