Look again at the backend server before each start order

A start order can wait: for its placement to be stored, or for the answer to an earlier order. The holder had looked at the backend server only when it placed the task, so it started tasks on servers that it knew to be leaving or gone.

All starts of a batch are now checked before the first is ordered, so that no member of a gang is started that another one's refusal would stop; a repeated order is checked in the same way. A start in doubt on a leaving server is stopped.

--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -146,16 +146,42 @@
 		return
 	}
 	if r.phase == runOrdered && r.startInDoubt {
-		if s.now.Sub(r.orderedAt) > startRetryPeriod {
+		switch o := s.obstacle(v, r); {
+		case o == serverLeaves || o == serverUnlisted:
+			s.requestStop(r, stopInDoubt, "start without an answer: "+string(o))
+		case s.now.Sub(r.orderedAt) > startRetryPeriod:
 			s.requestStop(r, stopInDoubt, "start without an answer")
-			return
-		}
-		if s.cancellationsKnown(st.Job.ID) {
+		case o == noObstacle:
 			s.orderStart(v, r)
 		}
 	}
 }
 
+// obstacle is why a start order must not be sent now.
+type obstacle string
+
+const (
+	noObstacle           obstacle = ""
+	serverLeaves         obstacle = "the backend server leaves"
+	serverUnlisted       obstacle = "the backend server is no longer listed"
+	cancellationsUnknown obstacle = "cancellations are not known up to now"
+)
+
+// obstacle looks again at what a placement rests on. It is called right before each start order,
+// since the run may have waited for its record or for an answer to an earlier order.
+func (s *State) obstacle(v *server, r *run) obstacle {
+	switch {
+	case v.entry.Draining:
+		return serverLeaves
+	case !v.listed:
+		return serverUnlisted
+	case !s.cancellationsKnown(r.group.State.Job.ID):
+		return cancellationsUnknown
+	default:
+		return noObstacle
+	}
+}
+
 // cancellationsKnown reports whether submissions were read recently enough to start a task of
 // the job: a cancellation acknowledged more than CancelBound before the start is then known.
 func (s *State) cancellationsKnown(id model.JobID) bool {
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -51,6 +51,7 @@
 	storeRefuses       map[string]bool    // nodes whose calls the store refuses
 	withoutSubmissions map[string]bool    // nodes that read no submissions
 	listsUnread        bool               // no node can read the entries of the backend servers
+	progressUnstored   bool               // the partition for progress stores nothing
 	carryingOutLate    bool               // a late order is being carried out
 	// readPause is the shortest time between two reads of a node.
 	readPause time.Duration
@@ -58,8 +59,10 @@
 	// lateAcrossRestarts lets late orders reach the next incarnation of a backend server too; see
 	// TestLateStartReachesRestartedServer.
 	lateAcrossRestarts bool
-	oracle             *oracle
-	log                *zap.Logger
+	// startOrders are all start orders that nodes have sent.
+	startOrders []startOrder
+	oracle      *oracle
+	log         *zap.Logger
 }
 
 // node is one VM.
@@ -77,6 +80,12 @@
 	lastRead    time.Time     // when it last read the store
 }
 
+// startOrder is a start order and when a node sent it.
+type startOrder struct {
+	at time.Time
+	Start
+}
+
 type dueItem struct {
 	at  time.Time
 	seq int
@@ -239,6 +248,10 @@
 func (w *world) execute(n *node, a Action) {
 	switch a := a.(type) {
 	case Append:
+		if w.progressUnstored && a.Request.Partition == progressPartition {
+			w.at(callTimeout, func() { w.deliver(n, AppendAnswered{Number: a.Number, Err: ErrInDoubt}) })
+			return
+		}
 		w.exchange(n, "store", storeDelay, func() Event {
 			offset, err := w.store.append(w, a.Request)
 			return AppendAnswered{Number: a.Number, Offset: offset, Err: err}
@@ -249,6 +262,7 @@
 			return ClaimAnswered{Err: err}
 		}, ClaimAnswered{Err: ErrInDoubt}, w.store.lossRate)
 	case OrderStart:
+		w.startOrders = append(w.startOrders, startOrder{at: w.now, Start: a.Start})
 		w.order(n, a.Server, func(s *fakeServer) Event {
 			clock, err := s.start(w, a.Start, n.name)
 			return StartAnswered{Order: a.Start, Clock: clock, Err: err}
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -201,9 +201,7 @@
 			}
 		}
 	}
-	for _, r := range b.runs {
-		s.placementRecorded(r)
-	}
+	s.placementsRecorded(b.runs)
 }
 
 func (s *State) recordStatus(st *job.State, status job.Status) {
@@ -218,23 +216,32 @@
 	}
 }
 
-// placementRecorded orders the start of a run whose placement has been stored.
-func (s *State) placementRecorded(r *run) {
-	v := s.servers[r.server]
-	if v == nil || v.runs[r.name] != r || r.phase != runRecording {
-		return
-	}
-	r.phase = runOrdered
-	if r.stopping {
-		s.requeue(v, r, "stopped before its start")
-		return
+// placementsRecorded orders the starts of runs whose placements have been stored, unless what
+// they rest on has changed meanwhile. All are checked before the first order, so that no member
+// of a gang is started that another one's refusal would stop.
+func (s *State) placementsRecorded(runs []*run) {
+	var start []*run
+	for _, r := range runs {
+		v := s.servers[r.server]
+		if v == nil || v.runs[r.name] != r || r.phase != runRecording {
+			continue
+		}
+		r.phase = runOrdered
+		if o := s.obstacle(v, r); o != noObstacle {
+			s.requeue(v, r, string(o))
+			continue
+		}
+		start = append(start, r)
 	}
-	if !s.cancellationsKnown(r.group.State.Job.ID) {
-		s.requeue(v, r, "cancellations are not known up to now")
-		return
+	for _, r := range start {
+		v := s.servers[r.server]
+		if r.stopping {
+			s.requeue(v, r, "stopped before its start")
+			continue
+		}
+		r.orderedAt = s.now
+		s.orderStart(v, r)
 	}
-	r.orderedAt = s.now
-	s.orderStart(v, r)
 }
 
 // dropJobs deletes the jobs whose final state need no longer be kept.
