Give start orders a time limit that follows from what they rest on

A start order that had been given could still wait, for a processor, for a suspended VM to wake up or for a connection, and a repeated one could rest on a list that had got too old. Nothing then stopped it.

Each start order now carries the time until which the list of backend servers and the cancellations behind it are recent enough. Its task is then placed again.

--- a/internal/fleet/drain_test.go
+++ b/internal/fleet/drain_test.go
@@ -1,11 +1,15 @@
 package fleet
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/boottime"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
@@ -94,3 +98,72 @@
 	assert.Equal(t, len(w.ordersTo("s00", first)), 0, "the start was repeated")
 	assert.Equal(t, w.status(id), job.StatusDone)
 }
+
+// A holder that cannot read the entries of the backend servers does not know which of them leave.
+// It starts tasks again once it can.
+func TestHolderWithAnOldListStartsNothing(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 4)
+	listed := w.holder().listedAt
+	w.listsUnread = true
+	for range 50 {
+		w.submit(newJob(1, oneAccelerator, 1))
+		w.run(100 * time.Millisecond)
+	}
+	for _, o := range w.startOrders {
+		assert.Assert(t, o.at.Before(listed.Add(drainBound)), "a start was sent on a list that was %v old", o.at.Sub(listed))
+	}
+	w.listsUnread = false
+	id := w.submit(newJob(1, oneAccelerator, 1)).ID
+	w.run(3 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+}
+
+// The list may get too old while a start waits for its placement to be stored.
+func TestStartThatWaitedForItsRecordIsNotSentOnAnOldList(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 3)
+	_, stored := submitWhileUnstored(w, func(*fakeServer) { w.listsUnread = true }, false)
+	listed := w.holder().listedAt
+	w.run(2 * time.Second)
+	for _, o := range w.startOrders {
+		assert.Assert(t, o.at.Before(stored) || o.at.Before(listed.Add(drainBound)), "a start was sent on a list that was %v old", o.at.Sub(listed))
+	}
+	w.listsUnread = false
+	w.run(4 * time.Second)
+	for _, o := range w.startOrders {
+		assert.Assert(t, o.at.Before(o.SendBefore))
+	}
+	assert.Equal(t, len(w.startOrders), 3)
+}
+
+// startCounter counts the start orders that reach it.
+type startCounter struct {
+	BackendServers
+	starts int
+}
+
+func (c *startCounter) Start(context.Context, Start) (int64, error) {
+	c.starts++
+	return 0, nil
+}
+
+// A start order may wait for a processor, or the VM may be suspended, after the order was given.
+func TestExpiredStartIsNotSent(t *testing.T) {
+	servers := &startCounter{}
+	l := New(Options{Servers: servers, Log: zap.NewNop(), Counters: NewCounters(tally.NoopScope)})
+	answer := l.start(t.Context(), Start{SendBefore: boottime.Now().Add(-time.Millisecond)})
+	assert.ErrorIs(t, answer.(StartAnswered).Err, ErrExpired)
+	assert.Equal(t, servers.starts, 0)
+	answer = l.start(t.Context(), Start{SendBefore: boottime.Now().Add(time.Minute)})
+	assert.NilError(t, answer.(StartAnswered).Err)
+	assert.Equal(t, servers.starts, 1)
+}
+
+// A start order that was not sent leaves its task to the next round.
+func TestTaskOfAnExpiredStartIsPlacedAgain(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	w.expireStarts = 2
+	id := w.submit(newJob(1, oneAccelerator, 1)).ID
+	w.run(3 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+	assert.Equal(t, w.oracle.starts, 1)
+}
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -395,6 +395,9 @@
 }
 
 func (l *Loop) start(ctx context.Context, o Start) Event {
+	if !boottime.Now().Before(o.SendBefore) {
+		return StartAnswered{Order: o, Err: ErrExpired}
+	}
 	l.observeStart(o)
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -13,6 +13,7 @@
 type Counters struct {
 	TermsTaken, TermsLost                    tally.Counter
 	Placed, Preempted, StartsRefused         tally.Counter
+	StartsExpired                            tally.Counter
 	RunsDone, RunsFailed                     tally.Counter
 	JobsDone, JobsFailed, JobsCancelled      tally.Counter
 	RoundLatency, CommitLatency, JobDuration tally.Histogram
@@ -32,6 +33,7 @@
 		Placed:        scope.Counter("tasks_placed"),
 		Preempted:     scope.Counter("tasks_preempted"),
 		StartsRefused: scope.Counter("starts_refused"),
+		StartsExpired: scope.Counter("starts_expired"),
 		RunsDone:      scope.Counter("runs_done"),
 		RunsFailed:    scope.Counter("runs_failed"),
 		JobsDone:      scope.Counter("jobs_done"),
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -25,6 +25,8 @@
 	ErrInDoubt = ports.ErrInDoubt
 	// ErrFenced means that a newer token or epoch is in use.
 	ErrFenced = errors.New("fenced by a newer token")
+	// ErrExpired means that an order was not sent by its SendBefore, and will not be.
+	ErrExpired = errors.New("the order was not sent in time")
 	// ErrConflict means that the partition's end is not at the offset that a conditional
 	// append expected.
 	ErrConflict = errors.New("the partition's end offset is not the expected one")
@@ -93,6 +95,9 @@
 	Token      int64
 	Checkpoint string
 	Ticket     string
+	// SendBefore, on the boot-time clock, is when the knowledge that the order rests on gets too
+	// old. The order is not sent from then on, whatever it has waited for.
+	SendBefore time.Time
 	// DecidedAt is when the run was placed, and ListedAsOf the time up to which the entries of
 	// backend servers were known when the order was given.
 	DecidedAt, ListedAsOf time.Time
@@ -182,7 +187,7 @@
 }
 
 // BackendServers sends orders to backend servers. An error is a *RefusedError or wraps
-// ErrInDoubt. Start and Stop return the backend server's clock.
+// ErrInDoubt, or ErrExpired for a start. Start and Stop return the backend server's clock.
 type BackendServers interface {
 	Start(ctx context.Context, o Start) (clock int64, err error)
 	Stop(ctx context.Context, o Stop) (clock int64, err error)
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -165,6 +165,7 @@
 	serverLeaves         obstacle = "the backend server leaves"
 	serverUnlisted       obstacle = "the backend server is no longer listed"
 	cancellationsUnknown obstacle = "cancellations are not known up to now"
+	listTooOld           obstacle = "the list of backend servers is too old"
 )
 
 // obstacle looks again at what a placement rests on. It is called right before each start order,
@@ -177,11 +178,21 @@
 		return serverUnlisted
 	case !s.cancellationsKnown(r.group.State.Job.ID):
 		return cancellationsUnknown
+	case !s.now.Before(s.startLimit(r.group.State.Job.ID)):
+		return listTooOld
 	default:
 		return noObstacle
 	}
 }
 
+// startLimit is the latest time to send a start order for a task of the job with the present
+// knowledge of cancellations and of backend servers that leave.
+func (s *State) startLimit(id model.JobID) time.Time {
+	drains := s.serversAsOf.Add(s.bounds.DrainBound - min(deliveryMargin, s.bounds.DrainBound/5))
+	cancellations := s.readAsOf[SubmissionPartition(id)].Add(s.bounds.CancelBound - deliveryMargin)
+	return minTime(drains, cancellations)
+}
+
 // cancellationsKnown reports whether submissions were read recently enough to start a task of
 // the job: a cancellation acknowledged more than CancelBound before the start is then known.
 func (s *State) cancellationsKnown(id model.JobID) bool {
@@ -205,6 +216,7 @@
 		Token:      s.term.token,
 		Checkpoint: t.Checkpoint,
 		Ticket:     s.ticketFor(r),
+		SendBefore: s.startLimit(r.group.State.Job.ID),
 		DecidedAt:  r.placedAt,
 		ListedAsOf: s.serversAsOf,
 	}})
@@ -339,6 +351,8 @@
 	case errors.As(e.Err, &refused):
 		s.observeClock(v, refused.Clock)
 		s.startRefused(v, r, refused)
+	case errors.Is(e.Err, ErrExpired):
+		s.startExpired(v, r)
 	default:
 		r.startInDoubt, r.unansweredAt = true, s.now
 		r.nextCallAt = s.now.Add(holdRetry)
@@ -347,6 +361,17 @@
 	}
 }
 
+// startExpired handles a start order that was not sent. An earlier order for the same run may
+// still be in doubt.
+func (s *State) startExpired(v *server, r *run) {
+	s.metrics.StartsExpired.Inc(1)
+	if r.startInDoubt {
+		r.nextCallAt = s.now.Add(holdRetry)
+		return
+	}
+	s.requeue(v, r, "its start order could not be sent in time")
+}
+
 // markRunning marks a run as running; worked is the time for which it has already run.
 func (s *State) markRunning(r *run, worked time.Duration) {
 	r.phase = runRunning
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -51,6 +51,9 @@
 	// startMargin is the part of CancelBound and of DrainBound reserved for storing a placement and
 	// delivering its start order.
 	startMargin = 1 * time.Second
+	// deliveryMargin is the part of CancelBound and of DrainBound reserved for the delivery of a
+	// start order that was sent.
+	deliveryMargin = 500 * time.Millisecond
 	// storeTimeout is the time without an answer after which a VM regards the store as lost. It
 	// is as long as a read's wait, nonHolderRecordsWait.
 	storeTimeout = 2 * time.Second
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -61,8 +61,10 @@
 	lateAcrossRestarts bool
 	// startOrders are all start orders that nodes have sent.
 	startOrders []startOrder
-	oracle      *oracle
-	log         *zap.Logger
+	// expireStarts is how many of the next start orders are not sent in time.
+	expireStarts int
+	oracle       *oracle
+	log          *zap.Logger
 }
 
 // node is one VM.
@@ -262,6 +264,11 @@
 			return ClaimAnswered{Err: err}
 		}, ClaimAnswered{Err: ErrInDoubt}, w.store.lossRate)
 	case OrderStart:
+		if w.expireStarts > 0 {
+			w.expireStarts--
+			w.at(linkDelay, func() { w.deliver(n, StartAnswered{Order: a.Start, Err: ErrExpired}) })
+			return
+		}
 		w.startOrders = append(w.startOrders, startOrder{at: w.now, Start: a.Start})
 		w.order(n, a.Server, func(s *fakeServer) Event {
 			clock, err := s.start(w, a.Start, n.name)
