Random test of departures beside lost holders and parts of the store

Backend servers leave while holders are killed, frozen or stopped, orders come late, and the lists or the holder's records are away.

--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -189,3 +189,97 @@
 		c.oracle.checkAllEnded()
 	})
 }
+
+// departures is the state machine of a random run in which backend servers leave.
+type departures struct {
+	*machine
+	quiet bool // no more small jobs are submitted
+}
+
+// submitSmallJob keeps starts under way all the time.
+func (d *departures) submitSmallJob() {
+	if !d.quiet {
+		d.submit(newJob(1, oneAccelerator, 1))
+	}
+}
+
+// submitTask submits a job of one task. Steps of several could move as stragglers without end:
+// TestShortTaskDoesNotMakeTheOthersStragglers.
+func (d *departures) submitTask(*rapid.T) {
+	need := oneAccelerator
+	need.Accelerators = 1 + d.draw("accelerators", 8)
+	d.submit(newJob(1, need, 1+d.draw("seconds", 12)))
+}
+
+// leave has up to three backend servers announce that they leave, and go some seconds later. New
+// ones take their place.
+func (d *departures) leave(*rapid.T) {
+	for range 1 + d.draw("leaving", 3) {
+		s := d.server()
+		if s.dead || s.draining {
+			continue
+		}
+		s.draining = true
+		d.at(time.Duration(2500+d.draw("stay", 6000))*time.Millisecond, func() {
+			s.crash(d.world)
+			s.dead = true
+		})
+		d.addServer()
+	}
+}
+
+// loseHolder kills, freezes or stops the holder at a random moment.
+func (d *departures) loseHolder(*rapid.T) {
+	how, length := d.draw("how", 3), time.Duration(1000+d.draw("length", 3000))*time.Millisecond
+	d.at(time.Duration(d.draw("in", 4000))*time.Millisecond, func() {
+		n := d.holder()
+		switch {
+		case n == nil:
+		case how == 0:
+			n.dead = true
+			d.addNode()
+		case how == 1:
+			n.frozen = true
+			d.at(length, func() { d.unfreeze(n) })
+		default:
+			d.deliver(n, DrainStarted{})
+			d.at(4*time.Second, func() { n.dead = true })
+			d.addNode()
+		}
+	})
+}
+
+// losePart makes one part of the store unreachable for some seconds.
+func (d *departures) losePart(*rapid.T) {
+	lost := &d.listsUnread
+	if d.draw("part", 2) == 0 {
+		lost = &d.progressUnstored
+	}
+	*lost = true
+	d.at(time.Duration(500+d.draw("length", 5000))*time.Millisecond, func() { *lost = false })
+}
+
+// loseOrders delivers a share of the orders seconds late for a while.
+func (d *departures) loseOrders(*rapid.T) {
+	d.lateShare = 0.3
+	d.at(time.Duration(500+d.draw("length", 3000))*time.Millisecond, func() { d.lateShare = 0 })
+}
+
+// TestRandomDepartures has backend servers leave beside lost holders, lost orders and parts of the
+// store that are away. The oracle checks the bound on starts after an announcement.
+func TestRandomDepartures(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &departures{machine: &machine{world: newWorld(t, uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")), 3, 6), t: t}}
+		d.run(4 * time.Second)
+		d.every(200*time.Millisecond, d.submitSmallJob)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": d.submitTask, "leave": d.leave, "leave2": d.leave, "holder": d.loseHolder, "holder2": d.loseHolder,
+			"part": d.losePart, "orders": d.loseOrders, "pass": d.passTime, "pass2": d.passTime, "pass3": d.passTime,
+		})
+		d.run(10 * time.Second) // the scheduled ends of all faults
+		d.quiet = true
+		d.endFaults()
+		d.run(settleTime)
+		d.oracle.checkAllEnded()
+	})
+}
