Report what is known of a lost backend server

The lines on lost and restarted servers now say whether the server was listed, was leaving and has closed or refused the last connection, and which runs had not yet been seen running for a second. No decision changes.

--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -23,6 +23,8 @@
 	ErrNoEffect = ports.ErrUnavailable
 	// ErrInDoubt means that a call may have taken effect, or may still do so.
 	ErrInDoubt = ports.ErrInDoubt
+	// ErrDisconnected means that the other side has closed or refused the connection.
+	ErrDisconnected = errors.New("disconnected")
 	// ErrFenced means that a newer token or epoch is in use.
 	ErrFenced = errors.New("fenced by a newer token")
 	// ErrExpired means that an order was not sent by its SendBefore, and will not be.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -32,6 +32,10 @@
 	holdInFlight bool // a Hold is unanswered
 	nextHoldAt   time.Time
 	failedCalls  int // calls without an answer since the newest report
+	// silentSince is when the first of these calls failed; disconnected is set if the newest of them
+	// ended because the other side closed or refused the connection.
+	silentSince  time.Time
+	disconnected bool
 
 	appliedEnd      int64 // ends up to this number are applied
 	recordedEnd     int64 // ends up to this number are stored
@@ -90,7 +94,8 @@
 // a start order may have reached the new one before the restart was known, or may still
 // reach it. The next report shows which runs exist, and starts in doubt are stopped there.
 func (s *State) handleRestart(id model.BackendServerID, v *server, incarnationStart int64) {
-	s.log.Info("backend server restarted", zap.String("server", string(id)), zap.Int64("born", incarnationStart), zap.Int("runs", len(v.runs)))
+	s.log.Info("backend server restarted", zap.String("server", string(id)), zap.Int64("born", incarnationStart), zap.Int("runs", len(v.runs)),
+		zap.Strings("unproven", v.unprovenRuns()))
 	v.incarnationStart, v.appliedEnd, v.recordedEnd, v.acknowledgedEnd, v.deadline, v.clock = incarnationStart, 0, 0, 0, 0, 0
 	for _, r := range v.runs {
 		if r.startMayArrive(s.now) {
@@ -200,7 +205,9 @@
 		return
 	}
 	s.log.Warn("leases ended on a silent backend server", zap.String("server", string(id)),
-		zap.Int("runs", len(v.runs)), zap.Duration("heard_before", s.now.Sub(v.reportedAt)))
+		zap.Int("runs", len(v.runs)), zap.Duration("heard_before", s.now.Sub(v.reportedAt)),
+		zap.Bool("listed", v.listed), zap.Bool("draining", v.entry.Draining), zap.Bool("disconnected", v.disconnected),
+		zap.Strings("unproven", v.unprovenRuns()))
 	for _, name := range eventloop.SortedKeys(v.runs) {
 		if r := v.runs[name]; r.phase != runRecording {
 			s.requeue(v, r, "lease ended")
@@ -223,7 +230,8 @@
 		return
 	}
 	if v.failedCalls > 0 {
-		s.log.Info("backend server answers again", zap.String("server", string(e.Order.Server)), zap.Int("failed_calls", v.failedCalls))
+		s.log.Info("backend server answers again", zap.String("server", string(e.Order.Server)), zap.Int("failed_calls", v.failedCalls),
+			zap.Bool("restarted", v.incarnationStart != 0 && e.Report.IncarnationStart != v.incarnationStart), zap.Int("runs", len(v.runs)))
 	}
 	v.failedCalls = 0
 	v.reportedAt = s.now
@@ -280,8 +288,10 @@
 		return
 	}
 	v.failedCalls++
+	v.disconnected = errors.Is(e.Err, ErrDisconnected)
 	v.nextHoldAt = s.now.Add(holdRetry)
 	if v.failedCalls == 1 {
+		v.silentSince = s.now
 		s.log.Info("backend server does not answer", zap.String("server", string(e.Order.Server)),
 			zap.Int("runs", len(v.runs)), zap.Error(e.Err))
 		s.replan = true
