Failing test: a task crashes backend server after backend server

The fakes can now crash for good, refuse connections from then on and stay listed for a while, and tasks can crash each server that starts them.

--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -110,6 +110,7 @@
 	unlisted        bool
 	draining        bool
 	drainingSince   time.Time // when it announced that it leaves
+	diedAt          time.Time // when it crashed without coming back; it refuses connections since
 	failsAll        bool      // every run fails
 	hangs           bool
 	slowdown        int         // factor for the duration of new runs; 0 means 1
@@ -144,10 +145,19 @@
 func (s *fakeServer) entry(w *world) ServerEntry {
 	return ServerEntry{
 		ID: s.id, Service: service, Address: string(s.id), Rack: s.rack, Labels: []string{"a", string(s.rack)},
-		Capacity: fakeCapacity, Draining: s.draining, IncarnationStart: s.startedAt.UnixMilli(), Clock: s.clock(w),
+		Capacity: fakeCapacity, Draining: s.draining, IncarnationStart: s.startedAt.UnixMilli(), Clock: s.clock(w), Sequence: s.heartbeats(w),
 	}
 }
 
+// heartbeats is how often the backend server has written its entry.
+func (s *fakeServer) heartbeats(w *world) int64 {
+	until := w.now
+	if s.dead {
+		until = s.diedAt
+	}
+	return int64(until.Sub(s.startedAt) / (1500 * time.Millisecond))
+}
+
 // crash ends all runs and restarts the backend server under the same ID, without its state.
 func (s *fakeServer) crash(w *world) {
 	for _, name := range eventloop.SortedKeys(s.runs) {
@@ -166,6 +176,22 @@
 	s.runs, s.ended, s.highestEndedRun = make(map[string]*fakeRun), nil, make(map[string]int64)
 }
 
+// entryLapse is how long a server that has crashed stays listed.
+const entryLapse = 4 * time.Second
+
+// die ends all runs and the backend server. Another one takes its place after some seconds.
+func (s *fakeServer) die(w *world) {
+	if s.dead {
+		return
+	}
+	for _, name := range eventloop.SortedKeys(s.runs) {
+		w.oracle.crashes[name]++
+	}
+	s.crash(w)
+	s.dead, s.diedAt = true, w.now
+	w.at(5*time.Second, func() { w.addServer() })
+}
+
 func (s *fakeServer) fenced(token int64) bool {
 	if token < s.highestToken {
 		return true
@@ -205,6 +231,13 @@
 	}
 	s.runs[o.Task] = r
 	w.oracle.started(s, r, by)
+	if w.deadly[o.Task] {
+		w.at(10*time.Millisecond, func() {
+			if s.runs[o.Task] == r {
+				s.die(w)
+			}
+		})
+	}
 	return clock, nil
 }
 
--- a/internal/fleet/oracle_test.go
+++ b/internal/fleet/oracle_test.go
@@ -19,14 +19,20 @@
 	failures             map[string]int
 	acknowledgedFailures map[string]int // failed runs that a holder acknowledged
 	starts               int
+	crashes              map[string]int // backend servers that have crashed under each task
+	startsAfterCrashes   map[string]int // starts of each task after maxCrashesBefore of them
 }
 
+// A task that crashes its backend servers must not be started startsTooMany times more after
+// maxCrashesBefore crashes.
+const maxCrashesBefore, startsTooMany = 3, 3
+
 func newOracle(w *world) *oracle {
 	return &oracle{
 		w: w, jobs: make(map[model.JobID]*job.Job), cancelled: make(map[model.JobID]time.Time),
 		running: make(map[string]map[*fakeServer]*fakeRun), done: make(map[string]bool),
 		acknowledgedDone: make(map[string]time.Time), failures: make(map[string]int),
-		acknowledgedFailures: make(map[string]int),
+		acknowledgedFailures: make(map[string]int), crashes: make(map[string]int), startsAfterCrashes: make(map[string]int),
 	}
 }
 
@@ -56,6 +62,11 @@
 		}
 	}
 	o.running[name][s] = r
+	if o.w.deadly[name] && o.crashes[name] >= maxCrashesBefore {
+		if o.startsAfterCrashes[name]++; o.startsAfterCrashes[name] >= startsTooMany {
+			o.w.t.Fatalf("%v: task %s is started on %s after it has crashed %d backend servers", o.w.now, name, s.id, o.crashes[name])
+		}
+	}
 	if since := s.drainingSince; !since.IsZero() && o.w.now.Sub(since) > drainBound && !o.w.carryingOutLate && o.w.inTouch(by) {
 		o.w.t.Fatalf("%v: task %s is started on %s by %s, %v after the announcement that it leaves", o.w.now, name, s.id, by, o.w.now.Sub(since))
 	}
@@ -193,11 +204,12 @@
 	for k := range j.OccurrenceCount() {
 		for i := range j.Steps {
 			for n := range j.Steps[i].Count {
-				if o.failures[job.GroupKey{Job: j.ID, Occurrence: k, Step: i}.TaskName(n)] >= j.Attempts {
+				name := job.GroupKey{Job: j.ID, Occurrence: k, Step: i}.TaskName(n)
+				if o.failures[name] >= j.Attempts || o.w.deadly[name] && o.crashes[name] >= 2 {
 					return
 				}
 			}
 		}
 	}
-	o.w.t.Fatalf("job %s is reported failed, but none of its tasks failed %d times", j.ID, j.Attempts)
+	o.w.t.Fatalf("job %s is reported failed, but none of its tasks failed %d times or crashed its servers", j.ID, j.Attempts)
 }
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -61,6 +61,8 @@
 	lateAcrossRestarts bool
 	// startOrders are all start orders that nodes have sent.
 	startOrders []startOrder
+	// deadly are the tasks that crash each backend server that starts them.
+	deadly map[string]bool
 	// expireStarts is how many of the next start orders are not sent in time.
 	expireStarts int
 	oracle       *oracle
@@ -119,6 +121,7 @@
 		t: t, now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
 		store: &fakeStore{parts: make(map[Partition]*fakePartition)}, servers: make(map[model.BackendServerID]*fakeServer),
 		cutLinks: make(map[[2]string]bool), storeRefuses: make(map[string]bool), withoutSubmissions: make(map[string]bool), log: zap.NewNop(),
+		deadly: make(map[string]bool),
 	}
 	w.oracle = newOracle(w)
 	w.log = testLogger(w)
@@ -334,6 +337,24 @@
 	}
 }
 
+// disconnected returns the outcome of an order to a backend server that refuses connections.
+func disconnected(lost Event) Event {
+	err := fmt.Errorf("%w: %w", ErrInDoubt, ErrDisconnected)
+	switch e := lost.(type) {
+	case StartAnswered:
+		e.Err = err
+		return e
+	case StopAnswered:
+		e.Err = err
+		return e
+	case HoldAnswered:
+		e.Err = err
+		return e
+	default:
+		return lost
+	}
+}
+
 // order sends an order to a backend server. The share lateShare of all orders is delivered
 // seconds late and ends without an answer.
 func (w *world) order(n *node, id model.BackendServerID, call func(*fakeServer) Event, lost Event) {
@@ -351,6 +372,10 @@
 		return
 	}
 	w.at(linkDelay, func() {
+		if s != nil && !s.diedAt.IsZero() && w.connected(n.name, string(id)) {
+			w.at(linkDelay, func() { w.deliver(n, disconnected(lost)) })
+			return
+		}
 		if s == nil || s.dead || !w.connected(n.name, string(id)) {
 			w.at(callTimeout, func() { w.deliver(n, lost) })
 			return
@@ -423,7 +448,7 @@
 	n.listedAt = w.now
 	var list []ServerEntry
 	for _, s := range w.servers {
-		if !s.dead && !s.unlisted {
+		if !s.unlisted && (!s.dead || w.now.Sub(s.diedAt) < entryLapse) {
 			list = append(list, s.entry(w))
 		}
 	}
