Give up a task that crashes the backend servers that start it

Cause: a task that lost its backend server waited again, and nothing counted how often.

The loss of a backend server is now recorded with the tasks that ran there, in their progress records, so that it survives a change of the holder. How much a task is blamed depends on what tells it apart: the crash came right after its start, and neither another start nor other losses explain it. A server that was leaving or still writes its entry does not count, and a loss is taken back when the same incarnation reports again. Two crashes that nothing else explains, three after starts, or five at all give the task up; its job fails and the log says why.

--- /dev/null
+++ b/internal/crash/crash.go
@@ -0,0 +1,63 @@
+// Package crash decides which runs the loss of a backend server is blamed on.
+//
+// A task may crash each backend server that starts it. Many tasks share a backend server, and
+// backend servers are also lost for other reasons: they crash by themselves, several at once, or are
+// merely cut off. What tells the tasks apart is time: a task that crashes its server does so
+// right after its start.
+package crash
+
+import "github.com/eelgrassreach/eelgrassreach/internal/job"
+
+// Run is a run that was on the lost backend server.
+type Run struct {
+	Step job.GroupKey
+	// StartUnknown is set if it is not known whether and when it started: a previous holder ordered
+	// the start, or the order has no answer and may have come after the loss.
+	StartUnknown bool
+	// Proven is set if it had been seen running for a while.
+	Proven bool
+}
+
+// Loss is a backend server that was lost with the runs on it.
+type Loss struct {
+	Runs []Run
+	// Ended is set if the backend server's process has ended for certain, rather than being silent.
+	Ended bool
+	// OthersLost is set if other backend servers were lost at about the same time.
+	OthersLost bool
+}
+
+// Assess returns the blame of each run for the loss.
+func Assess(l Loss) []job.Blame {
+	blame := make([]job.Blame, len(l.Runs))
+	culprit, single := l.suspectedStep()
+	for i, r := range l.Runs {
+		switch {
+		case !l.Ended || r.StartUnknown:
+			blame[i] = job.Bystander
+		case single && !l.OthersLost && r.Step == culprit && (!r.Proven || len(l.Runs) == 1):
+			blame[i] = job.Alone
+		case !r.Proven:
+			blame[i] = job.Suspect
+		default:
+			blame[i] = job.Bystander
+		}
+	}
+	return blame
+}
+
+// suspectedStep returns the step of the runs that had not proven themselves, or of the only run;
+// single is false if there are several such steps or none.
+func (l Loss) suspectedStep() (step job.GroupKey, single bool) {
+	found := 0
+	for _, r := range l.Runs {
+		if r.Proven && len(l.Runs) > 1 {
+			continue
+		}
+		if found == 0 || r.Step != step {
+			found++
+		}
+		step = r.Step
+	}
+	return step, found == 1
+}
--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -1,14 +1,52 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/crash"
 	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+const (
+	// provenAfter is how long a run has to have been seen running before a crash of its backend
+	// server no longer looks like an effect of its start.
+	provenAfter = time.Second
+	// sameCause is how far apart the losses of backend servers may be that have one cause.
+	sameCause = 500 * time.Millisecond
+	// lossMemory is how long the loss of a backend server is remembered: leases end well before.
+	lossMemory = 30 * time.Second
+	// aliveAfter is how long after a backend server went silent a change of its entry proves that it
+	// is alive: one written before is read by then.
+	aliveAfter = 2 * time.Second
 )
 
-// provenAfter is how long a run has to have been seen running before a crash of its backend server
-// no longer looks like an effect of its start.
-const provenAfter = time.Second
+// loss is a backend server that was lost between two moments.
+type loss struct {
+	server   model.BackendServerID
+	from, to time.Time
+}
+
+// addLoss remembers that a backend server has gone silent.
+func (s *State) addLoss(v *server) {
+	v.silentSince = s.now
+	s.losses = slices.DeleteFunc(s.losses, func(l loss) bool { return l.server == v.entry.ID || s.now.Sub(l.to) > lossMemory })
+	s.losses = append(s.losses, loss{server: v.entry.ID, from: v.reportedAt, to: s.now})
+}
+
+// othersLost reports whether another backend server was lost at about the same time, without having
+// announced that it leaves.
+func (s *State) othersLost(v *server) bool {
+	return slices.ContainsFunc(s.losses, func(l loss) bool {
+		other := s.servers[l.server]
+		return l.server != v.entry.ID && !(other != nil && other.entry.Draining) &&
+			l.from.Before(v.silentSince.Add(sameCause)) && l.to.After(v.reportedAt.Add(-sameCause))
+	})
+}
 
 // proven reports whether the run has been seen running for provenAfter.
 func (r *run) proven() bool {
@@ -25,3 +63,80 @@
 	}
 	return names
 }
+
+// incarnation is the start of the newest known incarnation, 0 if none is known.
+func (v *server) incarnation() int64 {
+	if v.incarnationStart != 0 {
+		return v.incarnationStart
+	}
+	return v.entry.IncarnationStart
+}
+
+// recordCrash records with the tasks on a lost backend server that it may have crashed under them.
+// It does nothing if the backend server had announced that it leaves, or still writes its entry.
+func (s *State) recordCrash(v *server, restarted bool) {
+	alive := v.listed && v.heartbeatAt.Sub(v.silentSince) > aliveAfter
+	if v.entry.Draining || alive && !restarted {
+		return
+	}
+	var runs []*run
+	l := crash.Loss{Ended: restarted || v.disconnected, OthersLost: s.othersLost(v)}
+	for _, name := range eventloop.SortedKeys(v.runs) {
+		r := v.runs[name]
+		if r.phase == runRecording || r.lossRecorded {
+			continue // its start was not ordered yet, or it was lost with the incarnation before
+		}
+		r.lossRecorded = true
+		runs = append(runs, r)
+		l.Runs = append(l.Runs, crash.Run{
+			Step: r.group.Key(), Proven: r.proven(), StartUnknown: r.phase == runAdopting || r.phase == runOrdered && restarted,
+		})
+	}
+	if len(runs) == 0 {
+		return
+	}
+	s.metrics.ServersLost.Inc(1)
+	for i, blame := range crash.Assess(l) {
+		s.blameTask(v, runs[i], blame)
+	}
+}
+
+func (s *State) blameTask(v *server, r *run, blame job.Blame) {
+	t := &r.group.Tasks[r.index]
+	if t.Phase == job.Done || r.group.State.Recorded.Final() {
+		return
+	}
+	t.AddCrash(job.Crash{Server: v.entry.ID, IncarnationStart: v.incarnation(), Blame: blame})
+	s.crashed[v.entry.ID] = true
+	s.markDirty(r.group)
+	s.log.Info("backend server was lost under a task", zap.String("task", r.name), zap.Int64("run", r.number),
+		zap.String("server", string(v.entry.ID)), zap.Int("blame", int(blame)), zap.Int("blame_of_all", int(t.Blame())), zap.Int("crashes", len(t.Crashes)))
+	if t.GivenUp() {
+		s.metrics.TasksGivenUp.Inc(1)
+		s.log.Warn("task is given up: it crashes its backend servers", zap.String("task", r.name),
+			zap.Int("crashes", len(t.Crashes)), zap.Int("blame", int(t.Blame())))
+	}
+}
+
+// observeAlive takes back the crashes recorded for an incarnation that reports: it was merely cut off.
+func (s *State) observeAlive(v *server) {
+	id := v.entry.ID
+	s.losses = slices.DeleteFunc(s.losses, func(l loss) bool { return l.server == id })
+	if !s.crashed[id] {
+		return
+	}
+	delete(s.crashed, id)
+	s.jobs.ForEach(func(st *job.State) {
+		if st.Recorded.Final() {
+			return
+		}
+		st.ForEachGroup(func(g *job.Group) {
+			for i := range g.Tasks {
+				if g.Tasks[i].RemoveCrash(id, v.incarnationStart) {
+					s.markDirty(g)
+					s.log.Info("backend server was not lost after all", zap.String("task", g.Key().TaskName(i)), zap.String("server", string(id)))
+				}
+			}
+		})
+	})
+}
--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -36,3 +36,126 @@
 		assert.Equal(t, w.status(other), job.StatusDone)
 	}
 }
+
+// crashUnder has the backend server of a task's current run crash, and returns whether there was one.
+func (w *world) crashUnder(task string) bool {
+	for s := range w.oracle.running[task] {
+		s.die(w)
+		return true
+	}
+	return false
+}
+
+// A task whose backend servers crash for other reasons is not given up, also if that happens more
+// often than a task that crashes its servers is started, and across changes of the holder.
+func TestTaskOnServersThatCrashByThemselvesIsNotGivenUp(t *testing.T) {
+	for _, killHolder := range []bool{false, true} {
+		w := newWorldWithHolder(t, 2, 6)
+		for range 6 {
+			w.submit(newJob(2, oneAccelerator, 4))
+		}
+		id := w.submit(newJob(1, oneAccelerator, 8)).ID
+		task := job.GroupKey{Job: id}.TaskName(0)
+		for range 4 {
+			w.run(3 * time.Second)
+			assert.Assert(t, w.crashUnder(task))
+			if killHolder {
+				w.run(time.Second)
+				w.holder().dead = true
+				w.addNode()
+			}
+			for len(w.oracle.running[task]) == 0 {
+				w.run(100 * time.Millisecond)
+			}
+		}
+		w.run(30 * time.Second)
+		assert.Equal(t, w.status(id), job.StatusDone, "holder killed: %v", killHolder)
+	}
+}
+
+// What is known of a task's crashes survives changes of the holder, at any moment of a crash.
+func TestTaskThatCrashesItsServersIsGivenUpByTheNextHolder(t *testing.T) {
+	for after := time.Duration(0); after <= 8*time.Second; after += 500 * time.Millisecond {
+		w := newWorldWithHolder(t, 2, 8)
+		id, task := w.submitDeadly(newJob(1, oneAccelerator, 5))
+		for range 5 {
+			crashes := w.oracle.crashes[task]
+			for range 300 {
+				if w.oracle.crashes[task] > crashes || w.status(id) == job.StatusFailed {
+					break
+				}
+				w.run(100 * time.Millisecond)
+			}
+			w.run(after)
+			if h := w.holder(); h != nil {
+				h.dead = true
+				w.addNode()
+			}
+		}
+		w.run(60 * time.Second)
+		assert.Equal(t, w.status(id), job.StatusFailed, "holders killed %v after each crash", after)
+	}
+}
+
+// The store may be away when a backend server crashes, and when its leases end.
+func TestTaskThatCrashesItsServersIsGivenUpBesideAStoreOutage(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 8)
+	id, task := w.submitDeadly(newJob(1, oneAccelerator, 5))
+	for range 5 {
+		w.run(2 * time.Second)
+		w.store.down = true
+		w.run(7 * time.Second)
+		w.store.down = false
+	}
+	w.run(60 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusFailed)
+	assert.Assert(t, w.oracle.crashes[task] <= 3, "%d backend servers crashed", w.oracle.crashes[task])
+}
+
+// A backend server that is cut off looks like a crashed one until it reports again.
+func TestTaskOnServersThatAreCutOffIsNotGivenUp(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 6)
+	id := w.submit(newJob(1, oneAccelerator, 60)).ID
+	task := job.GroupKey{Job: id}.TaskName(0)
+	for range 6 {
+		for len(w.oracle.running[task]) == 0 {
+			w.run(20 * time.Millisecond)
+		}
+		var at *fakeServer
+		for s := range w.oracle.running[task] {
+			at = s
+		}
+		at.unlisted = true
+		for _, n := range w.nodes {
+			w.cutLinks[link(n.name, string(at.id))] = true
+		}
+		w.run(12 * time.Second)
+		at.unlisted = false
+		clear(w.cutLinks)
+		w.run(2 * time.Second)
+	}
+	w.run(70 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+}
+
+// A task that crashes one server of a gang fails the gang, however its members share servers.
+func TestGangThatCrashesItsServersIsGivenUp(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 8)
+	gang := newJob(4, oneAccelerator, 5)
+	gang.Steps[0].Gang = true
+	id, task := w.submitDeadly(gang)
+	w.run(60 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusFailed)
+	assert.Assert(t, w.oracle.crashes[task] <= 3)
+}
+
+// A long-running task that crashes its servers is given up too, though its attempts have no limit.
+func TestLongRunningTaskThatCrashesItsServersIsGivenUp(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 8)
+	lasting := newJob(1, oneAccelerator, 5)
+	lasting.Steps[0].LongRunning = true
+	id, task := w.submitDeadly(lasting)
+	w.run(60 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusFailed)
+	assert.Equal(t, w.oracle.crashes[task], 2)
+}
--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -187,8 +187,9 @@
 	for _, name := range eventloop.SortedKeys(s.runs) {
 		w.oracle.crashes[name]++
 	}
+	startedAt := s.startedAt
 	s.crash(w)
-	s.dead, s.diedAt = true, w.now
+	s.startedAt, s.dead, s.diedAt = startedAt, true, w.now
 	w.at(5*time.Second, func() { w.addServer() })
 }
 
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -14,6 +14,7 @@
 	TermsTaken, TermsLost                    tally.Counter
 	Placed, Preempted, StartsRefused         tally.Counter
 	StartsExpired                            tally.Counter
+	ServersLost, TasksGivenUp                tally.Counter
 	RunsDone, RunsFailed                     tally.Counter
 	JobsDone, JobsFailed, JobsCancelled      tally.Counter
 	RoundLatency, CommitLatency, JobDuration tally.Histogram
@@ -34,6 +35,8 @@
 		Preempted:     scope.Counter("tasks_preempted"),
 		StartsRefused: scope.Counter("starts_refused"),
 		StartsExpired: scope.Counter("starts_expired"),
+		ServersLost:   scope.Counter("servers_lost"),
+		TasksGivenUp:  scope.Counter("tasks_given_up"),
 		RunsDone:      scope.Counter("runs_done"),
 		RunsFailed:    scope.Counter("runs_failed"),
 		JobsDone:      scope.Counter("jobs_done"),
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -46,6 +46,7 @@
 	stopping      bool
 	stoppingSince time.Time
 	orphan        bool // not the task's current run
+	lossRecorded  bool // the loss of its backend server is recorded with its task
 
 	percent    int
 	progress   straggler.Progress
@@ -79,6 +80,9 @@
 	st.ForEachGroup(func(g *job.Group) {
 		for i := range g.Tasks {
 			t := &g.Tasks[i]
+			for _, c := range t.Crashes {
+				s.crashed[c.Server] = true
+			}
 			if t.Phase != job.Placed {
 				continue
 			}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -36,6 +36,7 @@
 	// ended because the other side closed or refused the connection.
 	silentSince  time.Time
 	disconnected bool
+	heartbeatAt  time.Time // when its entry was last seen to have changed
 
 	appliedEnd      int64 // ends up to this number are applied
 	recordedEnd     int64 // ends up to this number are stored
@@ -81,6 +82,9 @@
 		s.log.Info("backend server drains", zap.String("server", string(e.ID)), zap.Duration("remaining", e.Remaining))
 		s.replan = true
 	}
+	if e.Sequence != v.entry.Sequence || e.IncarnationStart != v.entry.IncarnationStart {
+		v.heartbeatAt = s.now
+	}
 	v.listed, v.listedAt, v.entry = true, s.now, e
 	if s.holdsTerm() && v.hasReported && e.IncarnationStart > v.incarnationStart {
 		s.handleRestart(e.ID, v, e.IncarnationStart)
@@ -96,6 +100,7 @@
 func (s *State) handleRestart(id model.BackendServerID, v *server, incarnationStart int64) {
 	s.log.Info("backend server restarted", zap.String("server", string(id)), zap.Int64("born", incarnationStart), zap.Int("runs", len(v.runs)),
 		zap.Strings("unproven", v.unprovenRuns()))
+	s.recordCrash(v, true)
 	v.incarnationStart, v.appliedEnd, v.recordedEnd, v.acknowledgedEnd, v.deadline, v.clock = incarnationStart, 0, 0, 0, 0, 0
 	for _, r := range v.runs {
 		if r.startMayArrive(s.now) {
@@ -208,6 +213,7 @@
 		zap.Int("runs", len(v.runs)), zap.Duration("heard_before", s.now.Sub(v.reportedAt)),
 		zap.Bool("listed", v.listed), zap.Bool("draining", v.entry.Draining), zap.Bool("disconnected", v.disconnected),
 		zap.Strings("unproven", v.unprovenRuns()))
+	s.recordCrash(v, false)
 	for _, name := range eventloop.SortedKeys(v.runs) {
 		if r := v.runs[name]; r.phase != runRecording {
 			s.requeue(v, r, "lease ended")
@@ -245,6 +251,7 @@
 		}
 		v.incarnationStart = e.Report.IncarnationStart
 	}
+	s.observeAlive(v)
 	s.observeClock(v, e.Report.Clock)
 	v.acknowledgedEnd = max(v.acknowledgedEnd, e.Order.AcknowledgedEnd)
 	if first {
@@ -291,7 +298,7 @@
 	v.disconnected = errors.Is(e.Err, ErrDisconnected)
 	v.nextHoldAt = s.now.Add(holdRetry)
 	if v.failedCalls == 1 {
-		v.silentSince = s.now
+		s.addLoss(v)
 		s.log.Info("backend server does not answer", zap.String("server", string(e.Order.Server)),
 			zap.Int("runs", len(v.runs)), zap.Error(e.Err))
 		s.replan = true
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -89,6 +89,10 @@
 	servers map[model.BackendServerID]*server
 	// serversAsOf is the time up to which all entries of backend servers have been read.
 	serversAsOf time.Time
+	// losses are the backend servers that were lost recently.
+	losses []loss
+	// crashed are the backend servers whose loss is recorded with tasks.
+	crashed map[model.BackendServerID]bool
 	// orphans counts the runs of each task that are not its current run. The task is not placed
 	// again before they end.
 	orphans map[string]int
@@ -121,6 +125,7 @@
 		metrics:    metrics,
 		replicated: newReplicated(),
 		servers:    make(map[model.BackendServerID]*server),
+		crashed:    make(map[model.BackendServerID]bool),
 		advice:     make(map[string]*advice),
 		backlog:    make(map[int]*priorityBacklog),
 		nextOf:     make(map[Partition]int64),
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -210,6 +210,7 @@
 		s.servers[id] = &server{entry: v.entry, listed: true, listedAt: v.listedAt, runs: make(map[string]*run)}
 	}
 	s.advice = make(map[string]*advice)
+	s.losses, s.crashed = nil, make(map[model.BackendServerID]bool)
 	s.orphans = make(map[string]int)
 	s.avoid = make(map[job.GroupKey]map[model.BackendServerID]bool)
 	s.stepRates = make(map[job.GroupKey]*straggler.StepRates)
--- /dev/null
+++ b/internal/job/crash_test.go
@@ -0,0 +1,45 @@
+package job
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestTaskIsGivenUpByTheBlameOfItsCrashes(t *testing.T) {
+	for _, c := range []struct {
+		blame []Blame
+		want  bool
+	}{
+		{nil, false},
+		{[]Blame{Alone}, false},
+		{[]Blame{Alone, Alone}, true},
+		{[]Blame{Alone, Suspect}, false},
+		{[]Blame{Suspect, Suspect, Suspect}, true},
+		{[]Blame{Alone, Bystander, Bystander}, false},
+		{[]Blame{Bystander, Bystander, Bystander, Bystander}, false},
+		{[]Blame{Bystander, Bystander, Bystander, Bystander, Bystander}, true},
+	} {
+		var task Task
+		for i, b := range c.blame {
+			task.AddCrash(Crash{Server: "s", IncarnationStart: int64(i + 1), Blame: b})
+		}
+		assert.Equal(t, task.GivenUp(), c.want, "%v", c.blame)
+	}
+}
+
+func TestCrashIsCountedOnceAndCanBeTakenBack(t *testing.T) {
+	var task Task
+	task.AddCrash(Crash{Server: "s1", IncarnationStart: 7, Blame: Alone})
+	task.AddCrash(Crash{Server: "s1", IncarnationStart: 7, Blame: Alone})
+	task.AddCrash(Crash{Server: "s1", IncarnationStart: 9, Blame: Suspect})
+	assert.Equal(t, task.Blame(), Alone+Suspect)
+	encoded, err := json.Marshal(task)
+	assert.NilError(t, err)
+	var stored Task
+	assert.NilError(t, json.Unmarshal(encoded, &stored))
+	assert.DeepEqual(t, stored, task)
+	assert.Assert(t, !stored.RemoveCrash("s2", 7) && stored.RemoveCrash("s1", 7))
+	assert.Equal(t, stored.Blame(), Suspect)
+}
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -28,6 +28,8 @@
 	// Failures is the number of failed runs.
 	Failures   int    `json:"f,omitempty"`
 	Checkpoint string `json:"c,omitempty"`
+	// Crashes are the losses of backend servers with a run of the task.
+	Crashes []Crash `json:"x,omitempty"`
 }
 
 // GroupKey identifies a step of one occurrence of a job.
@@ -115,14 +117,12 @@
 	return newest + 1
 }
 
-// Failed reports whether any task has used up its attempts. Long-running tasks have no
-// such limit.
+// Failed reports whether any task has used up its attempts or is given up for the backend
+// servers that it has crashed. The attempts of long-running tasks are not limited.
 func (g *Group) Failed() bool {
-	if g.Step().LongRunning {
-		return false
-	}
 	for i := range g.Tasks {
-		if g.Tasks[i].Failures >= g.State.Job.Attempts {
+		t := &g.Tasks[i]
+		if t.Phase != Done && t.GivenUp() || t.Failures >= g.State.Job.Attempts && !g.Step().LongRunning {
 			return true
 		}
 	}
