Do not blame the only run on a crashed server if it had worked there

A single task on a backend server was blamed like one that crashes its server at the start, however long it had run, so two unrelated crashes under a long task would have given it up. A task that crashes its servers only after a while is still given up, by the limit on all crashes.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -35,23 +35,23 @@
 		switch {
 		case !l.Ended || r.StartUnknown:
 			blame[i] = job.Bystander
-		case single && !l.OthersLost && r.Step == culprit && (!r.Proven || len(l.Runs) == 1):
+		case r.Proven:
+			blame[i] = job.Bystander
+		case single && !l.OthersLost && r.Step == culprit:
 			blame[i] = job.Alone
-		case !r.Proven:
-			blame[i] = job.Suspect
 		default:
-			blame[i] = job.Bystander
+			blame[i] = job.Suspect
 		}
 	}
 	return blame
 }
 
-// suspectedStep returns the step of the runs that had not proven themselves, or of the only run;
-// single is false if there are several such steps or none.
+// suspectedStep returns the step of the runs that had not proven themselves; single is false if
+// there are several such steps or none.
 func (l Loss) suspectedStep() (step job.GroupKey, single bool) {
 	found := 0
 	for _, r := range l.Runs {
-		if r.Proven && len(l.Runs) > 1 {
+		if r.Proven {
 			continue
 		}
 		if found == 0 || r.Step != step {
