Isolate tasks that are suspected of crashing their backend servers

Tasks that had started together with one that crashes its server waited again together with it, and were often placed on one server with it again. So two tasks shared the blame, more servers crashed before one was given up, and the others were lost with it again.

Then the second crash tells, so that two crashes right after a start give a task up if nothing else explains one of them.

TestTasksLostWithACrashingOneAreToldApart fails without it with three crashes instead of two.

--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -164,3 +164,31 @@
 	assert.Equal(t, w.status(id), job.StatusFailed)
 	assert.Equal(t, w.oracle.crashes[task], 2)
 }
+
+// Tasks that start together with one that crashes their server are lost with it once. They are not
+// started together with it again, so that it is found after its second crash.
+func TestTasksLostWithACrashingOneAreToldApart(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 6)
+	w.submit(newJob(3, wholeServer, 20)) // leaves three backend servers
+	w.run(time.Second)
+	holder := w.holder()
+	holder.frozen = true // so that all submissions are placed in one round
+	id, task := w.submitDeadly(newJob(1, oneAccelerator, 3))
+	var others []model.JobID
+	for range 6 {
+		others = append(others, w.submit(newJob(1, oneAccelerator, 3)).ID)
+	}
+	w.run(50 * time.Millisecond)
+	w.unfreeze(holder)
+	w.run(60 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusFailed)
+	assert.Equal(t, w.oracle.crashes[task], 2)
+	together := 0
+	for _, other := range others {
+		crashes := w.oracle.crashes[job.GroupKey{Job: other}.TaskName(0)]
+		assert.Equal(t, w.status(other), job.StatusDone)
+		assert.Assert(t, crashes <= 1)
+		together += crashes
+	}
+	assert.Assert(t, together >= 3, "only %d tasks were lost with the crashing one", together)
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -98,10 +98,15 @@
 func (s *State) serverView(v *server) sched.Server {
 	free := v.entry.Capacity
 	var releasing job.Resources
+	unproven, isolated, unsavedWork := false, false, 0.0
 	ends := make([]sched.ExpectedEnd, 0, len(v.runs))
 	for _, r := range v.runs {
 		need := r.step().Reserved()
 		free = free.Sub(need)
+		if !r.proven() {
+			unproven, isolated = true, isolated || r.group.Tasks[r.index].Suspected()
+		}
+		unsavedWork += s.unsavedWork(r)
 		switch {
 		case s.releasesSoon(r):
 			releasing = releasing.Add(need)
@@ -112,6 +117,7 @@
 	return sched.Server{
 		ID: v.entry.ID, Service: v.entry.Service, Rack: v.entry.Rack, Labels: v.entry.Labels,
 		Capacity: v.entry.Capacity, Free: free, Releasing: releasing, Ends: ends, Suspect: v.health.suspect(),
+		Unproven: unproven, Isolated: isolated, UnsavedWork: unsavedWork,
 	}
 }
 
@@ -209,7 +215,30 @@
 	if st.Job.Advised && !s.applyAdvice(&p, g) {
 		return
 	}
-	snap.Pending = append(snap.Pending, p)
+	snap.Pending = append(snap.Pending, isolateSuspected(p, g)...)
+}
+
+// isolateSuspected returns the pending step, with its suspected tasks split off to be isolated.
+// Tasks that are bound to each other by a gang, a rack or a limit per server are not split.
+func isolateSuspected(p sched.PendingStep, g *job.Group) []sched.PendingStep {
+	var suspected, others []int
+	for _, i := range p.Tasks {
+		if g.Tasks[i].Suspected() {
+			suspected = append(suspected, i)
+		} else {
+			others = append(others, i)
+		}
+	}
+	if len(suspected) == 0 {
+		return []sched.PendingStep{p}
+	}
+	isolated := p
+	isolated.Isolate = true
+	if bound := p.Step.Gang || p.Step.SameRack || p.Step.MaxPerServer > 0; bound || len(others) == 0 {
+		return []sched.PendingStep{isolated}
+	}
+	isolated.Tasks, p.Tasks = suspected, others
+	return []sched.PendingStep{p, isolated}
 }
 
 // mayStillRun reports whether an older run of a task may still exist on a backend server.
--- a/internal/job/crash.go
+++ b/internal/job/crash.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// blameLimit is reached by two crashes that nothing else explains, or three that came
-	// right after a start.
-	blameLimit = 2 * Alone
+	// blameLimit is reached by two crashes that came right after a start, if nothing else
+	// explains one of them, or by three.
+	blameLimit = Alone + Suspect
 	// crashLimit bounds the crashes whatever is known of them: a task that crashes its backend
 	// servers must not be started three more times after three crashes.
 	crashLimit = 5
@@ -44,6 +44,10 @@
 // GivenUp reports whether the task has crashed so many backend servers that it is not started again.
 func (t *Task) GivenUp() bool { return t.Blame() >= blameLimit || len(t.Crashes) >= crashLimit }
 
+// Suspected reports whether the task may well crash its backend servers, so that it has to be
+// started where a crash can be told from others.
+func (t *Task) Suspected() bool { return t.Blame() >= Suspect }
+
 // AddCrash records the loss of a backend server's incarnation, once.
 func (t *Task) AddCrash(c Crash) {
 	for _, known := range t.Crashes {
--- a/internal/job/crash_test.go
+++ b/internal/job/crash_test.go
@@ -15,9 +15,10 @@
 		{nil, false},
 		{[]Blame{Alone}, false},
 		{[]Blame{Alone, Alone}, true},
-		{[]Blame{Alone, Suspect}, false},
+		{[]Blame{Alone, Suspect}, true},
+		{[]Blame{Suspect, Suspect}, false},
 		{[]Blame{Suspect, Suspect, Suspect}, true},
-		{[]Blame{Alone, Bystander, Bystander}, false},
+		{[]Blame{Alone, Bystander}, false},
 		{[]Blame{Bystander, Bystander, Bystander, Bystander}, false},
 		{[]Blame{Bystander, Bystander, Bystander, Bystander, Bystander}, true},
 	} {
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -24,6 +24,8 @@
 	// reclaimableByGuaranteed and reclaimableByUrgent are what these tasks would release
 	// for a guaranteed and for an urgent step.
 	reclaimableByGuaranteed, reclaimableByUrgent job.Resources
+	// unproven and isolated are the server's, and include the round's placements.
+	unproven, isolated bool
 }
 
 // supply selects the resources that a fit may use.
@@ -53,7 +55,7 @@
 
 // eligible reports whether the backend server may run the step at all.
 func (srv *serverState) eligible(p *PendingStep) bool {
-	if srv.Service != p.Service || p.Avoid[srv.ID] {
+	if srv.Service != p.Service || p.Avoid[srv.ID] || srv.isolated || p.Isolate && srv.unproven {
 		return false
 	}
 	if p.Advised != nil && !p.Advised[srv.ID] {
@@ -139,18 +141,25 @@
 
 // nextTask returns the cost of one more task on a server; ok is false when none fits. The
 // cost is the room that is left, so that empty backend servers stay free for tasks that
-// need a whole one. If tasks are stopped to make room, the cost is the work that is lost.
+// need a whole one; for an isolated task, the work that a crash would lose. If tasks are stopped to
+// make room, the cost is the work that is lost by that.
 func (d *round) nextTask(t *trialUsage, srv *serverState) (option, bool) {
 	used := t.tasks[srv.index]
 	if limit := t.pending.Step.MaxPerServer; limit > 0 && t.pending.TasksPerServer[srv.ID]+used >= limit {
 		return option{}, false
 	}
+	if t.pending.Isolate && !t.pending.Step.Gang && used > 0 {
+		return option{}, false
+	}
 	need := t.pending.Step.Reserved()
 	left := srv.available(t.pending, t.supply).Sub(need.Times(used))
 	if !need.FitsIn(left) {
 		return option{}, false
 	}
 	cost := left.Sub(need).CoreWeight()
+	if t.pending.Isolate {
+		cost = srv.UnsavedWork
+	}
 	if t.supply == reclaimable {
 		cost = d.preemptionCost(t.pending, srv, used+1) - t.costs[srv.index]
 	}
@@ -193,7 +202,7 @@
 	dataRack, rack         model.RackID
 	members                int // of a gang
 	gang, sameRack, far    bool
-	longRunning            bool
+	longRunning, isolate   bool
 	guaranteed, mayPreempt bool
 	supply                 supply
 	evictions              int
@@ -204,7 +213,7 @@
 func (d *round) fitKeyOf(p *PendingStep, s supply, far bool) (fitKey, bool) {
 	k := fitKey{
 		need: p.Step.Reserved(), service: p.Service, label: p.Step.Label, dataRack: p.Step.DataRack, rack: p.Rack,
-		gang: p.Step.Gang, sameRack: p.Step.SameRack, far: far, longRunning: p.Step.LongRunning, guaranteed: p.Guaranteed, mayPreempt: d.mayPreempt(p), supply: s,
+		gang: p.Step.Gang, sameRack: p.Step.SameRack, far: far, longRunning: p.Step.LongRunning, isolate: p.Isolate, guaranteed: p.Guaranteed, mayPreempt: d.mayPreempt(p), supply: s,
 	}
 	if p.Step.Gang {
 		k.members = len(p.Tasks)
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -51,6 +51,12 @@
 		if d := a.Key.Occurrence - b.Key.Occurrence; d != 0 {
 			return d
 		}
-		return a.Key.Step - b.Key.Step
+		if d := a.Key.Step - b.Key.Step; d != 0 || a.Isolate == b.Isolate {
+			return d
+		}
+		if a.Isolate {
+			return 1
+		}
+		return -1
 	})
 }
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -42,7 +42,7 @@
 	}
 	for i := range s.Servers {
 		v := &s.Servers[i]
-		srv := &serverState{Server: v, index: i, free: v.Free, releasing: v.Releasing, ends: v.Ends}
+		srv := &serverState{Server: v, index: i, free: v.Free, releasing: v.Releasing, ends: v.Ends, unproven: v.Unproven, isolated: v.Isolated}
 		slices.SortFunc(srv.ends, func(a, b ExpectedEnd) int { return cmp.Compare(a.After, b.After) })
 		d.capacity[v.Service] += v.Capacity.CoreWeight()
 		d.servers = append(d.servers, srv)
@@ -115,6 +115,7 @@
 	need := p.Step.Reserved()
 	for i, srv := range a.servers {
 		srv.free = srv.free.Sub(need)
+		srv.unproven, srv.isolated = true, srv.isolated || p.Isolate
 		d.plan.Placements = append(d.plan.Placements, Placement{Key: p.Key, Index: p.Tasks[i], Server: srv.ID, Far: a.far})
 	}
 }
--- a/internal/sched/round_test.go
+++ b/internal/sched/round_test.go
@@ -231,3 +231,36 @@
 	}
 	assert.DeepEqual(t, order, []string{"guaranteed", "quote", "older", "match", "scan", "expired"})
 }
+
+// A suspected task is placed where nothing else has just started, where a crash would cost the
+// least, and alone for the rest of the round.
+func TestSuspectedTaskIsIsolated(t *testing.T) {
+	step := job.Step{Count: 2, Need: job.Resources{MilliCPU: 1000, Accelerators: 1}, EstimatedRuntime: time.Second}
+	c := newCluster(4)
+	c.Servers[0].Unproven = true
+	c.Servers[1].UnsavedWork = 50
+	c.Servers[2].UnsavedWork = 10
+	c.Servers[3].UnsavedWork = 90
+	c.addPending("suspected", step, func(p *PendingStep) { p.Isolate, p.Priority = true, 0 })
+	c.addPending("other", job.Step{Count: 40, Need: step.Need, EstimatedRuntime: time.Second}, func(p *PendingStep) { p.Priority = 1 })
+	plan := Decide(c.Snapshot)
+	assert.DeepEqual(t, placedOn(plan, "suspected"), map[model.BackendServerID]int{"s1": 1, "s2": 1})
+	assert.DeepEqual(t, placedOn(plan, "other"), map[model.BackendServerID]int{"s0": 8, "s3": 8})
+}
+
+// Nothing is placed beside a suspected task that has just started.
+func TestNothingIsPlacedBesideAnIsolatedTask(t *testing.T) {
+	c := newCluster(2)
+	c.Servers[0].Unproven, c.Servers[0].Isolated = true, true
+	c.addPending("other", job.Step{Count: 16, Need: job.Resources{MilliCPU: 1000, Accelerators: 1}, EstimatedRuntime: time.Second}, nil)
+	assert.DeepEqual(t, placedOn(Decide(c.Snapshot), "other"), map[model.BackendServerID]int{"s1": 8})
+}
+
+// The members of a suspected gang may share servers with each other only.
+func TestSuspectedGangIsIsolatedAsAWhole(t *testing.T) {
+	c := newCluster(2)
+	c.Servers[0].Unproven = true
+	gang := job.Step{Count: 4, Need: job.Resources{MilliCPU: 1000, Accelerators: 2}, Gang: true, EstimatedRuntime: time.Second}
+	c.addPending("suspected", gang, func(p *PendingStep) { p.Isolate = true })
+	assert.DeepEqual(t, placedOn(Decide(c.Snapshot), "suspected"), map[model.BackendServerID]int{"s1": 4})
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -28,6 +28,13 @@
 	// Suspect is set while a task has failed on the backend server and none has succeeded
 	// since. It is then used only when no other one fits.
 	Suspect bool
+	// Unproven is set while a task on the backend server has not been seen running for a while.
+	Unproven bool
+	// Isolated is set while such a task is suspected of crashing its backend servers. Nothing
+	// else is placed there.
+	Isolated bool
+	// UnsavedWork is the work that is lost if the backend server crashes, in core-seconds.
+	UnsavedWork float64
 }
 
 // ExpectedEnd is a task that is expected to end and release its resources after a time.
@@ -58,6 +65,10 @@
 	Rack model.RackID
 	// Avoid holds the backend servers on which tasks of the step failed.
 	Avoid map[model.BackendServerID]bool
+	// Isolate is set if the tasks are suspected of crashing their backend servers. Each one, or the
+	// gang, is placed where nothing else has just started, so that another crash tells who
+	// caused it, and where that would cost the least.
+	Isolate bool
 	// Advised holds the only backend servers that may run the step; nil means all.
 	Advised map[model.BackendServerID]bool
 }
