Check the capacity of a backend server again before each start order

The check before each order now also compares all that runs or is being stopped there with the newest capacity. An order that would not fit is not sent, and one in doubt is stopped.

--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -103,15 +103,19 @@
 
 // fakeServer is a backend server.
 type fakeServer struct {
-	id              model.BackendServerID
-	rack            model.RackID
-	startedAt       time.Time
-	dead            bool
-	unlisted        bool
-	draining        bool
-	drainingSince   time.Time // when it announced that it leaves
-	diedAt          time.Time // when it crashed without coming back; it refuses connections since
-	failsAll        bool      // every run fails
+	id            model.BackendServerID
+	rack          model.RackID
+	startedAt     time.Time
+	dead          bool
+	unlisted      bool
+	draining      bool
+	drainingSince time.Time // when it announced that it leaves
+	diedAt        time.Time // when it crashed without coming back; it refuses connections since
+	capacity      job.Resources
+	// largerUntil is until when capacity that it had before a shrinkage still counts.
+	larger          job.Resources
+	largerUntil     time.Time
+	failsAll        bool // every run fails
 	hangs           bool
 	slowdown        int         // factor for the duration of new runs; 0 means 1
 	failsJob        model.JobID // the tasks of this job fail here
@@ -128,7 +132,7 @@
 	n := len(w.servers)
 	s := &fakeServer{
 		id: model.BackendServerID(fmt.Sprintf("s%02d", n)), rack: model.RackID(fmt.Sprintf("r%d", n%2)),
-		startedAt: w.now, runs: make(map[string]*fakeRun), highestEndedRun: make(map[string]int64),
+		capacity: fakeCapacity, startedAt: w.now, runs: make(map[string]*fakeRun), highestEndedRun: make(map[string]int64),
 	}
 	w.servers[s.id] = s
 	w.every(50*time.Millisecond, func() { s.endDueRuns(w) })
@@ -145,10 +149,29 @@
 func (s *fakeServer) entry(w *world) ServerEntry {
 	return ServerEntry{
 		ID: s.id, Service: service, Address: string(s.id), Rack: s.rack, Labels: []string{"a", string(s.rack)},
-		Capacity: fakeCapacity, Draining: s.draining, IncarnationStart: s.startedAt.UnixMilli(), Clock: s.clock(w), Sequence: s.heartbeats(w),
+		Capacity: s.capacity, Draining: s.draining, IncarnationStart: s.startedAt.UnixMilli(), Clock: s.clock(w), Sequence: s.heartbeats(w),
 	}
 }
 
+// shrinkageBound is how long after a shrinkage the capacity before it still counts for starts: the
+// time to be in touch and one heartbeat.
+const shrinkageBound = inTouchAfter + 1500*time.Millisecond
+
+// setCapacity changes the backend server's capacity while it runs.
+func (s *fakeServer) setCapacity(w *world, c job.Resources) {
+	s.larger, s.largerUntil = s.capacity, w.now.Add(shrinkageBound)
+	s.capacity = c
+}
+
+// used is what the runs take of the capacity.
+func (s *fakeServer) used() job.Resources {
+	var sum job.Resources
+	for _, r := range s.runs {
+		sum = sum.Add(r.need)
+	}
+	return sum
+}
+
 // heartbeats is how often the backend server has written its entry.
 func (s *fakeServer) heartbeats(w *world) int64 {
 	until := w.now
@@ -217,12 +240,8 @@
 		return refuse(RefusedDeadlinePassed)
 	}
 	r := w.oracle.newRun(o)
-	free := fakeCapacity
-	for _, other := range s.runs {
-		free = free.Sub(other.need)
-	}
 	s.deadline = max(s.deadline, o.Deadline)
-	if !r.need.FitsIn(free) {
+	if !w.unguarded && !r.need.FitsIn(s.capacity.Sub(s.used())) {
 		return refuse(RefusedNoCapacity)
 	}
 	r.startedAt = w.now
--- a/internal/fleet/oracle_test.go
+++ b/internal/fleet/oracle_test.go
@@ -36,6 +36,14 @@
 	}
 }
 
+// checkCapacity fails the test if a start has brought a backend server over its capacity.
+func (o *oracle) checkCapacity(s *fakeServer, task string) {
+	if s.used().FitsIn(s.capacity) || o.w.now.Before(s.largerUntil) && s.used().FitsIn(s.larger) {
+		return
+	}
+	o.w.t.Fatalf("%v: task %s is started on %s, which then uses %v of %v", o.w.now, task, s.id, s.used(), s.capacity)
+}
+
 // newRun returns the run for a start order.
 func (o *oracle) newRun(order Start) *fakeRun {
 	key, index, err := job.ParseTaskName(order.Task)
@@ -62,6 +70,9 @@
 		}
 	}
 	o.running[name][s] = r
+	if o.w.unguarded {
+		o.checkCapacity(s, name)
+	}
 	if o.w.deadly[name] && o.crashes[name] >= maxCrashesBefore {
 		if o.startsAfterCrashes[name]++; o.startsAfterCrashes[name] >= startsTooMany {
 			o.w.t.Fatalf("%v: task %s is started on %s after it has crashed %d backend servers", o.w.now, name, s.id, o.crashes[name])
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -151,7 +151,7 @@
 	}
 	if r.phase == runOrdered && r.startInDoubt {
 		switch o := s.obstacle(v, r); {
-		case o == serverLeaves || o == serverUnlisted:
+		case o == serverLeaves || o == serverUnlisted || o == capacityShrunk:
 			s.requestStop(r, stopInDoubt, "start without an answer: "+string(o))
 		case s.now.Sub(r.orderedAt) > startRetryPeriod:
 			s.requestStop(r, stopInDoubt, "start without an answer")
@@ -168,6 +168,7 @@
 	noObstacle           obstacle = ""
 	serverLeaves         obstacle = "the backend server leaves"
 	serverUnlisted       obstacle = "the backend server is no longer listed"
+	capacityShrunk       obstacle = "the backend server's capacity has shrunk"
 	cancellationsUnknown obstacle = "cancellations are not known up to now"
 	listTooOld           obstacle = "the list of backend servers is too old"
 )
@@ -180,6 +181,8 @@
 		return serverLeaves
 	case !v.listed:
 		return serverUnlisted
+	case !v.reserved().FitsIn(v.entry.Capacity):
+		return capacityShrunk
 	case !s.cancellationsKnown(r.group.State.Job.ID):
 		return cancellationsUnknown
 	case !s.now.Before(s.startLimit(r.group.State.Job.ID)):
@@ -189,6 +192,16 @@
 	}
 }
 
+// reserved is what all runs on the backend server take of its capacity, also those that are being
+// stopped.
+func (v *server) reserved() job.Resources {
+	var sum job.Resources
+	for _, r := range v.runs {
+		sum = sum.Add(r.step().Reserved())
+	}
+	return sum
+}
+
 // startLimit is the latest time to send a start order for a task of the job with the present
 // knowledge of cancellations and of backend servers that leave.
 func (s *State) startLimit(id model.JobID) time.Time {
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -50,6 +50,7 @@
 	cutLinks           map[[2]string]bool // links that deliver nothing, by the names of both ends
 	storeRefuses       map[string]bool    // nodes whose calls the store refuses
 	withoutSubmissions map[string]bool    // nodes that read no submissions
+	unguarded          bool               // backend servers accept what exceeds their capacity
 	listsUnread        bool               // no node can read the entries of the backend servers
 	progressUnstored   bool               // the partition for progress stores nothing
 	carryingOutLate    bool               // a late order is being carried out
--- a/internal/sched/round_test.go
+++ b/internal/sched/round_test.go
@@ -264,3 +264,38 @@
 	c.addPending("suspected", gang, func(p *PendingStep) { p.Isolate = true })
 	assert.DeepEqual(t, placedOn(Decide(c.Snapshot), "suspected"), map[model.BackendServerID]int{"s1": 4})
 }
+
+// A backend server whose capacity has shrunk below what runs there takes nothing, not even a step that
+// may preempt, unless enough is stopped, and a gang that waits for it does not keep others from
+// a server with room.
+func TestShrunkCapacityIsNotUsed(t *testing.T) {
+	one := job.Resources{MilliCPU: 1000, Accelerators: 1}
+	shrink := func(c *cluster) {
+		c.Servers[0].Capacity = job.Resources{MilliCPU: 16000, MemoryMB: 32000, Accelerators: 4}
+		c.Servers[0].Free = job.Resources{MilliCPU: 8000, MemoryMB: 32000, Accelerators: -4}
+		c.Servers[0].Ends = []ExpectedEnd{{Need: whole, After: 5 * time.Second}}
+	}
+	c := newCluster(1)
+	shrink(c)
+	c.addPending("small", job.Step{Count: 4, Need: one, EstimatedRuntime: time.Second}, nil)
+	c.addPending("cpu", job.Step{Count: 4, Need: job.Resources{MilliCPU: 1000}, EstimatedRuntime: time.Second}, nil)
+	assert.Equal(t, len(Decide(c.Snapshot).Placements), 0)
+
+	c = newCluster(2)
+	shrink(c)
+	c.Servers[1].Free = one
+	c.addPending("gang", job.Step{Count: 2, Need: one.Times(2), Gang: true, EstimatedRuntime: time.Second}, nil)
+	c.addPending("small", job.Step{Count: 1, Need: one, EstimatedRuntime: time.Second}, func(p *PendingStep) { p.Priority = 1 })
+	assert.DeepEqual(t, placedOn(Decide(c.Snapshot), "small"), map[model.BackendServerID]int{"s1": 1})
+
+	c = newCluster(1)
+	c.addPreemptible("old", 0, whole, 10)
+	c.addPreemptible("older", 0, job.Resources{Accelerators: 0, MilliCPU: 1000}, 1)
+	c.Servers[0].Capacity.Accelerators = 4
+	c.Servers[0].Free.Accelerators = -4
+	c.addPending("urgent", job.Step{Count: 1, Need: one, EstimatedRuntime: time.Second}, func(p *PendingStep) { p.Guaranteed = true })
+	plan := Decide(c.Snapshot)
+	assert.Equal(t, len(plan.Placements), 0)
+	assert.Equal(t, len(plan.Evictions), 1)
+	assert.Equal(t, plan.Evictions[0].Key, groupKey("old"))
+}
