Accept jobs that fit backend servers as they usually are

While the capacities of a service had shrunk, a job that fits them otherwise was refused for good (400, 'no backend server of service ... can hold a task'). The check compared it with the newest capacity, which may grow again. It now uses the largest one of the incarnation.

TestJobThatFitsTheUsualCapacityIsAccepted fails without the change.

--- a/internal/fleet/capacity_test.go
+++ b/internal/fleet/capacity_test.go
@@ -89,3 +89,14 @@
 	w.run(4 * time.Second)
 	assert.Equal(t, len(w.ordersTo("s00", first)), 1, "the start was repeated")
 }
+
+// A job that fits a backend server as it usually is, is accepted while all capacities have shrunk.
+func TestJobThatFitsTheUsualCapacityIsAccepted(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 1)
+	w.servers["s00"].setCapacity(w, halfCapacity)
+	w.run(5 * time.Second)
+	for _, n := range w.nodes {
+		fits := n.state.CouldFit(service, &job.Step{Count: 1, Need: wholeServer})
+		assert.Assert(t, fits, "%s refuses a job that fits once the capacity grows again", n.name)
+	}
+}
--- a/internal/fleet/query.go
+++ b/internal/fleet/query.go
@@ -34,8 +34,8 @@
 	return n
 }
 
-// CouldFit reports whether the total capacity of some listed backend server suffices for a
-// task of the step. It returns true if none is listed.
+// CouldFit reports whether the largest capacity that some listed backend server has had suffices for
+// a task of the step: one that has shrunk may grow again. It returns true if none is listed.
 func (s *State) CouldFit(service string, step *job.Step) bool {
 	seen := false
 	for _, v := range s.servers {
@@ -43,7 +43,7 @@
 			continue
 		}
 		seen = true
-		if step.Reserved().FitsIn(v.entry.Capacity) {
+		if step.Reserved().FitsIn(v.largest) {
 			return true
 		}
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -14,6 +14,7 @@
 // server is the holder's state of a backend server under the current token.
 type server struct {
 	entry    ServerEntry
+	largest  job.Resources // the largest capacity that its incarnation has had
 	listed   bool
 	listedAt time.Time // when it was last listed
 	// drainingSince is when it was first listed as draining.
@@ -85,6 +86,10 @@
 	if e.Sequence != v.entry.Sequence || e.IncarnationStart != v.entry.IncarnationStart {
 		v.heartbeatAt = s.now
 	}
+	if e.IncarnationStart != v.entry.IncarnationStart {
+		v.largest = job.Resources{}
+	}
+	v.largest = v.largest.Max(e.Capacity)
 	v.listed, v.listedAt, v.entry = true, s.now, e
 	if s.holdsTerm() && v.hasReported && e.IncarnationStart > v.incarnationStart {
 		s.handleRestart(e.ID, v, e.IncarnationStart)
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -33,6 +33,11 @@
 	return Resources{r.MilliCPU * n, r.MemoryMB * n, r.Accelerators * n}
 }
 
+// Max returns the larger of r and o for each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.MilliCPU, o.MilliCPU), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
+}
+
 // FitsIn reports whether free has at least r of each resource.
 func (r Resources) FitsIn(free Resources) bool {
 	return r.MilliCPU <= free.MilliCPU && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
