Judge restarts of backend servers like their losses

Restarts under the same ID were judged with what was known of an earlier silence: the interval of the loss was overwritten before it was compared with others, a server that had announced that it leaves counted as crashed once its entry named the new incarnation, and a restart within a moment was blamed on a task before other servers that had restarted with it could be known.

The interval and the announcement are now taken before the state is reset, and a loss is blamed on one task alone only once others of the same cause are known.

TestTasksOnServersThatRestartTogetherAreNotBlamedAlone and TestServerThatLeavesAndComesBackHasNotCrashed fail without the change.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -27,7 +27,7 @@
 	Runs []Run
 	// Ended is set if the backend server's process has ended for certain, rather than being silent.
 	Ended bool
-	// OthersLost is set if other backend servers were lost at about the same time.
+	// OthersLost is set if other backend servers were lost at about the same time, or may have been.
 	OthersLost bool
 }
 
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -10,10 +10,10 @@
 )
 
 // Sleep waits for d or the end of ctx.
-func Sleep(ctx context.Context, d time.Duration) { SleepUntil(ctx, d, nil) }
+func Sleep(ctx context.Context, d time.Duration) { SleepOrWake(ctx, d, nil) }
 
-// SleepUntil waits for d, the end of ctx or a value from wake, which may be nil.
-func SleepUntil(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+// SleepOrWake waits for d, the end of ctx or a value from wake, which may be nil.
+func SleepOrWake(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -18,6 +18,9 @@
 	provenAfter = time.Second
 	// sameCause is how far apart the losses of backend servers may be that have one cause.
 	sameCause = 500 * time.Millisecond
+	// othersKnownAfter is how long after a loss others of the same cause are known, from their
+	// silence or their entries.
+	othersKnownAfter = 2 * time.Second
 	// lossMemory is how long the loss of a backend server is remembered: leases end well before.
 	lossMemory = 30 * time.Second
 	// aliveAfter is how long after a backend server went silent a change of its entry proves that it
@@ -29,22 +32,32 @@
 type loss struct {
 	server   model.BackendServerID
 	from, to time.Time
+	// announced is set if it had announced that it leaves.
+	announced bool
 }
 
-// addLoss remembers that a backend server has gone silent.
-func (s *State) addLoss(v *server) {
-	v.silentSince = s.now
-	s.losses = slices.DeleteFunc(s.losses, func(l loss) bool { return l.server == v.entry.ID || s.now.Sub(l.to) > lossMemory })
-	s.losses = append(s.losses, loss{server: v.entry.ID, from: v.reportedAt, to: s.now})
+// newLoss returns the loss of a backend server that is silent, or is known to have restarted.
+func (s *State) newLoss(v *server) loss {
+	l := loss{server: v.entry.ID, from: v.reportedAt, to: s.now, announced: v.entry.Draining}
+	if v.failedCalls > 0 {
+		l.to = v.silentSince
+	}
+	return l
+}
+
+// addLoss remembers a loss, to compare it with others.
+func (s *State) addLoss(l loss) {
+	s.losses = slices.DeleteFunc(s.losses, func(old loss) bool { return old.server == l.server || s.now.Sub(old.to) > lossMemory })
+	s.losses = append(s.losses, l)
 }
 
 // othersLost reports whether another backend server was lost at about the same time, without having
 // announced that it leaves.
-func (s *State) othersLost(v *server) bool {
-	return slices.ContainsFunc(s.losses, func(l loss) bool {
-		other := s.servers[l.server]
-		return l.server != v.entry.ID && !(other != nil && other.entry.Draining) &&
-			l.from.Before(v.silentSince.Add(sameCause)) && l.to.After(v.reportedAt.Add(-sameCause))
+func (s *State) othersLost(l loss) bool {
+	return slices.ContainsFunc(s.losses, func(other loss) bool {
+		v := s.servers[other.server]
+		return other.server != l.server && !other.announced && (v == nil || !v.entry.Draining) &&
+			other.from.Before(l.to.Add(sameCause)) && other.to.After(l.from.Add(-sameCause))
 	})
 }
 
@@ -74,13 +87,14 @@
 
 // recordCrash records with the tasks on a lost backend server that it may have crashed under them.
 // It does nothing if the backend server had announced that it leaves, or still writes its entry.
-func (s *State) recordCrash(v *server, restarted bool) {
-	alive := v.listed && v.heartbeatAt.Sub(v.silentSince) > aliveAfter
-	if v.entry.Draining || alive && !restarted {
+func (s *State) recordCrash(v *server, lost loss, restarted bool) {
+	alive := v.listed && v.heartbeatAt.Sub(lost.to) > aliveAfter
+	if lost.announced || alive && !restarted {
 		return
 	}
 	var runs []*run
-	l := crash.Loss{Ended: restarted || v.disconnected, OthersLost: s.othersLost(v)}
+	settled := s.now.Sub(lost.to) >= othersKnownAfter
+	l := crash.Loss{Ended: restarted || v.disconnected, OthersLost: !settled || s.othersLost(lost)}
 	for _, name := range eventloop.SortedKeys(v.runs) {
 		r := v.runs[name]
 		if r.lossRecorded || r.phase == runRecording || r.phase == runOrdered && !r.inFlight && !r.reached {
@@ -118,7 +132,7 @@
 	}
 }
 
-// observeAlive takes back the crashes recorded for an incarnation that reports: it was merely cut off.
+// observeAlive takes back the loss of an incarnation that reports: it was merely cut off.
 func (s *State) observeAlive(v *server) {
 	id := v.entry.ID
 	s.losses = slices.DeleteFunc(s.losses, func(l loss) bool { return l.server == id })
--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -192,3 +192,41 @@
 	}
 	assert.Assert(t, together >= 3, "only %d tasks were lost with the crashing one", together)
 }
+
+// Backend servers that restart under their ID at the same time have a common cause, also if they are
+// back before the holder has noticed that they were gone.
+func TestTasksOnServersThatRestartTogetherAreNotBlamedAlone(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 4)
+	id := w.submit(newJob(1, oneAccelerator, 6)).ID
+	task := job.GroupKey{Job: id}.TaskName(0)
+	for range 2 {
+		w.awaitRun(task)
+		w.run(100 * time.Millisecond)
+		for _, s := range w.servers {
+			s.crash(w)
+		}
+		w.run(200 * time.Millisecond)
+	}
+	w.run(30 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+}
+
+// A backend server that leaves as announced and comes back under its ID has not crashed.
+func TestServerThatLeavesAndComesBackHasNotCrashed(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	id := w.submit(newJob(1, oneAccelerator, 10)).ID
+	task := job.GroupKey{Job: id}.TaskName(0)
+	w.awaitRun(task)
+	for s := range w.oracle.running[task] {
+		s.draining, s.stays = true, 20*time.Second
+		w.run(450 * time.Millisecond) // the entry is read
+		assert.Equal(t, len(s.runs), 1)
+		w.cutLinks[link(w.holder().name, string(s.id))] = true
+		s.crash(w)
+		s.draining = false
+		w.run(450 * time.Millisecond)
+		clear(w.cutLinks)
+	}
+	w.run(3 * time.Second)
+	assert.Equal(t, len(w.holder().state.jobs.Job(id).Group(0, 0).Tasks[0].Crashes), 0)
+}
--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -109,8 +109,9 @@
 	dead          bool
 	unlisted      bool
 	draining      bool
-	drainingSince time.Time // when it announced that it leaves
-	diedAt        time.Time // when it crashed without coming back; it refuses connections since
+	drainingSince time.Time     // when it announced that it leaves
+	stays         time.Duration // how much longer it announces to stay at least
+	diedAt        time.Time     // when it crashed without coming back; it refuses connections since
 	capacity      job.Resources
 	// largerUntil is until when capacity that it had before a shrinkage still counts.
 	larger          job.Resources
@@ -149,7 +150,7 @@
 func (s *fakeServer) entry(w *world) ServerEntry {
 	return ServerEntry{
 		ID: s.id, Service: service, Address: string(s.id), Rack: s.rack, Labels: []string{"a", string(s.rack)},
-		Capacity: s.capacity, Draining: s.draining, IncarnationStart: s.startedAt.UnixMilli(), Clock: s.clock(w), Sequence: s.heartbeats(w),
+		Capacity: s.capacity, Draining: s.draining, Remaining: s.stays, IncarnationStart: s.startedAt.UnixMilli(), Clock: s.clock(w), Sequence: s.heartbeats(w),
 	}
 }
 
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -147,7 +147,7 @@
 			continue
 		}
 		if d := f.pause(); d > 0 && (f.alwaysPause || len(read.Records) > 0) {
-			eventloop.SleepUntil(ctx, d, f.wake)
+			eventloop.SleepOrWake(ctx, d, f.wake)
 		}
 	}
 }
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -112,7 +112,7 @@
 		state:   NewState(o.Identity, o.Bounds, o.Log, o.Counters),
 		events:  make(chan queuedEvent, eventQueue),
 		stopped: make(chan struct{}),
-
+		// A value that waits makes the next pause end at once.
 		readServers: make(chan struct{}, 1),
 	}
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -90,9 +90,10 @@
 		v.largest = job.Resources{}
 	}
 	v.largest = v.largest.Max(e.Capacity)
+	lost := s.newLoss(v)
 	v.listed, v.listedAt, v.entry = true, s.now, e
 	if s.holdsTerm() && v.hasReported && e.IncarnationStart > v.incarnationStart {
-		s.handleRestart(e.ID, v, e.IncarnationStart)
+		s.handleRestart(e.ID, v, e.IncarnationStart, lost)
 		v.hasReported = false
 		v.leaseEnd = s.now.Add(s.longestLease())
 		v.nextHoldAt = s.now
@@ -102,10 +103,11 @@
 // handleRestart resets the state for a new incarnation. The runs of the old one have ended, but
 // a start order may have reached the new one before the restart was known, or may still
 // reach it. The next report shows which runs exist, and starts in doubt are stopped there.
-func (s *State) handleRestart(id model.BackendServerID, v *server, incarnationStart int64) {
+func (s *State) handleRestart(id model.BackendServerID, v *server, incarnationStart int64, lost loss) {
 	s.log.Info("backend server restarted", zap.String("server", string(id)), zap.Int64("born", incarnationStart), zap.Int("runs", len(v.runs)),
 		zap.Strings("unproven", v.unprovenRuns()))
-	s.recordCrash(v, true)
+	s.recordCrash(v, lost, true)
+	s.addLoss(lost)
 	v.incarnationStart, v.appliedEnd, v.recordedEnd, v.acknowledgedEnd, v.deadline, v.clock = incarnationStart, 0, 0, 0, 0, 0
 	for _, r := range v.runs {
 		if r.startMayArrive(s.now) {
@@ -218,7 +220,7 @@
 		zap.Int("runs", len(v.runs)), zap.Duration("heard_before", s.now.Sub(v.reportedAt)),
 		zap.Bool("listed", v.listed), zap.Bool("draining", v.entry.Draining), zap.Bool("disconnected", v.disconnected),
 		zap.Strings("unproven", v.unprovenRuns()))
-	s.recordCrash(v, false)
+	s.recordCrash(v, s.newLoss(v), false)
 	for _, name := range eventloop.SortedKeys(v.runs) {
 		if r := v.runs[name]; r.phase != runRecording {
 			s.requeue(v, r, "lease ended")
@@ -244,19 +246,23 @@
 		s.log.Info("backend server answers again", zap.String("server", string(e.Order.Server)), zap.Int("failed_calls", v.failedCalls),
 			zap.Bool("restarted", v.incarnationStart != 0 && e.Report.IncarnationStart != v.incarnationStart), zap.Int("runs", len(v.runs)))
 	}
+	lost := s.newLoss(v)
 	v.failedCalls = 0
 	v.reportedAt = s.now
 	first := !v.hasReported
+	restarted := false
 	if e.Report.IncarnationStart != v.incarnationStart {
 		if v.incarnationStart != 0 && e.Report.IncarnationStart < v.incarnationStart {
 			return // from a previous incarnation
 		}
-		if v.incarnationStart != 0 {
-			s.handleRestart(e.Order.Server, v, e.Report.IncarnationStart)
+		if restarted = v.incarnationStart != 0; restarted {
+			s.handleRestart(e.Order.Server, v, e.Report.IncarnationStart, lost)
 		}
 		v.incarnationStart = e.Report.IncarnationStart
 	}
-	s.observeAlive(v)
+	if !restarted {
+		s.observeAlive(v)
+	}
 	s.observeClock(v, e.Report.Clock)
 	v.acknowledgedEnd = max(v.acknowledgedEnd, e.Order.AcknowledgedEnd)
 	if first {
@@ -303,7 +309,8 @@
 	v.disconnected = errors.Is(e.Err, ErrDisconnected)
 	v.nextHoldAt = s.now.Add(holdRetry)
 	if v.failedCalls == 1 {
-		s.addLoss(v)
+		v.silentSince = s.now
+		s.addLoss(s.newLoss(v))
 		s.log.Info("backend server does not answer", zap.String("server", string(e.Order.Server)),
 			zap.Int("runs", len(v.runs)), zap.Error(e.Err))
 		s.replan = true
