Forget the crashes of a task that has been at work for a minute

A task that crashes its servers at the start is never at work for a minute.

TestCrashesOfALongRunningTaskDoNotAddUp fails without the change.

--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -16,6 +16,9 @@
 	// provenAfter is how long a run has to have been seen running before a crash of its backend
 	// server no longer looks like an effect of its start.
 	provenAfter = time.Second
+	// clearedAfter is how long a run has to have been at work to show that its task does not crash
+	// its backend servers.
+	clearedAfter = time.Minute
 	// sameCause is how far apart the losses of backend servers may be that have one cause.
 	sameCause = 500 * time.Millisecond
 	// othersKnownAfter is how long after a loss others of the same cause are known, from their
@@ -132,6 +135,18 @@
 	}
 }
 
+// clearCrashes forgets the crashes of a task that has been at work for clearedAfter, so that those of
+// a task that runs for days do not add up.
+func (s *State) clearCrashes(r *run) {
+	t := &r.group.Tasks[r.index]
+	if len(t.Crashes) == 0 || !r.current() || s.now.Sub(r.startedAt) < clearedAfter {
+		return
+	}
+	s.log.Info("crashes of a task are forgotten: it works", zap.String("task", r.name), zap.Int64("run", r.number), zap.Int("crashes", len(t.Crashes)))
+	t.Crashes = nil
+	s.markDirty(r.group)
+}
+
 // observeAlive takes back the loss of an incarnation that reports: it was merely cut off.
 func (s *State) observeAlive(v *server) {
 	id := v.entry.ID
--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -230,3 +230,19 @@
 	w.run(3 * time.Second)
 	assert.Equal(t, len(w.holder().state.jobs.Job(id).Group(0, 0).Tasks[0].Crashes), 0)
 }
+
+// A task that runs for days loses its backend server now and then, and is not given up for that.
+func TestCrashesOfALongRunningTaskDoNotAddUp(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 4)
+	lasting := newJob(1, oneAccelerator, 24*60*60)
+	lasting.Steps[0].LongRunning = true
+	id := w.submit(lasting).ID
+	task := job.GroupKey{Job: id}.TaskName(0)
+	for range 8 {
+		w.awaitRun(task)
+		w.run(2 * time.Minute)
+		assert.Assert(t, w.crashUnder(task))
+	}
+	w.awaitRun(task)
+	assert.Equal(t, w.status(id), job.StatusRunning)
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -361,6 +361,7 @@
 	if row.Checkpoint != "" {
 		s.saveCheckpoint(r.group, r.index, row.Run, row.Checkpoint)
 	}
+	s.clearCrashes(r)
 }
 
 // handleUnexpectedRun stops a run that the holder does not expect on this backend server.
