Use the last list of backend servers while the store does not serve it

While nobody can write to that partition no server can announce that it leaves, so a failed read proves as much as one without news. The last list is now used until 10 s have passed, unless this VM may have caused the failure itself: by too many calls, or by an overloaded loop.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -36,6 +36,9 @@
 	AsOf    time.Time
 }
 
+// ServersUnread carries the error of a failed read of the entries of the backend servers.
+type ServersUnread struct{ Err error }
+
 // AppendAnswered carries the outcome of the Append action with this number.
 type AppendAnswered struct {
 	Number int64
@@ -93,6 +96,7 @@
 func (StoreAnswered) event()     {}
 func (ConfigChanged) event()     {}
 func (ServersListed) event()     {}
+func (ServersUnread) event()     {}
 func (AppendAnswered) event()    {}
 func (ClaimAnswered) event()     {}
 func (StartAnswered) event()     {}
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -269,6 +269,7 @@
 	var asOf time.Time
 	f := &follower{store: l.options.Store, partition: l.options.Sources.Servers, wait: noPause, alwaysPause: true, wake: l.readServers, log: l.options.Log}
 	f.pause = l.serversPause
+	f.onFailure = func(err error) { l.post(ctx, ServersUnread{Err: err}) }
 	f.sink = func(b readBatch) {
 		if b.Initial {
 			clear(entries)
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -67,7 +67,7 @@
 // serversKnown reports whether the entries of the backend servers were read recently enough to
 // place tasks: one that announced more than DrainBound before the start that it leaves is then known.
 func (s *State) serversKnown() bool {
-	return s.now.Sub(s.serversAsOf) <= s.bounds.DrainBound-min(startMargin, s.bounds.DrainBound*2/5)
+	return s.now.Sub(s.announcementsKnownAsOf()) <= s.bounds.DrainBound-min(startMargin, s.bounds.DrainBound*2/5)
 }
 
 func (s *State) snapshot() sched.Snapshot {
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -23,6 +23,8 @@
 	ErrNoEffect = ports.ErrUnavailable
 	// ErrInDoubt means that a call may have taken effect, or may still do so.
 	ErrInDoubt = ports.ErrInDoubt
+	// ErrTooManyCalls means that the store refused a call because of a limit on calls.
+	ErrTooManyCalls = errors.New("too many calls")
 	// ErrDisconnected means that the other side has closed or refused the connection.
 	ErrDisconnected = errors.New("disconnected")
 	// ErrFenced means that a newer token or epoch is in use.
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -207,7 +207,7 @@
 // startLimit is the latest time to send a start order for a task of the job with the present
 // knowledge of cancellations and of backend servers that leave.
 func (s *State) startLimit(id model.JobID) time.Time {
-	drains := s.serversAsOf.Add(s.bounds.DrainBound - min(deliveryMargin, s.bounds.DrainBound/5))
+	drains := s.announcementsKnownAsOf().Add(s.bounds.DrainBound - min(deliveryMargin, s.bounds.DrainBound/5))
 	cancellations := s.readAsOf[SubmissionPartition(id)].Add(s.bounds.CancelBound - deliveryMargin)
 	return minTime(drains, cancellations)
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -71,6 +71,24 @@
 	}
 }
 
+// serversUnread handles a failed read of the entries. It tells nothing if this VM may have caused the
+// failure itself, by too many calls or by being overloaded.
+func (s *State) serversUnread(err error) {
+	if !errors.Is(err, ErrTooManyCalls) && s.laggingSince.IsZero() {
+		s.serversAwayAt = s.now
+	}
+}
+
+// announcementsKnownAsOf is the time up to which this VM knows which backend servers have announced
+// that they leave. While the store does not serve their entries they cannot announce it either, so
+// that the last list read remains valid, for maxListAge at most.
+func (s *State) announcementsKnownAsOf() time.Time {
+	if s.serversAwayAt.After(s.serversAsOf) && s.serversAwayAt.Sub(s.serversAsOf) <= maxListAge {
+		return s.serversAwayAt
+	}
+	return s.serversAsOf
+}
+
 func (s *State) serverListed(e ServerEntry) {
 	v := s.servers[e.ID]
 	if v == nil {
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -54,6 +54,9 @@
 	// deliveryMargin is the part of CancelBound and of DrainBound reserved for the delivery of a
 	// start order that was sent.
 	deliveryMargin = 500 * time.Millisecond
+	// maxListAge is how long the list of backend servers is used while the store does not serve
+	// their entries, about as long as a backend server stays after its announcement.
+	maxListAge = 10 * time.Second
 	// storeTimeout is the time without an answer after which a VM regards the store as lost. It
 	// is as long as a read's wait, nonHolderRecordsWait.
 	storeTimeout = 2 * time.Second
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -89,6 +89,8 @@
 	servers map[model.BackendServerID]*server
 	// serversAsOf is the time up to which all entries of backend servers have been read.
 	serversAsOf time.Time
+	// serversAwayAt is when the store last failed to serve these entries.
+	serversAwayAt time.Time
 	// losses are the backend servers that were lost recently.
 	losses []loss
 	// crashed are the backend servers whose loss is recorded with tasks.
@@ -182,6 +184,8 @@
 		s.configChanged(e.Config)
 	case ServersListed:
 		s.serversListed(e)
+	case ServersUnread:
+		s.serversUnread(e.Err)
 	case AppendAnswered:
 		s.appendAnswered(e)
 	case ClaimAnswered:
