--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -4,18 +4,22 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
 )
 
-// cases are the cases by name. Each returns an exit code.
+// cases are the cases and trials by name. Each returns an exit code.
 var cases = map[string]func(dir string, out io.Writer) int{
 	"innocent": innocent,
 	"pending":  pending,
 	"avoided":  avoided,
 	"reclaim":  reclaim,
 	"long":     long,
+	// These are trials that REPORT.md names, not cases.
+	"uneven": uneven,
+	"advice": advice,
 }
 
 // countEnds counts the ends of a job's runs that workers listed, by outcome.
@@ -256,3 +260,132 @@
 	}
 	return b
 }
+
+// uneven: one of six tasks of a step takes ten times as long as the others, 60 s. Four of twelve workers
+// have the label that the step needs; all are sound and idle.
+func uneven(dir string, out io.Writer) int {
+	const job, finish, bound = "0000000000000021", 14 * time.Second, 3 * time.Second
+	d := newDeployment(dir, out, []map[string]any{route("plan", 1, 3)}, 12, 6)
+	labelled := d.workers[2:6]
+	for _, w := range labelled {
+		w.label = "b"
+	}
+	var mu sync.Mutex
+	starts := 0
+	for _, w := range d.workers {
+		w.onStart = func(*worker, string, int64) {
+			mu.Lock()
+			defer mu.Unlock()
+			starts++
+		}
+	}
+	d.start()
+	s := spec{RunMs: 6000}
+	if d.trouble {
+		s.FirstX = 10
+	}
+	d.submit("plan", job, 6, s, `,"requires":"b"`)
+	end := time.Now() // of the traffic
+	lastRan, longest, asked := end, time.Duration(0), end
+	for time.Since(end) < 100*time.Second {
+		time.Sleep(20 * time.Millisecond)
+		runs := false
+		for _, w := range labelled {
+			runs = runs || w.Runs(job)
+		}
+		if time.Since(end) >= finish && !runs {
+			longest = max(longest, time.Since(maxTime(lastRan, end.Add(finish))))
+		}
+		if runs {
+			lastRan = time.Now()
+		}
+		if time.Since(asked) < 2*time.Second {
+			continue
+		}
+		asked = time.Now()
+		if d.state(d.vms[0], "plan", job) == "complete" {
+			d.log.add("the job is complete; ends of its runs: %v", countEnds(d, job))
+			return exitHeld
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	d.log.add("the job has not ended after 100 s and %d starts; ends of its runs: %v; longest time without a run from %v after the end of the traffic: %v",
+		starts, countEnds(d, job), finish, longest.Round(time.Millisecond))
+	if longest >= bound {
+		return exitBroken
+	}
+	return exitHeld
+}
+
+// advice: jobs come at once to a queue with a policy. The service that knows the policy handles one call at
+// a time, in turn, also those whose caller has given up.
+func advice(dir string, out io.Writer) int {
+	const decide, each, most = 200 * time.Millisecond, 20 * time.Millisecond, 32
+	r := route("plan", 1, 3)
+	r["advice"] = map[string]any{"decideMs": decide.Milliseconds(), "eachMs": each.Milliseconds(), "validMs": 3000}
+	d := newDeployment(dir, out, []map[string]any{r}, 12, 6)
+	var mu sync.Mutex
+	waiting, served, abandoned, refused := 0, 0, 0, 0
+	turn := make(chan struct{}, 1)
+	d.serveAdvice(func(rw http.ResponseWriter, r *http.Request) {
+		var m struct {
+			Workers []string `json:"workers"`
+		}
+		if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
+			rw.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		mu.Lock()
+		if waiting == most {
+			refused++
+			mu.Unlock()
+			rw.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		waiting++
+		mu.Unlock()
+		turn <- struct{}{}
+		time.Sleep(decide + time.Duration(len(m.Workers))*each)
+		<-turn
+		mu.Lock()
+		waiting--
+		served++
+		if r.Context().Err() != nil {
+			abandoned++
+		}
+		mu.Unlock()
+		good := [][]string{}
+		for _, id := range m.Workers {
+			good = append(good, []string{id, "ticket-" + id})
+		}
+		reply(rw, http.StatusOK, map[string]any{"good": good, "validMs": 3000})
+	})
+	d.start()
+	jobs := 1
+	if d.trouble {
+		jobs = 24
+	}
+	id := func(i int) string { return fmt.Sprintf("00000000000003%02d", i) }
+	for i := range jobs {
+		d.submit("plan", id(i), 1, spec{RunMs: 1500}, "")
+		time.Sleep(150 * time.Millisecond)
+	}
+	done := 0
+	for range 8 {
+		time.Sleep(5 * time.Second)
+		done = 0
+		for i := range jobs {
+			if d.state(d.vms[0], "plan", id(i)) == "complete" {
+				done++
+			}
+		}
+		mu.Lock()
+		d.log.add("%d of %d jobs are complete; calls for advice: %d served, %d of them abandoned, %d refused, %d waiting", done, jobs, served, abandoned, refused, waiting)
+		mu.Unlock()
+		if done == jobs {
+			return exitHeld
+		}
+	}
+	return exitBroken
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -76,6 +76,7 @@
 	vms     []*vm
 	client  *http.Client
 	trouble bool
+	advisor string // address of the service that knows the queues' policies; may be empty
 	key     string // of the tenant whose calls are sent
 }
 
@@ -83,10 +84,15 @@
 var taken = make(map[int]bool)
 
 // freePorts returns the first of n adjacent ports that are free for connections and datagrams. They lie
-// below the range from which the kernel takes the ports of outgoing connections.
+// below the range from which the kernel takes the ports of outgoing connections, and scripts that run at
+// the same time mostly take them from different blocks.
 func freePorts(n int) int {
-	for range 1000 {
-		first := 12000 + rand.IntN(20000)
+	const lowest, blocks, block = 12000, 200, 100
+	for i := range 1000 {
+		first := lowest + os.Getpid()%blocks*block + rand.IntN(block-n)
+		if i >= 500 {
+			first = lowest + rand.IntN(blocks*block)
+		}
 		if free(first, n) {
 			for i := range n {
 				taken[first+i] = true
@@ -169,7 +175,7 @@
 		"zones.zone-a=region-a", "zones.zone-b=region-b", "zones.zone-c=region-c",
 		"listen.front=" + v.front, "listen.ready=" + v.ready, fmt.Sprintf("portRange=%d,%d", first, first+1), "bootstrap=true",
 		"limits.cpuShare=0.4", "limits.cores=1", "limits.memoryMb=284", "limits.maxFds=4100", "limits.linkMbps=1000.0",
-		"discovery=platform", "entry=vip", "heartbeatMs=1500", "orders=rpc", "platform.address=" + l.Addr().String(), "platform.form=log",
+		"discovery=platform", "entry=vip", "heartbeatMs=1500", "orders=rpc", "advice=" + d.advisor, "platform.address=" + l.Addr().String(), "platform.form=log",
 		"bounds.contactMs=3000", "bounds.ackMs=4000", "bounds.drainMs=2500", "bounds.graceS=6", "bounds.configApplyMs=2500", "bounds.strictRevoke=true",
 		"bounds.revokeMs=5000", "bounds.holdMaxMs=6000", "bounds.stopTimeoutMs=200", "bounds.gangTimeoutMs=3000", "bounds.cancel_ms=3000",
 		"bounds.visible_ms=3000", "bounds.early_ms=250", "bounds.finish_s=14", "bounds.status_s=120", "bounds.fencing=true", "bounds.reclaimMs=2700",
@@ -180,6 +186,21 @@
 	return v
 }
 
+// serveAdvice starts the service that knows the queues' policies, and names it in the VMs' settings.
+func (d *deployment) serveAdvice(h http.HandlerFunc) {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", freePorts(1)))
+	if err != nil {
+		fatal("advice: %v", err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /advise", h)
+	go func() { _ = http.Serve(l, mux) }() // serves until the script ends
+	d.advisor = l.Addr().String()
+	for i := range d.vms {
+		d.vms[i] = d.newVM(i)
+	}
+}
+
 // start starts the workers and the VMs with the command of deploy/system.toml.
 func (d *deployment) start() {
 	for _, w := range d.workers {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -42,6 +42,8 @@
 	RunMs int `json:"runMs"`
 	// Lasts is set for tasks that run until they are stopped.
 	Lasts bool `json:"lasts"`
+	// FirstX, if above 0, is how many times as long the first task of the step takes.
+	FirstX int `json:"firstX"`
 }
 
 // worker is a worker of the platform. Its methods that begin with a capital letter are for scripts.
@@ -289,6 +291,9 @@
 	if err := json.Unmarshal([]byte(o.Spec), &s); err != nil {
 		return http.StatusBadRequest, ""
 	}
+	if s.FirstX > 0 && strings.HasSuffix(o.Task, ".0") {
+		s.RunMs *= s.FirstX
+	}
 	w.running[o.Task] = &run{task: o.Task, number: o.Run, began: time.Now(), runtime: time.Duration(s.RunMs) * time.Millisecond, lasts: s.Lasts}
 	return http.StatusOK, ""
 }
