Fleet: a step avoids a backend server where it failed for a while, not for good

Cause: recordFailure puts the server on the step's list of servers to avoid, the scheduler takes the list as a ban, and nothing takes an entry off while the holder keeps the term. Ruled out: the quarantine, which needs two jobs and ends after 8 s.

Change: an entry bans for avoidDuration after the newest failure; the server stays suspect, and so the last choice, until a task succeeds there. maxAvoided counts expired entries too, so that a step that fails everywhere is still not blamed on more servers.

--- a/internal/fleet/failing_test.go
+++ b/internal/fleet/failing_test.go
@@ -47,3 +47,35 @@
 	w.run(30 * time.Second)
 	w.oracle.checkAllEnded()
 }
+
+// A task failed once on the only backend server that may run it, and its step was never started again
+// while the holder kept the term (review/1).
+func TestStepReturnsToTheOnlyServerAfterAFailure(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 6)
+	only := w.servers[model.BackendServerID("s03")]
+	only.label = "scanner"
+	j := newJob(2, oneAccelerator, 2)
+	j.Steps[0].Label = only.label
+	only.failsAll = true
+	id := w.submit(j).ID
+	w.run(3 * time.Second)
+	only.failsAll = false
+	w.run(avoidDuration + 3*time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+}
+
+// The other backend server that may run the step is full for good: the one where it failed is idle.
+func TestStepReturnsToAServerWhenTheOthersAreFull(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 2)
+	w.servers["s00"].draining = true
+	w.run(time.Second)
+	w.submit(newJob(1, wholeServer, 120))
+	w.run(time.Second)
+	w.servers["s00"].draining, w.servers["s00"].failsAll = false, true
+	w.run(time.Second)
+	id := w.submit(newJob(1, oneAccelerator, 2)).ID
+	w.run(time.Second)
+	w.servers["s00"].failsAll = false
+	w.run(avoidDuration + 3*time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+}
--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -118,6 +118,7 @@
 	largerUntil     time.Time
 	failsAll        bool // every run fails
 	hangs           bool
+	label           string      // besides those that all have
 	slowdown        int         // factor for the duration of new runs; 0 means 1
 	failsJob        model.JobID // the tasks of this job fail here
 	highestToken    int64
@@ -149,7 +150,7 @@
 
 func (s *fakeServer) entry(w *world) ServerEntry {
 	return ServerEntry{
-		ID: s.id, Service: service, Address: string(s.id), Rack: s.rack, Labels: []string{"a", string(s.rack)},
+		ID: s.id, Service: service, Address: string(s.id), Rack: s.rack, Labels: []string{"a", string(s.rack), s.label},
 		Capacity: s.capacity, Draining: s.draining, Remaining: s.stays, IncarnationStart: s.startedAt.UnixMilli(), Clock: s.clock(w), Sequence: s.heartbeats(w),
 	}
 }
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -61,13 +61,12 @@
 	return h.failures > 0 && now.Sub(h.lastFailedAt) < quarantineDuration
 }
 
-// recordFailure makes the step avoid the backend server and counts the failed job against it.
-// Consecutive failures of one job count once; a success resets the count.
+// recordFailure makes the step avoid the backend server for a while and counts the failed job
+// against it. Consecutive failures of one job count once; a success resets the count.
 func (s *State) recordFailure(v *server, g *job.Group, index int) {
-	if len(s.avoid[g.Key()]) >= maxAvoided {
+	if !s.avoidServer(g, v.entry.ID) {
 		return // the step fails everywhere, which tells nothing of this backend server
 	}
-	s.avoidServer(g, v.entry.ID)
 	v.health.lastFailedAt = s.now
 	id := string(g.State.Job.ID)
 	if v.health.lastFailedJob != id || v.health.failures == 0 {
@@ -160,17 +159,39 @@
 // measurablePercent is the least progress from which a run's speed can be estimated.
 const measurablePercent = 10
 
-// maxAvoided bounds the number of backend servers that a step avoids, since failures of a
-// step that fails everywhere are not their fault.
+// maxAvoided bounds the number of backend servers that a step has failed on and that are blamed for
+// it, since failures of a step that fails everywhere are not their fault.
 const maxAvoided = 4
 
-// avoidServer makes a step avoid a backend server on which one of its tasks failed.
-func (s *State) avoidServer(g *job.Group, id model.BackendServerID) {
+// avoidDuration is how long a step avoids a backend server after a task failed there. It may be the
+// only one that can run the step, so it is avoided no longer than the usual faults last.
+const avoidDuration = quarantineDuration
+
+// avoidServer makes a step avoid a backend server on which one of its tasks has just failed. It
+// returns false, and changes nothing, if the step has failed on maxAvoided others.
+func (s *State) avoidServer(g *job.Group, id model.BackendServerID) bool {
 	key := g.Key()
-	if s.avoid[key] == nil {
-		s.avoid[key] = make(map[model.BackendServerID]bool)
+	if _, known := s.avoid[key][id]; !known && len(s.avoid[key]) >= maxAvoided {
+		return false
 	}
-	if len(s.avoid[key]) < maxAvoided {
-		s.avoid[key][id] = true
+	if s.avoid[key] == nil {
+		s.avoid[key] = make(map[model.BackendServerID]time.Time)
 	}
+	s.avoid[key][id] = s.now
+	return true
+}
+
+// avoidedNow returns the backend servers that a step avoids at present; nil if there are none.
+func (s *State) avoidedNow(key job.GroupKey) map[model.BackendServerID]bool {
+	var avoided map[model.BackendServerID]bool
+	for id, failedAt := range s.avoid[key] {
+		if s.now.Sub(failedAt) >= avoidDuration {
+			continue
+		}
+		if avoided == nil {
+			avoided = make(map[model.BackendServerID]bool)
+		}
+		avoided[id] = true
+	}
+	return avoided
 }
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -265,7 +265,7 @@
 	st, step := g.State, g.Step()
 	p := sched.PendingStep{
 		Key: g.Key(), Service: s.currentService(st.Job), Step: step, Priority: st.Job.Priority, Guaranteed: covered, Urgent: st.Job.Priority == 0,
-		Due: s.dueAt(g), Remaining: st.Job.CriticalPath(), Avoid: s.avoid[g.Key()], TasksPerServer: make(map[model.BackendServerID]int),
+		Due: s.dueAt(g), Remaining: st.Job.CriticalPath(), Avoid: s.avoidedNow(g.Key()), TasksPerServer: make(map[model.BackendServerID]int),
 	}
 	p.Objective = p.Due.Add(st.Job.Objective())
 	for i := range g.Tasks {
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -105,8 +105,8 @@
 	// orphans counts the runs of each task that are not its current run. The task is not placed
 	// again before they end.
 	orphans map[string]int
-	// avoid lists the backend servers on which tasks of a step failed.
-	avoid map[job.GroupKey]map[model.BackendServerID]bool
+	// avoid holds the backend servers on which tasks of a step failed, with the time of the newest failure.
+	avoid map[job.GroupKey]map[model.BackendServerID]time.Time
 	// stepRates holds the progress rates of the tasks of each step.
 	stepRates map[job.GroupKey]*straggler.StepRates
 	writer    writer
@@ -147,7 +147,7 @@
 		readAsOf:   make(map[Partition]time.Time),
 		touched:    make(map[model.BackendServerID]*server),
 		orphans:    make(map[string]int),
-		avoid:      make(map[job.GroupKey]map[model.BackendServerID]bool),
+		avoid:      make(map[job.GroupKey]map[model.BackendServerID]time.Time),
 		stepRates:  make(map[job.GroupKey]*straggler.StepRates),
 	}
 	s.stopwatch = func() time.Time { return s.now }
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -263,7 +263,7 @@
 	s.advice = make(map[string]*advice)
 	s.losses, s.crashed = nil, make(map[model.BackendServerID]bool)
 	s.orphans = make(map[string]int)
-	s.avoid = make(map[job.GroupKey]map[model.BackendServerID]bool)
+	s.avoid = make(map[job.GroupKey]map[model.BackendServerID]time.Time)
 	s.stepRates = make(map[job.GroupKey]*straggler.StepRates)
 	s.resync()
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -67,7 +67,7 @@
 	TasksPerServer map[model.BackendServerID]int
 	// Rack is where the step's other tasks run, for a step that should stay on one rack.
 	Rack model.RackID
-	// Avoid holds the backend servers on which tasks of the step failed.
+	// Avoid holds the backend servers on which tasks of the step failed lately.
 	Avoid map[model.BackendServerID]bool
 	// Isolate is set if the tasks are suspected of crashing their backend servers. Each one, or the
 	// gang, is placed where nothing else has just started, so that another crash tells who
