Fleet: jobs that a new holder reads late wait for the leases of its predecessor

Callers would see two runs of a task at once, where leases are as short as holdMaxMs 6,000 allows. Seen in virtual time only. TestJobReadAfterTheTermWaitsForOldLeases fails before (runs on s00 and is started on s01) and passes after: both paths now use oldLeasesEnd, which counts from the take-over.

--- a/internal/fleet/authority_test.go
+++ b/internal/fleet/authority_test.go
@@ -156,3 +156,45 @@
 	assert.Equal(t, w.status(id), job.StatusDone)
 	assert.Equal(t, w.oracle.starts, starts)
 }
+
+// A successor that read a job only after it had taken the term did not allow for the time that its
+// predecessor may act on, and started the job's task while the predecessor's lease still lasted.
+func TestJobReadAfterTheTermWaitsForOldLeases(t *testing.T) {
+	for phase := range 20 {
+		w := newWorldWithHolder(t, 3, 2)
+		old := w.holder()
+		for _, n := range w.nodes {
+			n.state.bounds.LeaseMax = 6 * time.Second // shorter than leaseDuration
+			w.withoutSubmissions[n.name] = n != old
+		}
+		w.servers["s01"].draining = true
+		w.run(time.Second)
+		id := w.submit(newJob(1, oneAccelerator, 20)).ID
+		w.run(2*time.Second + time.Duration(phase)*50*time.Millisecond)
+		assert.Equal(t, w.oracle.starts, 1)
+		heal := w.cutOff(side{old.name: true, "s00": true})
+		w.servers["s00"].unlisted = true
+		w.servers["s01"].draining = false
+		for w.otherHolder(old) == nil {
+			w.run(10 * time.Millisecond)
+		}
+		clear(w.withoutSubmissions)
+		w.poll(w.otherHolder(old))
+		w.run(15 * time.Second)
+		assert.Equal(t, w.oracle.starts, 2)
+		heal()
+		w.servers["s00"].unlisted = false
+		w.run(30 * time.Second)
+		assert.Equal(t, w.status(id), job.StatusDone)
+	}
+}
+
+// otherHolder returns a VM other than n that holds the term; nil if there is none.
+func (w *world) otherHolder(n *node) *node {
+	for _, other := range w.nodes {
+		if other != n && !other.dead && other.state.HoldsTerm() {
+			return other
+		}
+	}
+	return nil
+}
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -168,7 +168,7 @@
 	}
 	if s.holdsTerm() {
 		// A previous holder may have placed tasks of a job that is read only now.
-		s.adoptJob(changed, s.now.Add(s.longestLease()))
+		s.adoptJob(changed, s.oldLeasesEnd())
 	}
 	s.replan = true
 }
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -68,7 +68,7 @@
 // adoptPlaced adds the runs that previous holders have recorded; the first reports of the
 // backend servers confirm them.
 func (s *State) adoptPlaced() {
-	leaseEnd := s.now.Add(s.longestLease() + holderAuthority)
+	leaseEnd := s.oldLeasesEnd()
 	for _, v := range s.servers {
 		v.runs, v.load = make(map[string]*run), nil
 		v.leaseEnd = leaseEnd
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -212,6 +212,11 @@
 	return time.Duration(float64(s.bounds.LeaseMax) * maxClockRatio)
 }
 
+// oldLeasesEnd is when all leases that previous holders have granted have certainly ended.
+func (s *State) oldLeasesEnd() time.Time {
+	return s.term.takenAt.Add(holderAuthority + s.longestLease())
+}
+
 // observeClock stores a reading of the backend server's clock if it is the newest.
 func (s *State) observeClock(v *server, clock int64) {
 	if clock > v.clock {
--- a/test/e2e/fleet_faults_test.go
+++ b/test/e2e/fleet_faults_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -34,7 +35,7 @@
 func TestFleetZonesCutOff(t *testing.T) {
 	forSeeds(t, func(t *testing.T, seed uint64) {
 		rng := rand.New(rand.NewPCG(seed, 1))
-		f := startFleet(t, 3, 2, 3)
+		f := startFleet(t, 3, vmsPerZone(seed), 3)
 		defer f.keepLogs(t.Name())
 		ctx, stop := context.WithCancel(t.Context())
 		clients := f.load(ctx, 8, seed)
@@ -49,6 +50,9 @@
 	})
 }
 
+// vmsPerZone lets every other seed have more VMs than a small fleet, so that only some follow all records.
+func vmsPerZone(seed uint64) int { return 2 + 2*int(seed%2) }
+
 // fault is a disruption that ends by itself.
 type fault func(f *fleetRun, rng *rand.Rand)
 
@@ -94,6 +98,13 @@
 	func(f *fleetRun, rng *rand.Rand) { f.pause(anyVM(f, rng), between(rng, 500, 12000)) },
 	func(f *fleetRun, rng *rand.Rand) { f.restart(anyVM(f, rng), syscall.SIGKILL) },
 	func(f *fleetRun, rng *rand.Rand) { f.restart(anyVM(f, rng), syscall.SIGTERM) },
+	func(f *fleetRun, rng *rand.Rand) {
+		var all sync.WaitGroup
+		for _, v := range f.vms {
+			all.Go(func() { f.restart(v, syscall.SIGKILL) })
+		}
+		all.Wait()
+	},
 	func(f *fleetRun, rng *rand.Rand) { anyServer(f, rng).Restart() },
 	func(f *fleetRun, rng *rand.Rand) {
 		s := anyServer(f, rng)
@@ -121,7 +132,7 @@
 func TestFleetRandomFaults(t *testing.T) {
 	forSeeds(t, func(t *testing.T, seed uint64) {
 		rng := rand.New(rand.NewPCG(seed, 2))
-		f := startFleet(t, 3, 2, 3)
+		f := startFleet(t, 3, vmsPerZone(seed), 3)
 		defer f.keepLogs(t.Name())
 		ctx, stop := context.WithCancel(t.Context())
 		clients := f.load(ctx, 8, seed)
@@ -152,7 +163,7 @@
 // overlap. Clients keep using their connections until the process is gone, and each request gets an answer.
 func TestFleetPlannedWork(t *testing.T) {
 	forSeeds(t, func(t *testing.T, seed uint64) {
-		f := startFleet(t, 3, 2, 3)
+		f := startFleet(t, 3, vmsPerZone(seed), 3)
 		defer f.keepLogs(t.Name())
 		ctx, stop := context.WithCancel(t.Context())
 		clients := f.load(ctx, 16, seed)
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -28,6 +28,8 @@
 	// fleetSettle is how long after the last disruption all work has to be done: leases and quarantines
 	// end and the work that is left runs.
 	fleetSettle = 60 * time.Second
+	// visibleBound is how long after its acknowledgement a job may be unknown to a VM.
+	visibleBound = 3 * time.Second
 	// lossSlack is how long after a request was sent its connection may end without an answer around
 	// planned work.
 	lossSlack = 200 * time.Millisecond
@@ -58,6 +60,7 @@
 	queue, id       string
 	tasks           int
 	accepted, doubt bool
+	acceptedAt      time.Time
 }
 
 func startFleet(t *testing.T, zones, vmsPerZone, serversPerZone int) *fleetRun {
@@ -187,7 +190,7 @@
 		status, _ := c.call(c.vm(), http.MethodPost, "/"+queue+"/"+j.id, body)
 		switch status {
 		case http.StatusOK:
-			j.accepted = true
+			j.accepted, j.acceptedAt = true, time.Now()
 		case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
 			j.doubt = true
 		}
@@ -209,6 +212,9 @@
 	}
 	switch {
 	case status == http.StatusGone:
+		if j.accepted && time.Since(j.acceptedAt) > visibleBound+fleetCallTimeout {
+			c.f.t.Errorf("job %s was accepted at %s and is unknown to the asked VM", j.id, j.acceptedAt.UTC().Format("15:04:05.000"))
+		}
 		return "unknown"
 	case status != http.StatusOK || json.Unmarshal(body, &m) != nil:
 		return ""
@@ -216,6 +222,13 @@
 	return m.State
 }
 
+// anyJob returns one of the jobs handed in so far.
+func (f *fleetRun) anyJob(rng *rand.Rand) *clientJob {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.jobs[rng.IntN(len(f.jobs))]
+}
+
 // load submits jobs and asks for their states until ctx ends.
 func (f *fleetRun) load(ctx context.Context, clients int, seed uint64) *sync.WaitGroup {
 	var all sync.WaitGroup
@@ -228,6 +241,7 @@
 					time.Sleep(time.Duration(300+c.rng.IntN(700)) * time.Millisecond)
 					c.state(j)
 				}
+				c.state(c.f.anyJob(c.rng))
 			}
 		})
 	}
@@ -325,3 +339,28 @@
 		h()
 	}
 }
+
+// A SIGHUP that arrived while a VM was starting or stopping ended the process, with the requests in it.
+func TestFleetHangupEndsNoProcess(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 1, 2, 2)
+	v := f.vms[0]
+	for range 5 {
+		v.signal(syscall.SIGTERM)
+		for v.process.running() {
+			v.signal(syscall.SIGHUP)
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, v.process.exitCode(), 0, "%v", v.process.command.ProcessState)
+		f.start(v)
+		time.Sleep(hangupAfter)
+		for range 100 {
+			v.signal(syscall.SIGHUP)
+			time.Sleep(time.Millisecond)
+		}
+		assert.Assert(t, v.process.running(), "%v", v.process.command.ProcessState)
+	}
+}
+
+// hangupAfter is how long a process takes until the runtime can catch signals.
+const hangupAfter = 20 * time.Millisecond
