Fleet: leases of a previous holder outlast a backend server's first report

A new holder that may not extend leases (it has lost the store) then took a server that went silent after one report for empty at once, while the predecessor's lease went on.

Change: the bound stays, at most the longest lease from the report on; the server refuses the old holder from then. TestLeasesOfThePredecessorOutlastTheFirstReport fails before (runs on s00 and is started on s01) and passes after.

--- a/internal/fleet/authority_test.go
+++ b/internal/fleet/authority_test.go
@@ -198,3 +198,37 @@
 	}
 	return nil
 }
+
+// A new holder that could not extend leases yet took those of its predecessor for ended as soon as a backend
+// server that had reported once was silent.
+func TestLeasesOfThePredecessorOutlastTheFirstReport(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 2)
+	w.submit(newJob(1, oneAccelerator, 20))
+	w.servers["s01"].draining = true
+	w.run(2 * time.Second)
+	w.servers["s01"].draining = false
+	old := w.holder()
+	cut := func(is bool) {
+		for _, n := range w.nodes {
+			w.cutLinks[link(n.name, "s00")] = is
+		}
+	}
+	old.dead = true
+	cut(true)
+	for w.otherHolder(old) == nil {
+		w.run(time.Millisecond)
+	}
+	w.store.down = true
+	w.run(2 * time.Second)
+	cut(false)
+	for reports := w.servers["s00"].answeredHolds; w.servers["s00"].answeredHolds == reports; {
+		w.run(time.Millisecond)
+	}
+	w.run(2 * linkDelay)
+	cut(true)
+	w.run(200 * time.Millisecond)
+	w.store.down = false
+	w.run(2 * time.Second)
+	assert.Equal(t, len(w.servers["s00"].runs), 1)
+	assert.Equal(t, w.oracle.starts, 1)
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -28,7 +28,7 @@
 	clock    int64
 	clockAt  time.Time
 	deadline int64
-	// leaseEnd bounds the leases that a previous holder may have granted, until the first report.
+	// leaseEnd bounds the leases that a previous holder may have granted.
 	leaseEnd     time.Time
 	holdInFlight bool // a Hold is unanswered
 	nextHoldAt   time.Time
@@ -304,7 +304,8 @@
 // handleFirstReport prepares the state for the first report under the current token.
 func (s *State) handleFirstReport(id model.BackendServerID, v *server) {
 	v.hasReported = true
-	v.leaseEnd = time.Time{}
+	// A lease of a previous holder lasts on, although the backend server refuses its orders from now on.
+	v.leaseEnd = minTime(v.leaseEnd, s.now.Add(s.longestLease()))
 	if n := s.recordedEnds[id]; n.IncarnationStart == v.incarnationStart {
 		v.appliedEnd, v.recordedEnd = max(v.appliedEnd, n.Number), max(v.recordedEnd, n.Number)
 	}
--- a/internal/standin/prepared/deployment.go
+++ b/internal/standin/prepared/deployment.go
@@ -167,7 +167,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &http.Server{Handler: d.Store.Handler(node, zone)}
+	h := &http.Server{Handler: d.Store.Handler(node, zone), ConnContext: noteOpened}
 	go func() { _ = h.Serve(l) }() // ends when ctx ends
 	context.AfterFunc(ctx, func() { _ = h.Close() })
 	lines := []string{
--- a/internal/standin/prepared/network.go
+++ b/internal/standin/prepared/network.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -21,6 +22,8 @@
 type Network struct {
 	mu  sync.Mutex
 	cut map[[2]string]int
+	// silencedAt is when the connections that were open then went silent for good.
+	silencedAt time.Time
 }
 
 // NewNetwork returns a network without cuts.
@@ -52,6 +55,33 @@
 	return a == b || n.cut[path(a, b)] == 0
 }
 
+// SilenceConnections lets all connections that are open now go silent for good, without a reset.
+func (n *Network) SilenceConnections() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silencedAt = time.Now()
+}
+
+// silent reports whether a connection that was opened at the given time has gone silent.
+func (n *Network) silent(opened time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return opened.Before(n.silencedAt)
+}
+
+type openedKey struct{}
+
+// noteOpened is a http.Server's ConnContext. It notes when a connection was opened.
+func noteOpened(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, openedKey{}, time.Now())
+}
+
+// silentRequest reports whether the connection of a request has gone silent.
+func (n *Network) silentRequest(r *http.Request) bool {
+	opened, ok := r.Context().Value(openedKey{}).(time.Time)
+	return ok && n.silent(opened)
+}
+
 // await waits until the path is open. It returns false if ctx ends before.
 func (n *Network) await(ctx context.Context, a, b string) bool {
 	for !n.Open(a, b) {
@@ -128,6 +158,7 @@
 
 func (r *Relay) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
+	opened := time.Now()
 	if !r.network.await(r.ctx, r.from, r.to) {
 		return
 	}
@@ -142,13 +173,13 @@
 	})
 	defer stop()
 	var both sync.WaitGroup
-	both.Go(func() { r.copy(d, c) })
-	both.Go(func() { r.copy(c, d) })
+	both.Go(func() { r.copy(d, c, opened) })
+	both.Go(func() { r.copy(c, d, opened) })
 	both.Wait()
 }
 
 // copy passes bytes on; they wait while the path is cut.
-func (r *Relay) copy(to, from net.Conn) {
+func (r *Relay) copy(to, from net.Conn, opened time.Time) {
 	defer func() {
 		_ = to.Close()
 		_ = from.Close()
@@ -160,6 +191,9 @@
 			if !r.network.await(r.ctx, r.from, r.to) {
 				return
 			}
+			if r.network.silent(opened) {
+				continue
+			}
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
--- a/internal/standin/prepared/server.go
+++ b/internal/standin/prepared/server.go
@@ -87,7 +87,7 @@
 			return err
 		}
 		s.addresses[zone] = l.Addr().String()
-		h := &http.Server{Handler: s.handler(ctx, zone)}
+		h := &http.Server{Handler: s.handler(ctx, zone), ConnContext: noteOpened}
 		go func() { _ = h.Serve(l) }() // ends when ctx ends
 		context.AfterFunc(ctx, func() { _ = h.Close() })
 	}
@@ -224,7 +224,7 @@
 		gone, cancel := context.WithCancel(r.Context())
 		defer cancel()
 		defer context.AfterFunc(ctx, cancel)()
-		if !readBody(r) || !s.network.Open(zone, s.Zone) {
+		if !readBody(r) || !s.network.Open(zone, s.Zone) || s.network.silentRequest(r) {
 			<-gone.Done()
 			panic(http.ErrAbortHandler)
 		}
@@ -234,7 +234,7 @@
 		}
 		held := &heldAnswer{header: make(http.Header)}
 		mux.ServeHTTP(held, r)
-		if held.status == 0 || !s.network.Open(zone, s.Zone) {
+		if held.status == 0 || !s.network.Open(zone, s.Zone) || s.network.silentRequest(r) {
 			<-gone.Done()
 			panic(http.ErrAbortHandler)
 		}
--- a/test/e2e/fleet_faults_test.go
+++ b/test/e2e/fleet_faults_test.go
@@ -105,6 +105,7 @@
 		}
 		all.Wait()
 	},
+	func(f *fleetRun, _ *rand.Rand) { f.Network.SilenceConnections() },
 	func(f *fleetRun, rng *rand.Rand) { anyServer(f, rng).Restart() },
 	func(f *fleetRun, rng *rand.Rand) {
 		s := anyServer(f, rng)
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -25,6 +25,7 @@
 	fleetCallTimeout = 4 * time.Second
 	clientAttempts   = 4
 	clientPause      = 400 * time.Millisecond
+	cancelledShare   = 8 // one of this many jobs is cancelled
 	// fleetSettle is how long after the last disruption all work has to be done: leases and quarantines
 	// end and the work that is left runs.
 	fleetSettle = 60 * time.Second
@@ -61,6 +62,7 @@
 	tasks           int
 	accepted, doubt bool
 	acceptedAt      time.Time
+	cancelled       bool // by its client, perhaps without an answer
 }
 
 func startFleet(t *testing.T, zones, vmsPerZone, serversPerZone int) *fleetRun {
@@ -205,6 +207,20 @@
 	return j
 }
 
+// cancel cancels a job. Without a success it may still run.
+func (c *fleetClient) cancel(j *clientJob) {
+	c.f.mu.Lock()
+	j.cancelled = true
+	c.f.mu.Unlock()
+	for range clientAttempts {
+		status, _ := c.call(c.vm(), http.MethodDelete, "/"+j.queue+"/"+j.id, nil)
+		if status == http.StatusOK || status == http.StatusGone {
+			return
+		}
+		time.Sleep(clientPause)
+	}
+}
+
 func (c *fleetClient) state(j *clientJob) string {
 	status, body := c.call(c.vm(), http.MethodGet, "/"+j.queue+"/"+j.id, nil)
 	var m struct {
@@ -242,6 +258,9 @@
 					c.state(j)
 				}
 				c.state(c.f.anyJob(c.rng))
+				if c.rng.IntN(cancelledShare) == 0 {
+					c.cancel(j)
+				}
 			}
 		})
 	}
@@ -260,7 +279,7 @@
 	}
 	for deadline := time.Now().Add(fleetSettle); len(open) > 0 && time.Now().Before(deadline); time.Sleep(500 * time.Millisecond) {
 		for j := range open {
-			if open[j] = c.state(j); open[j] == "complete" || open[j] == "failed" {
+			if open[j] = c.state(j); open[j] == "complete" || open[j] == "failed" || open[j] == "canceled" {
 				f.checkEnded(j, open[j])
 				delete(open, j)
 			}
@@ -283,6 +302,10 @@
 
 func (f *fleetRun) checkEnded(j *clientJob, state string) {
 	f.t.Helper()
+	if state == "canceled" {
+		assert.Check(f.t, j.cancelled, "job %s is canceled without cause", j.id)
+		return
+	}
 	if state == "complete" {
 		assert.Check(f.t, f.Record.Done(j.id) == j.tasks, "job %s is complete, but %d of %d tasks are", j.id, f.Record.Done(j.id), j.tasks)
 		return
