Fleet: SIGHUP is caught from before the settings are read until the process ends

Seen: on a loaded machine a VM that was just starting ended by itself when the platform signalled a change of the settings (signal: hangup, in the soak with real processes).

Cause: the signal was registered only once the VM was assembled, and deregistered at the end of its work; in between its default action ends the process. Ruled out: the exit by an error, since the process state names the signal.

Change: the command registers it first and never gives it up. TestFleetHangupWhileTheSettingsAreRead fails before (process gone) and passes 3 of 3 after. The soak also checks that no process ends by itself, and that no job has nothing running for 3 s from 14 s after the traffic on.

--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -30,6 +32,9 @@
 			if len(args) > 0 {
 				return usageError("fleet: unexpected argument %q", args[0])
 			}
+			hangup := make(chan os.Signal, 1)
+			signal.Notify(hangup, syscall.SIGHUP)
+			o.Hangup = hangup
 			o.SettingsPath = *settingsPath
 			if o.SettingsPath == "" {
 				o.SettingsPath = os.Getenv(platform.SettingsVariable)
--- a/internal/standin/prepared/record.go
+++ b/internal/standin/prepared/record.go
@@ -77,6 +77,16 @@
 	return tasks
 }
 
+// Running reports whether a run of one of the job's tasks is under way.
+func (r *Record) Running(job string) (running bool) {
+	r.change(func() {
+		for task, runs := range r.runs {
+			running = running || strings.HasPrefix(task, job+".") && slices.ContainsFunc(runs, func(run *Run) bool { return run.Ended.IsZero() })
+		}
+	})
+	return running
+}
+
 // Runs counts all runs.
 func (r *Record) Runs() (n int) {
 	r.change(func() {
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strconv"
 	"time"
@@ -41,6 +42,9 @@
 	SettingsPath string
 	LogLevel     string
 	MetricsPort  int // 0: the port after the platform setting FirstPort
+	// Hangup delivers SIGHUP. It is registered before the settings are read, since the platform may
+	// signal a change at any time from the start of the process to its end.
+	Hangup <-chan os.Signal
 }
 
 // RunFleet runs a VM on the platform that package platform adapts to, until ctx ends, and
@@ -132,7 +136,7 @@
 		n.loop.Run(workCtx)
 	}()
 	go n.service.Run(workCtx)
-	go n.watchSettings(workCtx, o.SettingsPath)
+	go n.watchSettings(workCtx, o)
 
 	metricsPort := o.MetricsPort
 	if metricsPort == 0 {
--- a/internal/vm/reload.go
+++ b/internal/vm/reload.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,10 +16,8 @@
 const settingsInterval = time.Second
 
 // watchSettings reloads the settings on SIGHUP and when the file has changed.
-func (n *fleetNode) watchSettings(ctx context.Context, path string) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+func (n *fleetNode) watchSettings(ctx context.Context, o FleetOptions) {
+	path := o.SettingsPath
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	last, err := os.ReadFile(path)
@@ -33,7 +29,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangup:
+		case <-o.Hangup:
 			signalled = true
 		case <-ticker.C:
 		}
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -29,6 +29,10 @@
 	// fleetSettle is how long after the last disruption all work has to be done: leases and quarantines
 	// end and the work that is left runs.
 	fleetSettle = 60 * time.Second
+	// From finishBound after the end of the traffic on, a job that is not done may have nothing running for
+	// idleBound.
+	finishBound = 14 * time.Second
+	idleBound   = 3 * time.Second
 	// visibleBound is how long after its acknowledgement a job may be unknown to a VM.
 	visibleBound = 3 * time.Second
 	// lossSlack is how long after a request was sent its connection may end without an answer around
@@ -277,8 +281,16 @@
 			open[j] = "not asked for"
 		}
 	}
-	for deadline := time.Now().Add(fleetSettle); len(open) > 0 && time.Now().Before(deadline); time.Sleep(500 * time.Millisecond) {
+	began := time.Now()
+	ranAt := make(map[*clientJob]time.Time)
+	for ; len(open) > 0 && time.Since(began) < fleetSettle; time.Sleep(100 * time.Millisecond) {
 		for j := range open {
+			if f.Record.Running(j.id) || time.Since(began) < finishBound {
+				ranAt[j] = time.Now()
+			}
+			if idle := time.Since(ranAt[j]); idle > idleBound {
+				f.t.Errorf("job %s has had nothing running for %v, %v after the end of the traffic", j.id, idle, time.Since(began))
+			}
 			if open[j] = c.state(j); open[j] == "complete" || open[j] == "failed" || open[j] == "canceled" {
 				f.checkEnded(j, open[j])
 				delete(open, j)
@@ -363,27 +375,32 @@
 	}
 }
 
-// A SIGHUP that arrived while a VM was starting or stopping ended the process, with the requests in it.
-func TestFleetHangupEndsNoProcess(t *testing.T) {
+// A SIGHUP that arrived while a VM was reading its settings at its start ended the process.
+func TestFleetHangupWhileTheSettingsAreRead(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 1, 2, 2)
 	v := f.vms[0]
-	for range 5 {
-		v.signal(syscall.SIGTERM)
-		for v.process.running() {
-			v.signal(syscall.SIGHUP)
-			time.Sleep(time.Millisecond)
-		}
-		assert.Equal(t, v.process.exitCode(), 0, "%v", v.process.command.ProcessState)
-		f.start(v)
-		time.Sleep(hangupAfter)
-		for range 100 {
-			v.signal(syscall.SIGHUP)
-			time.Sleep(time.Millisecond)
-		}
-		assert.Assert(t, v.process.running(), "%v", v.process.command.ProcessState)
+	settings, err := os.ReadFile(v.SettingsPath)
+	assert.NilError(t, err)
+	v.process.kill()
+	ready := v.SettingsPath + ".ready"
+	assert.NilError(t, os.WriteFile(ready, settings, 0o600))
+	assert.NilError(t, os.Remove(v.SettingsPath))
+	assert.NilError(t, syscall.Mkfifo(v.SettingsPath, 0o600))
+	f.start(v)
+	pipe, err := os.OpenFile(v.SettingsPath, os.O_WRONLY, 0) // waits until the process opens it
+	assert.NilError(t, err)
+	assert.NilError(t, os.Rename(ready, v.SettingsPath))
+	for range 3 {
+		v.signal(syscall.SIGHUP)
 	}
+	_, err = pipe.Write(settings)
+	assert.NilError(t, errors.Join(err, pipe.Close()))
+	f.awaitReady(v)
+	v.signal(syscall.SIGTERM)
+	for v.process.running() {
+		v.signal(syscall.SIGHUP)
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, v.process.exitCode(), 0, "%v", v.process.command.ProcessState)
 }
-
-// hangupAfter is how long a process takes until the runtime can catch signals.
-const hangupAfter = 20 * time.Millisecond
