--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -127,7 +127,8 @@
 // reach it. The next report shows which runs exist, and starts in doubt are stopped there.
 func (s *State) handleRestart(id model.BackendServerID, v *server, incarnationStart int64, lost loss) {
 	s.log.Info("backend server restarted", zap.String("server", string(id)), zap.Int64("born", incarnationStart), zap.Int("runs", len(v.runs)),
-		zap.Strings("unproven", v.unprovenRuns()))
+		zap.Strings("unproven", v.unprovenRuns()), zap.Strings("starts_may_arrive", s.startsThatMayArrive(v)),
+		zap.Int64("old_clock", v.clock), zap.Int64("old_deadline", v.deadline))
 	s.recordCrash(v, lost, true)
 	s.addLoss(lost)
 	v.incarnationStart, v.appliedEnd, v.recordedEnd, v.acknowledgedEnd, v.deadline, v.clock = incarnationStart, 0, 0, 0, 0, 0
@@ -148,6 +149,19 @@
 	}
 }
 
+// startsThatMayArrive returns the tasks with a start order that a new incarnation may still carry out.
+func (s *State) startsThatMayArrive(v *server) []string {
+	tasks := make(map[string]bool)
+	for _, runs := range []map[string]*run{v.runs, v.abandoned} {
+		for name, r := range runs {
+			if r.startMayArrive(s.now) {
+				tasks[name] = true
+			}
+		}
+	}
+	return eventloop.SortedKeys(tasks)
+}
+
 // maxDeliveryDelay is how long after its timeout a call may still be carried out.
 const maxDeliveryDelay = 15 * time.Second
 
@@ -246,7 +260,8 @@
 	s.log.Warn("leases ended on a silent backend server", zap.String("server", string(id)),
 		zap.Int("runs", len(v.runs)), zap.Duration("heard_before", s.now.Sub(v.reportedAt)),
 		zap.Bool("listed", v.listed), zap.Bool("draining", v.entry.Draining), zap.Bool("disconnected", v.disconnected),
-		zap.Strings("unproven", v.unprovenRuns()))
+		zap.Strings("unproven", v.unprovenRuns()), zap.Int64("born", v.incarnationStart), zap.Int64("clock", v.clock), zap.Int64("deadline", v.deadline),
+		zap.Duration("clock_age", s.now.Sub(v.clockAt)))
 	s.recordCrash(v, s.newLoss(v), false)
 	for _, name := range eventloop.SortedKeys(v.runs) {
 		if r := v.runs[name]; r.phase != runRecording {
@@ -411,6 +426,9 @@
 		}
 		s.removeRun(v, old)
 	}
+	t := &g.Tasks[index]
+	s.log.Warn("a backend server runs what is not expected there", zap.String("task", row.Task), zap.Int64("run", row.Run), zap.String("server", string(v.entry.ID)),
+		zap.Int64("born", v.incarnationStart), zap.Int64("newest_run", t.Run), zap.String("placed_on", string(t.Server)), zap.Int("percent", row.Percent))
 	r := &run{group: g, index: index, name: row.Task, number: row.Run, server: v.entry.ID, phase: runRunning, orphan: true, startedAt: s.now, progressAt: s.now}
 	v.putRun(r)
 	s.orphans[row.Task]++
