--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -230,6 +230,11 @@
 	return false
 }
 
+// extend extends the lease of all runs, by leaseMax from now at most.
+func (s *fakeServer) extend(w *world, deadline int64) {
+	s.deadline = max(s.deadline, min(deadline, s.clock(w)+leaseMax.Milliseconds()))
+}
+
 func (s *fakeServer) start(w *world, o Start, by string) (int64, error) {
 	clock := s.clock(w)
 	refuse := func(reason Refusal) (int64, error) { return 0, &RefusedError{Reason: reason, Clock: clock} }
@@ -249,7 +254,7 @@
 		return refuse(RefusedDeadlinePassed)
 	}
 	r := w.oracle.newRun(o)
-	s.deadline = max(s.deadline, o.Deadline)
+	s.extend(w, o.Deadline)
 	if !w.unguarded && !r.need.FitsIn(s.capacity.Sub(s.used())) {
 		return refuse(RefusedNoCapacity)
 	}
@@ -292,7 +297,7 @@
 		return Report{}, &RefusedError{Reason: RefusedFenced, Clock: s.clock(w)}
 	}
 	s.answeredHolds++
-	s.deadline = max(s.deadline, o.Deadline)
+	s.extend(w, o.Deadline)
 	s.ended = slices.DeleteFunc(s.ended, func(e EndReport) bool {
 		if e.Number <= o.AcknowledgedEnd {
 			w.oracle.endAcknowledged(s, e)
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -456,7 +456,7 @@
 }
 
 func (l *Loop) start(ctx context.Context, o Start) Event {
-	if o.Token != l.token.Load() || !boottime.Now().Before(o.SendBefore) {
+	if !l.holdsTermOf(o.Token) || !boottime.Now().Before(o.SendBefore) {
 		return StartAnswered{Order: o, Err: ErrExpired}
 	}
 	l.observeStart(o)
@@ -466,6 +466,13 @@
 	return StartAnswered{Order: o, Clock: clock, Err: err}
 }
 
+// holdsTermOf reports whether this VM still holds the term that an order's token belongs to. The tokens of
+// a term are its own and higher ones, until the next term begins.
+func (l *Loop) holdsTermOf(token int64) bool {
+	term := l.token.Load()
+	return token == term || term != 0 && token > term
+}
+
 // oldStart is the age of the decision, or of the entries of backend servers, from which on a start
 // order is logged: a read of the entries and the storing of the placement usually take less.
 const oldStart = time.Second
--- /dev/null
+++ b/internal/fleet/restart_test.go
@@ -0,0 +1,160 @@
+package fleet
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+)
+
+// contactTime is enough for a restart to be noticed, for the record of the raised token and for a report.
+const contactTime = time.Second
+
+// runningTask submits a task and returns its name and the backend server that runs it some time later.
+func runningTask(t *testing.T, w *world, runtime int, after time.Duration) (string, *fakeServer) {
+	t.Helper()
+	name := job.GroupKey{Job: w.submit(newJob(1, oneAccelerator, runtime)).ID}.TaskName(0)
+	w.run(after)
+	for s := range w.oracle.running[name] {
+		return name, s
+	}
+	t.Fatalf("task %s does not run", name)
+	return "", nil
+}
+
+func assertFenced(t *testing.T, err error) {
+	t.Helper()
+	var refused *RefusedError
+	assert.Assert(t, errors.As(err, &refused) && refused.Reason == RefusedFenced, "%v", err)
+}
+
+// A late hold with a deadline of the old clock made leases last longer than the holder counted on, and its
+// number of the acknowledged ends made a restarted backend server forget ends that nobody had seen.
+func TestLateHoldForAnEarlierIncarnationIsRefused(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 2)
+	_, at := runningTask(t, w, 60, 5*time.Second)
+	late := Hold{Server: at.id, Token: at.highestToken, Deadline: at.clock(w) + 6500, AcknowledgedEnd: 3}
+	for range 2 {
+		at.crash(w)
+		w.run(contactTime)
+		_, err := at.hold(w, late)
+		assertFenced(t, err)
+		late.Token = at.highestToken
+	}
+}
+
+func TestLateStartForAnEarlierIncarnationIsRefused(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 2)
+	name, at := runningTask(t, w, 3, 500*time.Millisecond)
+	order := at.runs[name].order
+	w.run(4 * time.Second)
+	assert.Assert(t, w.oracle.done[name])
+	at.crash(w)
+	w.run(contactTime + idleHoldInterval)
+	order.Deadline = at.clock(w) + 5000
+	_, err := at.start(w, order, "a late order")
+	assertFenced(t, err)
+}
+
+// A hold with a deadline of the old clock reached a restarted backend server before the holder had. The
+// lease there lasted the longest time, the holder counted on its own later deadlines, and the task ran on
+// two backend servers.
+func TestLeasesOfARestartedServerCountAsTheLongest(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	other := w.servers["s01"]
+	other.unlisted = true
+	w.run(5 * time.Second)
+	name, at := runningTask(t, w, 60, 20*time.Second)
+	w.listsUnread = true // a report tells of the restart, not the entry
+	late := Hold{Server: at.id, Token: at.highestToken, Deadline: at.clock(w) + 6500}
+	at.crash(w)
+	_, err := at.hold(w, late)
+	assert.NilError(t, err)
+	w.run(contactTime)
+	assert.Assert(t, at.runs[name] != nil, "the task was not started again")
+	other.unlisted, w.listsUnread = false, false
+	w.cutLinks[link(w.holder().name, string(at.id))] = true
+	w.run(30 * time.Second)
+	assert.Assert(t, other.runs[name] != nil, "the task was not started elsewhere")
+}
+
+// The answer to an order for the earlier incarnation set the clock of the new one, so that all later
+// deadlines were too late.
+func TestAnswerOfAnEarlierIncarnationDoesNotSetTheClock(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 1)
+	name, at := runningTask(t, w, 60, 20*time.Second)
+	order := at.runs[name].order
+	answer := StartAnswered{Order: order, Clock: at.clock(w)}
+	at.crash(w)
+	v := w.holder().state.servers[at.id]
+	for v.incarnationStart != at.startedAt.UnixMilli() {
+		w.run(10 * time.Millisecond)
+	}
+	w.deliver(w.holder(), answer)
+	w.run(contactTime)
+	assert.Assert(t, v.clock > 0 && v.clock <= at.clock(w), "clock %d, the backend server's is %d", v.clock, at.clock(w))
+}
+
+// While the store is away no token can be raised. The restarted backend server is used again afterwards.
+func TestRestartWhileTheStoreIsAway(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 2)
+	name, at := runningTask(t, w, 10, 2*time.Second)
+	token := at.highestToken
+	w.store.down = true
+	at.crash(w)
+	w.run(5 * time.Second)
+	assert.Equal(t, at.highestToken, token, "an order was sent under a token that late calls may have")
+	w.store.down = false
+	w.run(30 * time.Second)
+	assert.Assert(t, w.oracle.done[name])
+	assert.Assert(t, at.highestToken > token)
+}
+
+// A backend server that is forgotten while it is not listed may have started again since.
+func TestServerThatWasForgottenGetsATokenOfItsOwn(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	_, at := runningTask(t, w, 1, 500*time.Millisecond)
+	w.run(3 * time.Second)
+	late := Hold{Server: at.id, Token: at.highestToken, Deadline: at.clock(w) + 6500}
+	at.unlisted = true
+	w.run(unlistedRetention + 2*time.Second)
+	_, known := w.holder().state.servers[at.id]
+	assert.Assert(t, !known)
+	at.crash(w)
+	at.unlisted = false
+	w.run(2 * contactTime)
+	_, err := at.hold(w, late)
+	assertFenced(t, err)
+}
+
+// TestRandomRestarts has backend servers restart in series beside late orders and cuts. Late holds reach
+// whatever incarnation is there.
+func TestRandomRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &machine{world: newWorld(t, uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")), 3, 5), t: t}
+		c.lateHoldsAcrossRestarts = true
+		c.run(3 * time.Second)
+		cutServer := func(*rapid.T) {
+			l := link(c.node().name, string(c.server().id))
+			c.cutLinks[l] = !c.cutLinks[l]
+		}
+		restartSome := func(*rapid.T) {
+			for _, id := range []model.BackendServerID{c.server().id, c.server().id} {
+				c.servers[id].crash(c.world)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": c.submitJob, "submit2": c.submitJob, "late": c.changeLateShare, "crash": c.crashServer, "crashes": restartSome,
+			"cut": cutServer, "cut2": c.cutLink, "freeze": c.freezeVM, "kill": c.killVM, "store": c.changeStore,
+			"pass": c.passTime, "pass2": c.passTime, "pass3": c.passTime,
+		})
+		c.endFaults()
+		c.run(settleTime)
+		c.oracle.checkAllEnded()
+	})
+}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -47,6 +47,7 @@
 	stoppingSince time.Time
 	orphan        bool // not the task's current run
 	lossRecorded  bool // the loss of its backend server is recorded with its task
+	listed        bool // a report of the present incarnation has listed it
 	// reached is set if a start order may have reached the backend server.
 	reached bool
 
@@ -71,7 +72,7 @@
 	leaseEnd := s.oldLeasesEnd()
 	for _, v := range s.servers {
 		v.runs, v.load = make(map[string]*run), nil
-		v.leaseEnd = leaseEnd
+		v.token, v.leaseEnd = s.term.token, leaseEnd
 		v.nextHoldAt = s.now
 	}
 	s.jobs.ForEach(func(st *job.State) { s.adoptJob(st, leaseEnd) })
@@ -99,8 +100,8 @@
 	t := &g.Tasks[index]
 	v := s.servers[t.Server]
 	if v == nil {
-		v = &server{entry: ServerEntry{ID: t.Server}, leaseEnd: leaseEnd, runs: make(map[string]*run)}
-		s.servers[t.Server] = v
+		v = s.addServer(t.Server)
+		v.leaseEnd = maxTime(v.leaseEnd, leaseEnd)
 	}
 	name := g.Key().TaskName(index)
 	v.putRun(&run{
@@ -138,7 +139,7 @@
 		s.requestStop(r, stopNotNeeded, "job ended")
 	}
 	if r.stopping {
-		if v.entry.Address != "" && !r.stopConfirmed {
+		if v.entry.Address != "" && v.token != 0 && !r.stopConfirmed {
 			s.orderStop(v, r)
 		}
 		return
@@ -170,6 +171,7 @@
 	noObstacle           obstacle = ""
 	serverLeaves         obstacle = "the backend server leaves"
 	serverUnlisted       obstacle = "the backend server is no longer listed"
+	serverRestarted      obstacle = "the backend server has started again"
 	capacityShrunk       obstacle = "the backend server's capacity has shrunk"
 	cancellationsUnknown obstacle = "cancellations are not known up to now"
 	listTooOld           obstacle = "the list of backend servers is too old"
@@ -184,6 +186,8 @@
 		return serverLeaves
 	case !v.listed:
 		return serverUnlisted
+	case !v.hasReported:
+		return serverRestarted
 	case !v.reserved().FitsIn(v.entry.Capacity):
 		return capacityShrunk
 	case !s.cancellationsKnown(r.group.State.Job.ID):
@@ -236,7 +240,7 @@
 		Run:        r.number,
 		Payload:    r.group.State.Job.Payload,
 		Deadline:   s.extendLease(v, span),
-		Token:      s.term.token,
+		Token:      v.token,
 		Checkpoint: t.Checkpoint,
 		Ticket:     s.ticketFor(r),
 		Priority:   r.group.State.Job.Priority,
@@ -262,7 +266,7 @@
 
 func (s *State) orderStop(v *server, r *run) {
 	r.inFlight = true
-	s.emit(OrderStop{Stop{Server: r.server, Address: v.entry.Address, Task: r.name, Run: r.number, Token: s.term.token}})
+	s.emit(OrderStop{Stop{Server: r.server, Address: v.entry.Address, Task: r.name, Run: r.number, Token: v.token}})
 }
 
 // requestStop has a run stopped, together with the other members of its gang.
@@ -316,7 +320,6 @@
 	s.removeRun(v, r)
 	s.touch(v)
 	s.replan = true
-	s.keepAbandoned(v, r)
 	if !r.current() {
 		return
 	}
@@ -343,20 +346,8 @@
 	}
 }
 
-// keepAbandoned remembers a removed run if a start order for it may still arrive.
-func (s *State) keepAbandoned(v *server, r *run) {
-	r.inFlight = false
-	if !r.startMayArrive(s.now) {
-		return
-	}
-	if v.abandoned == nil {
-		v.abandoned = make(map[string]*run)
-	}
-	v.abandoned[r.name] = r
-}
-
 func (s *State) startAnswered(e StartAnswered) {
-	if s.holdsTerm() && e.Order.Token == s.term.token {
+	if s.holdsTerm() && e.Order.Token >= s.term.token {
 		s.startsUnderWay--
 	}
 	v, r := s.orderedRun(e.Order.Token, e.Order.Server, e.Order.Task, e.Order.Run)
@@ -383,6 +374,7 @@
 		s.startExpired(v, r)
 	default:
 		r.startInDoubt, r.unansweredAt = true, s.now
+		v.callsArriveUntil = s.now.Add(maxDeliveryDelay)
 		r.reached = r.reached || !errors.Is(e.Err, ErrNoEffect)
 		r.nextCallAt = s.now.Add(holdRetry)
 		s.log.Info("start order was not answered", zap.String("task", r.name), zap.Int64("run", r.number),
@@ -460,11 +452,8 @@
 // orderedRun returns the run of an answered order, nil if it is no longer known or the order
 // has an older token.
 func (s *State) orderedRun(token int64, id model.BackendServerID, name string, number int64) (*server, *run) {
-	if !s.holdsTerm() || token != s.term.token {
-		return nil, nil
-	}
 	v := s.servers[id]
-	if v == nil {
+	if !s.holdsTerm() || v == nil || token != v.token {
 		return nil, nil
 	}
 	r := v.runs[name]
@@ -491,7 +480,6 @@
 	r := v.runs[e.Task]
 	if r != nil && r.number == e.Run {
 		s.removeRun(v, r)
-		s.keepAbandoned(v, r)
 	}
 	if err != nil {
 		s.log.Error("an end report has an invalid task name", zap.String("server", string(v.entry.ID)), zap.Error(err))
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -19,7 +19,10 @@
 	listedAt time.Time // when it was last listed
 	// drainingSince is when it was first listed as draining.
 	drainingSince time.Time
-	// hasReported is set once it has reported under the current token.
+	// token is what its orders carry: that of the term, or after a restart that of a record stored since
+	// (restart.go). While it is 0, no order is sent.
+	token int64
+	// hasReported is set once it has reported under its token.
 	hasReported      bool
 	incarnationStart int64
 	reportedAt       time.Time // when the newest report was received
@@ -28,11 +31,13 @@
 	clock    int64
 	clockAt  time.Time
 	deadline int64
-	// leaseEnd bounds the leases that a previous holder may have granted.
-	leaseEnd     time.Time
-	holdInFlight bool // a Hold is unanswered
-	nextHoldAt   time.Time
-	failedCalls  int // calls without a report since the newest report
+	// leaseEnd bounds the leases that a previous holder, or a call for an earlier incarnation, may have granted.
+	leaseEnd time.Time
+	// callsArriveUntil is when all calls that ended without an answer have certainly arrived.
+	callsArriveUntil time.Time
+	holdInFlight     bool // a Hold is unanswered
+	nextHoldAt       time.Time
+	failedCalls      int // calls without a report since the newest report
 	// silentSince is when the first of these calls failed; disconnected is set if the newest of them
 	// ended because the other side closed or refused the connection, or is another incarnation.
 	silentSince  time.Time
@@ -44,10 +49,7 @@
 	acknowledgedEnd int64 // ends up to this number were acknowledged to it
 	runs            map[string]*run
 	load            *load // of the runs, as of the last round; nil if one has changed since
-	// abandoned are removed runs, by task, whose start order may still arrive. It could take
-	// effect if the backend server restarts and so forgets that they were stopped.
-	abandoned map[string]*run
-	health    health
+	health          health
 }
 
 func (s *State) serversListed(l ServersListed) {
@@ -93,11 +95,20 @@
 	return s.serversAsOf
 }
 
+// addServer adds a backend server without runs.
+func (s *State) addServer(id model.BackendServerID) *server {
+	v := &server{entry: ServerEntry{ID: id}, token: s.term.token, runs: make(map[string]*run)}
+	s.servers[id] = v
+	if _, asked := s.tokens[id]; asked && s.holdsTerm() {
+		s.awaitToken(id, v) // it may have started again while it was forgotten
+	}
+	return v
+}
+
 func (s *State) serverListed(e ServerEntry) {
 	v := s.servers[e.ID]
 	if v == nil {
-		v = &server{runs: make(map[string]*run)}
-		s.servers[e.ID] = v
+		v = s.addServer(e.ID)
 		s.replan = true
 	}
 	if e.Draining && !v.entry.Draining {
@@ -114,65 +125,14 @@
 	v.largest = v.largest.Max(e.Capacity)
 	lost := s.newLoss(v)
 	v.listed, v.listedAt, v.entry = true, s.now, e
-	if s.holdsTerm() && v.hasReported && e.IncarnationStart > v.incarnationStart {
+	if s.holdsTerm() && v.incarnationStart != 0 && e.IncarnationStart > v.incarnationStart {
 		s.handleRestart(e.ID, v, e.IncarnationStart, lost)
-		v.hasReported = false
-		v.leaseEnd = s.now.Add(s.longestLease())
-		v.nextHoldAt = s.now
-	}
-}
-
-// handleRestart resets the state for a new incarnation. The runs of the old one have ended, but
-// a start order may have reached the new one before the restart was known, or may still
-// reach it. The next report shows which runs exist, and starts in doubt are stopped there.
-func (s *State) handleRestart(id model.BackendServerID, v *server, incarnationStart int64, lost loss) {
-	s.log.Info("backend server restarted", zap.String("server", string(id)), zap.Int64("born", incarnationStart), zap.Int("runs", len(v.runs)),
-		zap.Strings("unproven", v.unprovenRuns()), zap.Strings("starts_may_arrive", s.startsThatMayArrive(v)),
-		zap.Int64("old_clock", v.clock), zap.Int64("old_deadline", v.deadline))
-	s.recordCrash(v, lost, true)
-	s.addLoss(lost)
-	v.incarnationStart, v.appliedEnd, v.recordedEnd, v.acknowledgedEnd, v.deadline, v.clock = incarnationStart, 0, 0, 0, 0, 0
-	for _, r := range v.runs {
-		if r.startMayArrive(s.now) {
-			r.startInDoubt, r.stopConfirmed = true, false
-		}
-	}
-	for _, name := range eventloop.SortedKeys(v.abandoned) {
-		r := v.abandoned[name]
-		if v.runs[name] == nil && r.startMayArrive(s.now) {
-			r.phase, r.orphan, r.stopping, r.startInDoubt, r.stopConfirmed = runOrdered, true, false, true, false
-			v.putRun(r)
-			s.orphans[name]++
-			s.requestStop(r, stopInDoubt, "its start may still arrive after the restart")
-		}
-		delete(v.abandoned, name)
-	}
-}
-
-// startsThatMayArrive returns the tasks with a start order that a new incarnation may still carry out.
-func (s *State) startsThatMayArrive(v *server) []string {
-	tasks := make(map[string]bool)
-	for _, runs := range []map[string]*run{v.runs, v.abandoned} {
-		for name, r := range runs {
-			if r.startMayArrive(s.now) {
-				tasks[name] = true
-			}
-		}
 	}
-	return eventloop.SortedKeys(tasks)
-}
-
-// maxDeliveryDelay is how long after its timeout a call may still be carried out.
-const maxDeliveryDelay = 15 * time.Second
-
-// startMayArrive reports whether a start order for the run may still reach a new incarnation.
-func (r *run) startMayArrive(now time.Time) bool {
-	return r.inFlight || !r.unansweredAt.IsZero() && now.Sub(r.unansweredAt) < maxDeliveryDelay
 }
 
 // poll requests a report from a backend server when that is due.
 func (s *State) poll(id model.BackendServerID, v *server) {
-	if v.holdInFlight || s.now.Before(v.nextHoldAt) || v.entry.Address == "" {
+	if v.holdInFlight || v.token == 0 || s.now.Before(v.nextHoldAt) || v.entry.Address == "" {
 		return
 	}
 	if !v.listed && v.failedCalls > 0 && len(v.runs) == 0 {
@@ -184,7 +144,7 @@
 // sendHold requests a report. The leases of a backend server that does not answer are no
 // longer extended, so that it is certain when they end.
 func (s *State) sendHold(id model.BackendServerID, v *server) {
-	o := Hold{Server: id, Address: v.entry.Address, Token: s.term.token}
+	o := Hold{Server: id, Address: v.entry.Address, Token: v.token}
 	if v.hasReported {
 		o.AcknowledgedEnd = v.recordedEnd
 		if len(v.runs) > 0 {
@@ -271,7 +231,7 @@
 }
 
 func (s *State) holdAnswered(e HoldAnswered) {
-	if !s.holdsTerm() || e.Order.Token != s.term.token {
+	if !s.holdsTerm() || e.Order.Token < s.term.token {
 		return
 	}
 	v := s.servers[e.Order.Server]
@@ -280,6 +240,9 @@
 	}
 	v.holdInFlight = false
 	s.touch(v)
+	if e.Order.Token != v.token {
+		return // asked of an earlier incarnation
+	}
 	if e.Err != nil {
 		s.holdFailed(e, v)
 		return
@@ -292,19 +255,15 @@
 	v.failedCalls = 0
 	v.reportedAt = s.now
 	first := !v.hasReported
-	restarted := false
-	if e.Report.IncarnationStart != v.incarnationStart {
-		if v.incarnationStart != 0 && e.Report.IncarnationStart < v.incarnationStart {
-			return // from a previous incarnation
-		}
-		if restarted = v.incarnationStart != 0; restarted {
-			s.handleRestart(e.Order.Server, v, e.Report.IncarnationStart, lost)
-		}
-		v.incarnationStart = e.Report.IncarnationStart
+	if v.incarnationStart != 0 && e.Report.IncarnationStart < v.incarnationStart {
+		return // from a previous incarnation
 	}
-	if !restarted {
-		s.observeAlive(v)
+	if v.incarnationStart != 0 && e.Report.IncarnationStart > v.incarnationStart {
+		s.handleRestart(e.Order.Server, v, e.Report.IncarnationStart, lost)
+		return // what it says of runs may change until calls for the earlier incarnation are refused
 	}
+	v.incarnationStart = e.Report.IncarnationStart
+	s.observeAlive(v)
 	s.observeClock(v, e.Report.Clock)
 	v.acknowledgedEnd = max(v.acknowledgedEnd, e.Order.AcknowledgedEnd)
 	if first {
@@ -319,6 +278,7 @@
 // handleFirstReport prepares the state for the first report under the current token.
 func (s *State) handleFirstReport(id model.BackendServerID, v *server) {
 	v.hasReported = true
+	s.tokens[id] = v.token
 	// A lease of a previous holder lasts on, although the backend server refuses its orders from now on.
 	v.leaseEnd = minTime(v.leaseEnd, s.now.Add(s.longestLease()))
 	if n := s.recordedEnds[id]; n.IncarnationStart == v.incarnationStart {
@@ -350,6 +310,9 @@
 		return
 	}
 	v.failedCalls++
+	if !isRefused && e.Order.Deadline > 0 {
+		v.callsArriveUntil = s.now.Add(maxDeliveryDelay)
+	}
 	v.disconnected = errors.Is(e.Err, ErrDisconnected) || isRefused && refused.Reason == RefusedOtherIncarnation
 	v.nextHoldAt = s.now.Add(holdRetry)
 	if v.failedCalls == 1 {
@@ -396,7 +359,7 @@
 	if r.phase != runRunning {
 		s.markRunning(r, s.workDone(r, row.Percent))
 	}
-	r.startInDoubt, r.reportedAt = false, s.now
+	r.startInDoubt, r.listed, r.reportedAt = false, true, s.now
 	if r.progress.Observe(row.Percent, s.now) {
 		s.handleNewRate(v, r)
 	}
@@ -429,7 +392,7 @@
 	t := &g.Tasks[index]
 	s.log.Warn("a backend server runs what is not expected there", zap.String("task", row.Task), zap.Int64("run", row.Run), zap.String("server", string(v.entry.ID)),
 		zap.Int64("born", v.incarnationStart), zap.Int64("newest_run", t.Run), zap.String("placed_on", string(t.Server)), zap.Int("percent", row.Percent))
-	r := &run{group: g, index: index, name: row.Task, number: row.Run, server: v.entry.ID, phase: runRunning, orphan: true, startedAt: s.now, progressAt: s.now}
+	r := &run{group: g, index: index, name: row.Task, number: row.Run, server: v.entry.ID, phase: runRunning, orphan: true, listed: true, startedAt: s.now, progressAt: s.now}
 	v.putRun(r)
 	s.orphans[row.Task]++
 	s.requestStop(r, stopUnexpected, "not expected there")
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -94,6 +94,8 @@
 	term    termState
 	role    roleState
 	servers map[model.BackendServerID]*server
+	// tokens holds the newest token under which each backend server has reported, or will, in this term.
+	tokens map[model.BackendServerID]int64
 	// serversAsOf is the time up to which all entries of backend servers have been read.
 	serversAsOf time.Time
 	// serversAwayAt is when the store last failed to serve these entries.
@@ -140,6 +142,7 @@
 		metrics:    metrics,
 		replicated: newReplicated(),
 		servers:    make(map[model.BackendServerID]*server),
+		tokens:     make(map[model.BackendServerID]int64),
 		crashed:    make(map[model.BackendServerID]bool),
 		advice:     make(map[string]*advice),
 		backlog:    make(map[int]*priorityBacklog),
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -257,6 +257,7 @@
 	s.role.namedSince, s.role.silentUntil, s.role.answersAsReplica = make(map[string]time.Time), make(map[string]time.Time), make(map[string]bool)
 	s.writer = newWriter()
 	s.startsUnderWay = 0
+	s.tokens = make(map[model.BackendServerID]int64)
 	s.log.Info("term taken", zap.Int64("token", s.term.token), zap.Int("jobs", s.jobs.Len()),
 		zap.Duration("list_age", s.now.Sub(s.serversAsOf)))
 	s.metrics.TermsTaken.Inc(1)
@@ -452,3 +453,10 @@
 	}
 	return a
 }
+
+func maxTime(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -62,8 +62,10 @@
 	// lateAcrossRestarts lets late orders reach the next incarnation of a backend server too; see
 	// TestLateStartReachesRestartedServer.
 	lateAcrossRestarts bool
-	heartbeatsLost     map[string]bool // nodes whose heartbeats do not arrive
-	claims             int             // that nodes have sent
+	// lateHoldsAcrossRestarts is the same for holds only.
+	lateHoldsAcrossRestarts bool
+	heartbeatsLost          map[string]bool // nodes whose heartbeats do not arrive
+	claims                  int             // that nodes have sent
 	// orderDelay is how long start orders wait before they are sent.
 	orderDelay time.Duration
 	// startOrders are all start orders that nodes have sent.
@@ -197,6 +199,9 @@
 
 func (w *world) addNode() *node { return w.addNodeOf(0) }
 
+// leaseMax is the longest lease that a backend server grants.
+const leaseMax = 10 * time.Second
+
 // addNodeOf starts a VM with the given processor capacity.
 func (w *world) addNodeOf(milliCPU int) *node { return w.addNodeIn("", milliCPU) }
 
@@ -204,7 +209,7 @@
 func (w *world) addNodeIn(az string, milliCPU int) *node {
 	name := fmt.Sprintf("vm%d", len(w.nodes))
 	self := Identity{Node: name, Incarnation: model.Incarnation(name), AZ: az, Address: name, Forward: name, MilliCPU: milliCPU}
-	bounds := Bounds{LeaseMax: 10 * time.Second, StopTimeout: 200 * time.Millisecond, FinalStateRetention: time.Hour, CancelBound: 3 * time.Second, DrainBound: drainBound}
+	bounds := Bounds{LeaseMax: leaseMax, StopTimeout: 200 * time.Millisecond, FinalStateRetention: time.Hour, CancelBound: 3 * time.Second, DrainBound: drainBound}
 	n := &node{name: name, nextOffsets: make(map[Partition]int64), disturbedAt: w.now}
 	n.state = NewState(self, bounds, w.log.With(zap.String("node", name)), NewCounters(tally.NoopScope))
 	w.nodes = append(w.nodes, n)
@@ -407,7 +412,8 @@
 	if s != nil && w.rng.Float64() < w.lateShare {
 		startedAt := s.startedAt
 		w.at(time.Duration(2000+w.rng.IntN(8000))*time.Millisecond, func() {
-			if s.startedAt.Equal(startedAt) || w.lateAcrossRestarts {
+			_, hold := lost.(HoldAnswered)
+			if s.startedAt.Equal(startedAt) || w.lateAcrossRestarts || hold && w.lateHoldsAcrossRestarts {
 				w.carryingOutLate = true
 				call(s)
 				w.carryingOutLate = false
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -99,7 +99,7 @@
 	records := s.groupRecords(b, &remaining)
 	for _, id := range eventloop.SortedKeys(w.servers) {
 		if v := s.servers[id]; v != nil {
-			n := endPosition{IncarnationStart: v.incarnationStart, Number: v.appliedEnd}
+			n := s.endsToRecord(id, v)
 			r, err := endPositionRecord(id, n)
 			if err != nil {
 				s.log.Error("ends not recorded", zap.String("server", string(id)), zap.Error(err))
@@ -172,7 +172,7 @@
 	case e.Err == nil:
 		s.writer.inFlight = nil
 		s.observeUnopposed(b.sentAt) // its epoch would be refused after another claim
-		s.batchStored(b)
+		s.batchStored(b, e.Offset)
 	case errors.Is(e.Err, ErrFenced):
 		s.stepDown("fenced by the store", "")
 	default:
@@ -206,15 +206,17 @@
 }
 
 // batchStored does what had to wait until the batch was stored: it orders starts,
-// acknowledges ends, and makes the new job states visible to submitters.
-func (s *State) batchStored(b *batch) {
+// acknowledges ends, and makes the new job states visible to submitters. Offset is that of its first record.
+func (s *State) batchStored(b *batch, offset int64) {
 	s.metrics.CommitLatency.RecordDuration(s.now.Sub(b.began))
 	for st, status := range b.statuses {
 		s.recordStatus(st, status)
 	}
 	for id, n := range b.ends {
 		s.recordedEnds[id] = n
-		if v := s.servers[id]; v != nil && v.incarnationStart == n.IncarnationStart {
+		if v := s.servers[id]; v != nil && v.token == 0 && n == s.endsToRecord(id, v) {
+			s.raiseToken(id, v, offset+1)
+		} else if v != nil && v.incarnationStart == n.IncarnationStart {
 			v.recordedEnd = max(v.recordedEnd, n.Number)
 			s.touch(v)
 			if !v.holdInFlight {
