--- a/internal/fleet/restart.go
+++ b/internal/fleet/restart.go
@@ -19,8 +19,9 @@
 // maxDeliveryDelay is how long after its timeout a call may still be carried out.
 const maxDeliveryDelay = 15 * time.Second
 
-// handleRestart resets the state for a new incarnation. The runs that the old one has listed have ended. The
-// others may also run in the new one: its first report under the raised token tells.
+// handleRestart resets the state for a new incarnation. The runs of the old one have ended, but the new one
+// may have started any of their tasks, also for a previous holder. Its first report under the raised token
+// tells; until then no task is placed elsewhere.
 func (s *State) handleRestart(id model.BackendServerID, v *server, incarnationStart int64, lost loss) {
 	s.log.Info("backend server restarted", zap.String("server", string(id)), zap.Int64("born", incarnationStart), zap.Int("runs", len(v.runs)),
 		zap.Strings("unproven", v.unprovenRuns()), zap.Strings("starts_may_arrive", s.startsThatMayArrive(v)),
@@ -29,17 +30,41 @@
 	s.addLoss(lost)
 	v.incarnationStart, v.appliedEnd, v.recordedEnd, v.acknowledgedEnd, v.deadline, v.clock = incarnationStart, 0, 0, 0, 0, 0
 	s.awaitToken(id, v)
-	for _, name := range eventloop.SortedKeys(v.runs) {
-		r := v.runs[name]
-		if r == nil || r.phase == runRecording {
-			continue // it has ended with its gang, or its start was not ordered yet
+	for _, r := range v.runs {
+		if r.phase != runRecording {
+			r.inFlight, r.startInDoubt, r.stopConfirmed = false, false, false
 		}
-		if r.listed && !r.startMayArrive(s.now) {
-			s.requeue(v, r, "its backend server has started again")
+	}
+	s.expectAbandoned(v)
+}
+
+// expectAbandoned keeps the tasks of abandoned runs from being placed until a report of the new incarnation
+// tells whether it runs them.
+func (s *State) expectAbandoned(v *server) {
+	for _, name := range eventloop.SortedKeys(v.abandoned) {
+		r := v.abandoned[name]
+		delete(v.abandoned, name)
+		if v.runs[name] != nil || !r.startMayArrive(s.now) {
 			continue
 		}
-		r.inFlight, r.startInDoubt, r.stopConfirmed, r.listed = false, false, false, false
+		r.phase, r.orphan, r.stopping = runOrdered, true, false
+		r.startInDoubt, r.stopConfirmed = false, false
+		v.putRun(r)
+		s.orphans[name]++
+		s.requestStop(r, stopInDoubt, "its start may still arrive after the restart")
+	}
+}
+
+// keepAbandoned remembers a removed run if a start order for it may still arrive.
+func (s *State) keepAbandoned(v *server, r *run) {
+	r.inFlight = false
+	if !r.startMayArrive(s.now) {
+		return
+	}
+	if v.abandoned == nil {
+		v.abandoned = make(map[string]*run)
 	}
+	v.abandoned[r.name] = r
 }
 
 // awaitToken keeps orders from a backend server until its token is raised.
@@ -79,13 +104,15 @@
 
 // startsThatMayArrive returns the tasks with a start order that a new incarnation may still carry out.
 func (s *State) startsThatMayArrive(v *server) []string {
-	var tasks []string
-	for _, name := range eventloop.SortedKeys(v.runs) {
-		if v.runs[name].startMayArrive(s.now) {
-			tasks = append(tasks, name)
+	tasks := make(map[string]bool)
+	for _, runs := range []map[string]*run{v.runs, v.abandoned} {
+		for name, r := range runs {
+			if r.startMayArrive(s.now) {
+				tasks[name] = true
+			}
 		}
 	}
-	return tasks
+	return eventloop.SortedKeys(tasks)
 }
 
 // startMayArrive reports whether a start order for the run may still reach a new incarnation.
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -47,7 +47,6 @@
 	stoppingSince time.Time
 	orphan        bool // not the task's current run
 	lossRecorded  bool // the loss of its backend server is recorded with its task
-	listed        bool // a report of the present incarnation has listed it
 	// reached is set if a start order may have reached the backend server.
 	reached bool
 
@@ -320,6 +319,7 @@
 	s.removeRun(v, r)
 	s.touch(v)
 	s.replan = true
+	s.keepAbandoned(v, r)
 	if !r.current() {
 		return
 	}
@@ -480,6 +480,7 @@
 	r := v.runs[e.Task]
 	if r != nil && r.number == e.Run {
 		s.removeRun(v, r)
+		s.keepAbandoned(v, r)
 	}
 	if err != nil {
 		s.log.Error("an end report has an invalid task name", zap.String("server", string(v.entry.ID)), zap.Error(err))
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -49,7 +49,9 @@
 	acknowledgedEnd int64 // ends up to this number were acknowledged to it
 	runs            map[string]*run
 	load            *load // of the runs, as of the last round; nil if one has changed since
-	health          health
+	// abandoned are removed runs, by task, whose start order a new incarnation may still carry out.
+	abandoned map[string]*run
+	health    health
 }
 
 func (s *State) serversListed(l ServersListed) {
@@ -359,7 +361,7 @@
 	if r.phase != runRunning {
 		s.markRunning(r, s.workDone(r, row.Percent))
 	}
-	r.startInDoubt, r.listed, r.reportedAt = false, true, s.now
+	r.startInDoubt, r.reportedAt = false, s.now
 	if r.progress.Observe(row.Percent, s.now) {
 		s.handleNewRate(v, r)
 	}
@@ -392,7 +394,7 @@
 	t := &g.Tasks[index]
 	s.log.Warn("a backend server runs what is not expected there", zap.String("task", row.Task), zap.Int64("run", row.Run), zap.String("server", string(v.entry.ID)),
 		zap.Int64("born", v.incarnationStart), zap.Int64("newest_run", t.Run), zap.String("placed_on", string(t.Server)), zap.Int("percent", row.Percent))
-	r := &run{group: g, index: index, name: row.Task, number: row.Run, server: v.entry.ID, phase: runRunning, orphan: true, listed: true, startedAt: s.now, progressAt: s.now}
+	r := &run{group: g, index: index, name: row.Task, number: row.Run, server: v.entry.ID, phase: runRunning, orphan: true, startedAt: s.now, progressAt: s.now}
 	v.putRun(r)
 	s.orphans[row.Task]++
 	s.requestStop(r, stopUnexpected, "not expected there")
