--- a/internal/fleet/restart.go
+++ b/internal/fleet/restart.go
@@ -32,6 +32,7 @@
 	s.awaitToken(id, v)
 	for _, r := range v.runs {
 		if r.phase != runRecording {
+			r.phase, r.startedAt, r.progressAt, r.percent = runAdopting, s.now, s.now, 0
 			r.inFlight, r.startInDoubt, r.stopConfirmed = false, false, false
 		}
 	}
@@ -47,7 +48,7 @@
 		if v.runs[name] != nil || !r.startMayArrive(s.now) {
 			continue
 		}
-		r.phase, r.orphan, r.stopping = runOrdered, true, false
+		r.phase, r.orphan, r.stopping = runAdopting, true, false
 		r.startInDoubt, r.stopConfirmed = false, false
 		v.putRun(r)
 		s.orphans[name]++
@@ -69,11 +70,11 @@
 
 // awaitToken keeps orders from a backend server until its token is raised.
 func (s *State) awaitToken(id model.BackendServerID, v *server) {
-	until := maxTime(s.now, v.callsArriveUntil)
+	v.callsArriveUntil = maxTime(s.now, v.callsArriveUntil)
 	if v.holdInFlight || len(s.startsThatMayArrive(v)) > 0 {
-		until = s.now.Add(maxDeliveryDelay)
+		v.callsArriveUntil = s.now.Add(holdWait + holdTimeout + maxDeliveryDelay)
 	}
-	v.token, v.hasReported, v.leaseEnd = 0, false, until.Add(s.longestLease())
+	v.token, v.hasReported, v.leaseEnd = 0, false, v.callsArriveUntil.Add(s.longestLease())
 	s.writer.servers[id] = true
 	s.touch(v)
 }
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -132,6 +132,153 @@
 	assertFenced(t, err)
 }
 
+// noticed runs the world until the holder knows the present incarnation of a backend server.
+func noticed(t *testing.T, w *world, at *fakeServer) *server {
+	t.Helper()
+	for range 1000 {
+		if v := w.holder().state.servers[at.id]; v != nil && v.incarnationStart == at.startedAt.UnixMilli() {
+			return v
+		}
+		w.run(10 * time.Millisecond)
+	}
+	t.Fatal("the restart was not noticed")
+	return nil
+}
+
+// idle returns the only listed backend server, without runs, and the other one.
+func idle(t *testing.T, w *world) (at, other *fakeServer) {
+	t.Helper()
+	at, other = w.servers["s00"], w.servers["s01"]
+	other.unlisted = true
+	w.run(30 * time.Second)
+	assert.Assert(t, len(at.runs) == 0)
+	return at, other
+}
+
+func cut(w *world, at *fakeServer, on bool) { w.cutLinks[link(w.holder().name, string(at.id))] = on }
+
+// lateThenLost lets a late hold reach the backend server while the holder is cut off from it, has a
+// task started there, and cuts it off again.
+func lateThenLost(t *testing.T, w *world, at, other *fakeServer, late Hold) {
+	t.Helper()
+	_, err := at.hold(w, late)
+	assert.NilError(t, err)
+	cut(w, at, false)
+	w.submit(newJob(1, oneAccelerator, 60))
+	for range 300 {
+		if len(at.runs) > 0 {
+			break
+		}
+		w.run(10 * time.Millisecond)
+	}
+	assert.Assert(t, len(at.runs) > 0, "not started")
+	w.run(100 * time.Millisecond)
+	cut(w, at, true)
+	other.unlisted = false
+	w.run(30 * time.Second)
+}
+
+// A late hold of a previous holder arrived between the notice of the restart and the first report, and the task ran
+// on two backend servers.
+func TestLateHoldOfAPreviousHolder(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 2)
+	at, other := idle(t, w)
+	late := Hold{Server: at.id, Token: at.highestToken, Deadline: at.clock(w) + 6500}
+	w.holder().dead = true
+	w.run(4 * time.Second)
+	assert.Assert(t, w.holder() != nil)
+	at.crash(w)
+	noticed(t, w, at)
+	cut(w, at, true)
+	w.run(8 * time.Second)
+	lateThenLost(t, w, at, other, late)
+}
+
+// The same where the successor takes over without knowing of the restart.
+func TestLateHoldOfAPreviousHolderAfterATakeOver(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 2)
+	at, other := idle(t, w)
+	late := Hold{Server: at.id, Token: at.highestToken, Deadline: at.clock(w) + 6500}
+	w.holder().dead = true
+	at.crash(w)
+	for _, n := range w.nodes {
+		w.cutLinks[link(n.name, string(at.id))] = true
+	}
+	w.run(11 * time.Second)
+	assert.Assert(t, w.holder() != nil)
+	lateThenLost(t, w, at, other, late)
+}
+
+// A hold that was in flight at the first restart arrived after the second one.
+func TestLateHoldOverTwoRestarts(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	at, other := idle(t, w)
+	late := Hold{Server: at.id, Token: at.highestToken, Deadline: at.clock(w) + 6500}
+	cut(w, at, true)
+	for !w.holder().state.servers[at.id].holdInFlight {
+		w.run(10 * time.Millisecond)
+	}
+	at.crash(w)
+	v := noticed(t, w, at)
+	assert.Assert(t, v.holdInFlight)
+	cut(w, at, false)
+	w.run(3 * time.Second)
+	assert.Assert(t, v.hasReported)
+	at.crash(w)
+	noticed(t, w, at)
+	cut(w, at, true)
+	w.run(8 * time.Second)
+	lateThenLost(t, w, at, other, late)
+}
+
+// A hold without an answer arrived after its server was forgotten and listed again.
+func TestLateHoldToAServerThatWasForgotten(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	at, other := idle(t, w)
+	late := Hold{Server: at.id, Token: at.highestToken, Deadline: at.clock(w) + 6500}
+	cut(w, at, true)
+	for !w.holder().state.servers[at.id].holdInFlight {
+		w.run(10 * time.Millisecond)
+	}
+	at.unlisted = true
+	for w.holder().state.servers[at.id] != nil {
+		w.run(10 * time.Millisecond)
+	}
+	at.crash(w)
+	at.unlisted = false
+	w.run(8 * time.Second)
+	lateThenLost(t, w, at, other, late)
+}
+
+// The first hold that reached a new incarnation made it forget an end that nobody had seen.
+func TestFirstHoldKeepsEndsOfANewIncarnation(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	at, _ := idle(t, w)
+	_, _ = runningTask(t, w, 1, 500*time.Millisecond)
+	w.run(8 * time.Second)
+	v := w.holder().state.servers[at.id]
+	assert.Assert(t, v.recordedEnd == 1 && len(v.runs) == 0 && !v.holdInFlight)
+	w.listsUnread = true
+	at.crash(w)
+	cut(w, at, true)
+	sent := len(w.startOrders)
+	w.submit(newJob(1, oneAccelerator, 1))
+	for len(w.startOrders) == sent {
+		w.run(5 * time.Millisecond)
+	}
+	o := w.startOrders[len(w.startOrders)-1]
+	w.run(300 * time.Millisecond)
+	_, err := at.start(w, o.Start, "the holder, its answer is lost")
+	assert.NilError(t, err)
+	w.run(1100 * time.Millisecond)
+	assert.Assert(t, w.oracle.done[o.Task])
+	cut(w, at, false)
+	w.run(2 * time.Second)
+	w.listsUnread = false
+	w.run(10 * time.Second)
+	assert.Equal(t, w.oracle.startsOf[o.Task], 1, "%s was started again after it was done", o.Task)
+}
+
 // TestRandomRestarts has backend servers restart in series beside late orders and cuts. Late holds reach
 // whatever incarnation is there.
 func TestRandomRestarts(t *testing.T) {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -101,7 +101,14 @@
 func (s *State) addServer(id model.BackendServerID) *server {
 	v := &server{entry: ServerEntry{ID: id}, token: s.term.token, runs: make(map[string]*run)}
 	s.servers[id] = v
-	if _, asked := s.tokens[id]; asked && s.holdsTerm() {
+	if !s.holdsTerm() {
+		return v
+	}
+	if s.now.Before(s.term.takenAt.Add(holderAuthority)) {
+		v.leaseEnd = s.oldLeasesEnd() // a previous holder may know it
+	}
+	if _, asked := s.tokens[id]; asked {
+		v.callsArriveUntil = s.now.Add(maxDeliveryDelay)
 		s.awaitToken(id, v) // it may have started again while it was forgotten
 	}
 	return v
@@ -147,12 +154,12 @@
 // longer extended, so that it is certain when they end.
 func (s *State) sendHold(id model.BackendServerID, v *server) {
 	o := Hold{Server: id, Address: v.entry.Address, Token: v.token}
-	if v.hasReported {
+	if v.hasReported && len(v.runs) > 0 {
+		o.Wait = s.reportWait(v)
+	}
+	if v.hasReported && v.failedCalls == 0 { // else it may have started again, with ends and a clock of its own
 		o.AcknowledgedEnd = v.recordedEnd
-		if len(v.runs) > 0 {
-			o.Wait = s.reportWait(v)
-		}
-		if v.failedCalls == 0 && s.mayAct() {
+		if s.mayAct() {
 			o.Deadline = s.extendLease(v, leaseDuration)
 		}
 	}
@@ -257,6 +264,7 @@
 	v.failedCalls = 0
 	v.reportedAt = s.now
 	first := !v.hasReported
+	v.nextHoldAt = s.now.Add(unrecordedHoldInterval)
 	if v.incarnationStart != 0 && e.Report.IncarnationStart < v.incarnationStart {
 		return // from a previous incarnation
 	}
@@ -271,7 +279,6 @@
 	if first {
 		s.handleFirstReport(e.Order.Server, v)
 	}
-	v.nextHoldAt = s.now.Add(unrecordedHoldInterval)
 	if s.applyReport(v, e) {
 		v.nextHoldAt = s.nextHold(v)
 	}
@@ -281,8 +288,10 @@
 func (s *State) handleFirstReport(id model.BackendServerID, v *server) {
 	v.hasReported = true
 	s.tokens[id] = v.token
-	// A lease of a previous holder lasts on, although the backend server refuses its orders from now on.
-	v.leaseEnd = minTime(v.leaseEnd, s.now.Add(s.longestLease()))
+	if !v.leaseEnd.IsZero() {
+		// A lease that an earlier call has granted lasts on, although the backend server refuses such calls from now on.
+		v.leaseEnd = s.now.Add(s.longestLease())
+	}
 	if n := s.recordedEnds[id]; n.IncarnationStart == v.incarnationStart {
 		v.appliedEnd, v.recordedEnd = max(v.appliedEnd, n.Number), max(v.recordedEnd, n.Number)
 	}
@@ -360,6 +369,7 @@
 	}
 	if r.phase != runRunning {
 		s.markRunning(r, s.workDone(r, row.Percent))
+		r.lossRecorded = false
 	}
 	r.startInDoubt, r.reportedAt = false, s.now
 	if r.progress.Observe(row.Percent, s.now) {
