--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -129,6 +129,7 @@
 	number          int64
 	highestEndedRun map[string]int64 // the highest run of a task that was stopped or ended
 	answeredHolds   int              // number of answered Hold orders
+	lastHold        Hold             // the newest of them
 }
 
 func (w *world) addServer() *fakeServer {
@@ -297,6 +298,7 @@
 		return Report{}, &RefusedError{Reason: RefusedFenced, Clock: s.clock(w)}
 	}
 	s.answeredHolds++
+	s.lastHold = o
 	s.extend(w, o.Deadline)
 	s.ended = slices.DeleteFunc(s.ended, func(e EndReport) bool {
 		if e.Number <= o.AcknowledgedEnd {
--- a/internal/fleet/restart.go
+++ b/internal/fleet/restart.go
@@ -28,7 +28,14 @@
 		zap.Int64("old_clock", v.clock), zap.Int64("old_deadline", v.deadline))
 	s.recordCrash(v, lost, true)
 	s.addLoss(lost)
-	v.incarnationStart, v.appliedEnd, v.recordedEnd, v.acknowledgedEnd, v.deadline, v.clock = incarnationStart, 0, 0, 0, 0, 0
+	v.incarnationStart, v.appliedEnd, v.recordedEnd, v.acknowledgedEnd = incarnationStart, 0, 0, 0
+	s.forgetIncarnation(id, v)
+}
+
+// forgetIncarnation keeps orders from a backend server until its token is raised, and expects that any run
+// there may have ended or begun.
+func (s *State) forgetIncarnation(id model.BackendServerID, v *server) {
+	v.deadline, v.clock = 0, 0
 	s.awaitToken(id, v)
 	for _, r := range v.runs {
 		if r.phase != runRecording {
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -279,6 +279,37 @@
 	assert.Equal(t, w.oracle.startsOf[o.Task], 1, "%s was started again after it was done", o.Task)
 }
 
+// A hold that repeats the number of an end that is acknowledged already would make a next incarnation forget
+// its own ends, if it arrives late.
+func TestHoldAcknowledgesAnEndOnce(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 1)
+	_, at := runningTask(t, w, 1, 500*time.Millisecond)
+	w.run(8 * time.Second)
+	assert.Equal(t, w.holder().state.servers[at.id].acknowledgedEnd, int64(1))
+	assert.Equal(t, at.lastHold.AcknowledgedEnd, int64(0))
+}
+
+// An order was answered by a new incarnation before a report or the entry told of it. Calls for the earlier one
+// still took effect, and the holder counted on a deadline of the old clock.
+func TestAnswerWithANewClockTellsOfARestart(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 1)
+	name, at := runningTask(t, w, 10, 5*time.Second)
+	order := at.runs[name].order
+	late := Hold{Server: at.id, Token: at.highestToken, Deadline: at.clock(w) + 6500}
+	w.listsUnread = true
+	at.crash(w)
+	w.deliver(w.holder(), StartAnswered{Order: order, Clock: at.clock(w)})
+	v := w.holder().state.servers[at.id]
+	assert.Equal(t, v.token, int64(0), "orders go on under the token of the earlier incarnation")
+	w.run(contactTime)
+	_, err := at.hold(w, late)
+	assertFenced(t, err)
+	w.listsUnread = false
+	w.run(15 * time.Second)
+	assert.Assert(t, w.oracle.done[name])
+	assert.Equal(t, w.oracle.startsOf[name], 2)
+}
+
 // TestRandomRestarts has backend servers restart in series beside late orders and cuts. Late holds reach
 // whatever incarnation is there.
 func TestRandomRestarts(t *testing.T) {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -368,8 +368,9 @@
 			}
 		}
 	case errors.As(e.Err, &refused):
-		s.observeClock(v, refused.Clock)
-		s.startRefused(v, r, refused)
+		if s.observeClock(v, refused.Clock); v.token != 0 {
+			s.startRefused(v, r, refused)
+		}
 	case errors.Is(e.Err, ErrExpired):
 		s.startExpired(v, r)
 	default:
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -158,7 +158,9 @@
 		o.Wait = s.reportWait(v)
 	}
 	if v.hasReported && v.failedCalls == 0 { // else it may have started again, with ends and a clock of its own
-		o.AcknowledgedEnd = v.recordedEnd
+		if v.recordedEnd > v.acknowledgedEnd {
+			o.AcknowledgedEnd = v.recordedEnd // once only: it would also reach a next incarnation late
+		}
 		if s.mayAct() {
 			o.Deadline = s.extendLease(v, leaseDuration)
 		}
@@ -200,10 +202,15 @@
 	return s.term.takenAt.Add(holderAuthority + s.longestLease())
 }
 
-// observeClock stores a reading of the backend server's clock if it is the newest.
+// observeClock stores a reading of the backend server's clock if it is the newest. One that is much lower
+// tells that the clock has started anew.
 func (s *State) observeClock(v *server, clock int64) {
-	if clock > v.clock {
+	switch {
+	case clock > v.clock:
 		v.clock, v.clockAt = clock, s.now
+	case clock != 0 && clock < v.clock-clockOvertaking.Milliseconds():
+		s.log.Warn("clock of a backend server has started anew", zap.String("server", string(v.entry.ID)), zap.Int64("from", v.clock), zap.Int64("to", clock))
+		s.forgetIncarnation(v.entry.ID, v)
 	}
 }
 
@@ -274,7 +281,9 @@
 	}
 	v.incarnationStart = e.Report.IncarnationStart
 	s.observeAlive(v)
-	s.observeClock(v, e.Report.Clock)
+	if s.observeClock(v, e.Report.Clock); v.token == 0 {
+		return
+	}
 	v.acknowledgedEnd = max(v.acknowledgedEnd, e.Order.AcknowledgedEnd)
 	if first {
 		s.handleFirstReport(e.Order.Server, v)
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -91,6 +91,8 @@
 	stopRetry              = 300 * time.Millisecond // covers StopTimeout and a round trip
 	unlistedRetention      = 3 * time.Second        // live backend servers are listed again within 2 s after an outage
 
+	// clockOvertaking is how much older than the newest one a reading of a clock may be: longer than a call lasts.
+	clockOvertaking = 2500 * time.Millisecond
 	// clockSlack covers round trips when the end of a lease is computed.
 	clockSlack = 50 * time.Millisecond
 	// endsPerReport is the largest number of ends in one report.
