--- a/internal/standin/prepared/network.go
+++ b/internal/standin/prepared/network.go
@@ -17,11 +17,11 @@
 // pathCheck is the time between two looks at a path that is cut.
 const pathCheck = 20 * time.Millisecond
 
-// Network holds which paths between availability zones, and between them and the store, are cut. A cut path
-// is silent: what is sent stays unanswered, and open connections stay open.
+// Network holds which paths between availability zones, and between them and the store, are cut, both ways or
+// one way. A cut path is silent: what is sent stays unanswered, and open connections stay open.
 type Network struct {
 	mu  sync.Mutex
-	cut map[[2]string]int
+	cut map[[2]string]int // by sender and receiver
 	// silencedAt is when the connections that were open then went silent for good.
 	silencedAt time.Time
 }
@@ -29,30 +29,33 @@
 // NewNetwork returns a network without cuts.
 func NewNetwork() *Network { return &Network{cut: make(map[[2]string]int)} }
 
-func path(a, b string) [2]string {
-	if b < a {
-		a, b = b, a
+// Cut cuts a path both ways until the returned function is called. Cuts of one path may overlap.
+func (n *Network) Cut(a, b string) (heal func()) {
+	there, back := n.CutOneWay(a, b), n.CutOneWay(b, a)
+	return func() {
+		there()
+		back()
 	}
-	return [2]string{a, b}
 }
 
-// Cut cuts a path until the returned function is called. Cuts of one path may overlap.
-func (n *Network) Cut(a, b string) (heal func()) {
-	n.change(a, b, 1)
-	return sync.OnceFunc(func() { n.change(a, b, -1) })
+// CutOneWay lets what one side sends to the other stay away until the returned function is called. What
+// comes back arrives, answers included.
+func (n *Network) CutOneWay(from, to string) (heal func()) {
+	n.change(from, to, 1)
+	return sync.OnceFunc(func() { n.change(from, to, -1) })
 }
 
-func (n *Network) change(a, b string, d int) {
+func (n *Network) change(from, to string, d int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cut[path(a, b)] += d
+	n.cut[[2]string{from, to}] += d
 }
 
-// Open reports whether the path carries traffic. A side always reaches itself.
-func (n *Network) Open(a, b string) bool {
+// Open reports whether what one side sends reaches the other. A side always reaches itself.
+func (n *Network) Open(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return a == b || n.cut[path(a, b)] == 0
+	return from == to || n.cut[[2]string{from, to}] == 0
 }
 
 // SilenceConnections lets all connections that are open now go silent for good, without a reset.
@@ -82,9 +85,9 @@
 	return ok && n.silent(opened)
 }
 
-// await waits until the path is open. It returns false if ctx ends before.
-func (n *Network) await(ctx context.Context, a, b string) bool {
-	for !n.Open(a, b) {
+// await waits until what one side sends reaches the other. It returns false if ctx ends before.
+func (n *Network) await(ctx context.Context, from, to string) bool {
+	for !n.Open(from, to) {
 		select {
 		case <-ctx.Done():
 			return false
@@ -159,8 +162,10 @@
 func (r *Relay) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	opened := time.Now()
-	if !r.network.await(r.ctx, r.from, r.to) {
-		return
+	for !r.network.Open(r.from, r.to) || !r.network.Open(r.to, r.from) { // a connection is made by packets both ways
+		if !r.network.await(r.ctx, r.from, r.to) || !r.network.await(r.ctx, r.to, r.from) {
+			return
+		}
 	}
 	d, err := net.Dial("tcp", r.target)
 	if err != nil {
@@ -173,28 +178,28 @@
 	})
 	defer stop()
 	var both sync.WaitGroup
-	both.Go(func() { r.copy(d, c, opened) })
-	both.Go(func() { r.copy(c, d, opened) })
+	both.Go(func() { r.copy(d, c, r.from, r.to, opened) })
+	both.Go(func() { r.copy(c, d, r.to, r.from, opened) })
 	both.Wait()
 }
 
-// copy passes bytes on; they wait while the path is cut.
-func (r *Relay) copy(to, from net.Conn, opened time.Time) {
+// copy passes bytes on that one side sends to the other; they wait while the path is cut.
+func (r *Relay) copy(out, in net.Conn, from, to string, opened time.Time) {
 	defer func() {
-		_ = to.Close()
-		_ = from.Close()
+		_ = out.Close()
+		_ = in.Close()
 	}()
 	buffer := make([]byte, 16<<10)
 	for {
-		n, err := from.Read(buffer)
+		n, err := in.Read(buffer)
 		if n > 0 {
-			if !r.network.await(r.ctx, r.from, r.to) {
+			if !r.network.await(r.ctx, from, to) {
 				return
 			}
 			if r.network.silent(opened) {
 				continue
 			}
-			if _, err := to.Write(buffer[:n]); err != nil {
+			if _, err := out.Write(buffer[:n]); err != nil {
 				return
 			}
 		}
--- a/internal/standin/prepared/record.go
+++ b/internal/standin/prepared/record.go
@@ -87,6 +87,16 @@
 	return running
 }
 
+// Ran reports whether there is a run of one of the job's tasks, however it ended.
+func (r *Record) Ran(job string) (ran bool) {
+	r.change(func() {
+		for task := range r.runs {
+			ran = ran || strings.HasPrefix(task, job+".")
+		}
+	})
+	return ran
+}
+
 // Runs counts all runs.
 func (r *Record) Runs() (n int) {
 	r.change(func() {
--- a/internal/standin/prepared/server.go
+++ b/internal/standin/prepared/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -39,6 +40,12 @@
 	FailAll bool // each run fails shortly after its start
 	// LateStarts lets each start order be carried out this long after it arrived, without an answer.
 	LateStarts time.Duration
+	// AcrossRestarts lets the late starts also reach the next incarnation that has the same ID.
+	AcrossRestarts bool
+	// LateHolds lets LateHoldShare of the calls to /hold be carried out half to all of this time after they
+	// arrived, without an answer, by the incarnation that has the ID then.
+	LateHolds     time.Duration
+	LateHoldShare float64
 }
 
 // Server is a backend server.
@@ -117,6 +124,20 @@
 	s.restart()
 }
 
+// RestartSparing restarts the server like Restart, unless it runs a task that was started before: that task may
+// have lost a run with its backend server already. It reports whether it has restarted.
+func (s *Server) RestartSparing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.running {
+		if r.Number > 1 {
+			return false
+		}
+	}
+	s.restart()
+	return true
+}
+
 func (s *Server) restart() {
 	for _, r := range s.running {
 		s.record.change(func() { r.How, r.Ended = Lost, time.Now() })
@@ -239,8 +260,8 @@
 	WaitMs     int64  `json:"waitMs"`
 }
 
-// handler serves the callers from one zone. An order is carried out only if the path is open when it
-// arrives, and answered only if it is open then.
+// handler serves the callers from one zone. An order is carried out only if the path there is open when it
+// arrives, and answered only if the path back is open then.
 func (s *Server) handler(ctx context.Context, zone string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", s.handleStart)
@@ -264,7 +285,7 @@
 		}
 		held := &heldAnswer{header: make(http.Header)}
 		mux.ServeHTTP(held, r)
-		if held.status == 0 || !s.network.Open(zone, s.Zone) || s.network.silentRequest(r) {
+		if held.status == 0 || !s.network.Open(s.Zone, zone) || s.network.silentRequest(r) {
 			<-gone.Done()
 			panic(http.ErrAbortHandler)
 		}
@@ -296,15 +317,15 @@
 		return
 	}
 	s.mu.Lock()
-	late, born := s.fault.LateStarts, s.born
+	late, across, born, id := s.fault.LateStarts, s.fault.AcrossRestarts, s.born, s.id
 	s.mu.Unlock()
 	time.Sleep(late)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if late > 0 {
 		w = &heldAnswer{header: make(http.Header)}
-		if !s.born.Equal(born) {
-			return // TestLateStartReachesRestartedServer is about these
+		if s.id != id || !across && !s.born.Equal(born) {
+			return // TestLateStartReachesRestartedServer is about those of an earlier incarnation
 		}
 	}
 	s.advance()
@@ -368,7 +389,18 @@
 	}
 	until := time.Now().Add(time.Duration(o.WaitMs) * time.Millisecond)
 	s.mu.Lock()
+	longest, id := s.fault.LateHolds, s.id
+	late := longest > 0 && rand.Float64() < s.fault.LateHoldShare
+	s.mu.Unlock()
+	if late {
+		w = &heldAnswer{header: make(http.Header)}
+		time.Sleep(longest/2 + rand.N(longest/2+1))
+	}
+	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.id != id {
+		return // the call names another ID
+	}
 	s.advance()
 	if s.fenced(w, o) {
 		return
@@ -381,6 +413,9 @@
 			s.record.change(func() { e.run.Noted = time.Now() })
 		}
 	}
+	if late {
+		return
+	}
 	born := s.born
 	for len(s.ended) == 0 && time.Now().Before(until) && r.Context().Err() == nil && s.born.Equal(born) {
 		s.mu.Unlock()
--- a/internal/standin/prepared/store.go
+++ b/internal/standin/prepared/store.go
@@ -105,8 +105,7 @@
 		f := s.faults[vm]
 		s.mu.Unlock()
 		time.Sleep(f.Delay)
-		open := func() bool { return s.network.Open(zone, StoreSite) && s.network.Open(vm, StoreSite) }
-		if !readBody(r) || !open() || s.network.silentRequest(r) {
+		if !readBody(r) || !s.network.Open(zone, StoreSite) || !s.network.Open(vm, StoreSite) || s.network.silentRequest(r) {
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
@@ -117,7 +116,7 @@
 		held := &heldAnswer{header: make(http.Header)}
 		mux.ServeHTTP(held, r)
 		lost := r.Method == http.MethodPost && rand.Float64() < f.LoseAnswers
-		if lost || !open() || s.network.silentRequest(r) {
+		if lost || !s.network.Open(StoreSite, zone) || !s.network.Open(StoreSite, vm) || s.network.silentRequest(r) {
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
