--- a/internal/fleet/restart.go
+++ b/internal/fleet/restart.go
@@ -12,13 +12,17 @@
 // A backend server that starts again under its ID has neither the token nor the ended runs nor the clock of
 // before, so that it would carry out calls that were meant for its earlier incarnation: start a run that was
 // given up, extend leases to a deadline of the old clock, or forget ends by old numbers. The holder raises
-// the token of such a server to that of a record which it stores after it has noticed the restart. Such a
+// the token of such a server to that of a record which is stored after it has noticed the restart. Such a
 // token is higher than those of all calls before, and lower than those of later terms. The new incarnation
 // refuses calls for earlier ones from the first call under the raised token on.
 
 // maxDeliveryDelay is how long after its timeout a call may still be carried out.
 const maxDeliveryDelay = 15 * time.Second
 
+// longestCall is how long a call takes at most from its decision to its timeout: a start waits for up to
+// half of firstLeaseDuration until it is sent, a hold for an end.
+const longestCall = holdWait + holdTimeout + firstLeaseDuration/2
+
 // handleRestart resets the state for a new incarnation. The runs of the old one have ended, but the new one
 // may have started any of their tasks, also for a previous holder. Its first report under the raised token
 // tells; until then no task is placed elsewhere.
@@ -40,6 +44,9 @@
 	for _, r := range v.runs {
 		if r.phase != runRecording {
 			r.phase, r.startedAt, r.progressAt, r.percent = runAdopting, s.now, s.now, 0
+			if r.inFlight {
+				r.unansweredAt = s.now
+			}
 			r.inFlight, r.startInDoubt, r.stopConfirmed = false, false, false
 		}
 	}
@@ -79,9 +86,10 @@
 func (s *State) awaitToken(id model.BackendServerID, v *server) {
 	v.callsArriveUntil = maxTime(s.now, v.callsArriveUntil)
 	if v.holdInFlight || len(s.startsThatMayArrive(v)) > 0 {
-		v.callsArriveUntil = s.now.Add(holdWait + holdTimeout + maxDeliveryDelay)
+		v.callsArriveUntil = s.now.Add(longestCall + maxDeliveryDelay)
 	}
-	v.token, v.hasReported, v.leaseEnd = 0, false, v.callsArriveUntil.Add(s.longestLease())
+	v.token, v.hasReported = 0, false
+	v.leaseEnd = maxTime(v.leaseEnd, v.callsArriveUntil.Add(s.longestLease()))
 	s.writer.servers[id] = true
 	s.touch(v)
 }
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -310,6 +310,59 @@
 	assert.Equal(t, w.oracle.startsOf[name], 2)
 }
 
+// Another backend server answers at the address. Its clock was taken for that of the one that was called, and
+// what ran there waited for the longest lease.
+func TestRefusalByAnotherServerDoesNotTellOfARestart(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	name, at := runningTask(t, w, 60, 5*time.Second)
+	order := at.runs[name].order
+	v := w.holder().state.servers[at.id]
+	before := v.clock
+	w.deliver(w.holder(), StartAnswered{Order: order, Err: &RefusedError{Reason: RefusedOtherIncarnation, Clock: startClock + 100}})
+	assert.Equal(t, v.token, order.Token)
+	assert.Equal(t, v.clock, before)
+}
+
+// A backend server was first listed some seconds after a take-over, and a hold of the previous holder had reached
+// its new incarnation. The leases there were counted too short, and the task ran on two backend servers.
+func TestServerListedAfterATakeOverMayHaveALeaseOfThePreviousHolder(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 2)
+	at, other := idle(t, w)
+	late := Hold{Server: at.id, Token: at.highestToken, Deadline: at.clock(w) + 6500}
+	w.holder().dead = true
+	at.crash(w)
+	at.unlisted = true
+	for _, n := range w.nodes {
+		w.cutLinks[link(n.name, string(at.id))] = true
+	}
+	for w.holder() == nil {
+		w.run(10 * time.Millisecond)
+	}
+	w.run(6 * time.Second)
+	at.unlisted = false
+	for w.holder().state.servers[at.id] == nil {
+		w.run(10 * time.Millisecond)
+	}
+	lateThenLost(t, w, at, other, late)
+}
+
+// A restart that only a clock told of was blamed on no task.
+func TestRestartToldByTheClockIsBlamedOnANewRun(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 1)
+	w.run(20 * time.Second)
+	name, at := runningTask(t, w, 10, 300*time.Millisecond)
+	order := at.runs[name].order
+	r := w.holder().state.servers[at.id].runs[name]
+	w.listsUnread = true
+	at.crash(w)
+	w.deliver(w.holder(), StartAnswered{Order: order, Clock: at.clock(w)})
+	w.listsUnread = false
+	w.run(4 * time.Second)
+	crashes := r.group.Tasks[r.index].Crashes
+	assert.Equal(t, len(crashes), 1)
+	assert.Equal(t, crashes[0].Blame, job.Suspect)
+}
+
 // TestRandomRestarts has backend servers restart in series beside late orders and cuts. Late holds reach
 // whatever incarnation is there.
 func TestRandomRestarts(t *testing.T) {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -368,7 +368,10 @@
 			}
 		}
 	case errors.As(e.Err, &refused):
-		if s.observeClock(v, refused.Clock); v.token != 0 {
+		if refused.Reason != RefusedOtherIncarnation {
+			s.observeClock(v, refused.Clock)
+		}
+		if v.token != 0 {
 			s.startRefused(v, r, refused)
 		}
 	case errors.Is(e.Err, ErrExpired):
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -104,11 +104,11 @@
 	if !s.holdsTerm() {
 		return v
 	}
-	if s.now.Before(s.term.takenAt.Add(holderAuthority)) {
-		v.leaseEnd = s.oldLeasesEnd() // a previous holder may know it
+	if until := s.term.takenAt.Add(holderAuthority + longestCall + maxDeliveryDelay); s.now.Before(until) {
+		v.leaseEnd = until.Add(s.longestLease()) // a call of a previous holder may still arrive
 	}
 	if _, asked := s.tokens[id]; asked {
-		v.callsArriveUntil = s.now.Add(maxDeliveryDelay)
+		v.callsArriveUntil = s.now.Add(longestCall + maxDeliveryDelay)
 		s.awaitToken(id, v) // it may have started again while it was forgotten
 	}
 	return v
@@ -210,6 +210,9 @@
 		v.clock, v.clockAt = clock, s.now
 	case clock != 0 && clock < v.clock-clockOvertaking.Milliseconds():
 		s.log.Warn("clock of a backend server has started anew", zap.String("server", string(v.entry.ID)), zap.Int64("from", v.clock), zap.Int64("to", clock))
+		lost := s.newLoss(v)
+		s.recordCrash(v, lost, true) // observeAlive takes it back if the incarnation is the same after all
+		s.addLoss(lost)
 		s.forgetIncarnation(v.entry.ID, v)
 	}
 }
