--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -104,8 +104,8 @@
 	if !s.holdsTerm() {
 		return v
 	}
-	if until := s.term.takenAt.Add(holderAuthority + longestCall + maxDeliveryDelay); s.now.Before(until) {
-		v.leaseEnd = until.Add(s.longestLease()) // a call of a previous holder may still arrive
+	if s.now.Before(s.term.takenAt.Add(holderAuthority + longestCall + maxDeliveryDelay)) {
+		v.leaseEnd = s.oldLeasesEnd() // a call of a previous holder may still arrive
 	}
 	if _, asked := s.tokens[id]; asked {
 		v.callsArriveUntil = s.now.Add(longestCall + maxDeliveryDelay)
