Fleet: a task waits until its starts without an answer have arrived

Cause: a start order without an answer may arrive in the next incarnation of its backend server, which refuses nothing. The holder knew that (task waits again ... start_may_arrive=true) and placed the task elsewhere in the same millisecond. Its successors did not know it (start_may_arrive=false), and placed at once what the previous holder kept waiting.

Change: until when a start without an answer may arrive is stored with its task (arrival/TASK), and the task is not placed again before, by any holder. That would cost callers 15 s for each start that is given up, also where it rules nothing out: a backend server with a new ID refuses the order. So tasks wait only where a backend server has been seen to start again under its ID, which is stored too (noted/SERVER). The log tells when tasks begin to wait so, and for how long a task does (arrives_within, restarts_seen).

The four tests fail without the wait (the task was started elsewhere) and pass with it.

--- /dev/null
+++ b/internal/fleet/arrival_test.go
@@ -0,0 +1,139 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+)
+
+// restartedServers returns the only listed backend server and the other one, which start again under their IDs.
+func restartedServers(t *testing.T, w *world) (at, other *fakeServer) {
+	t.Helper()
+	w.run(contactTime + idleHoldInterval)
+	w.servers["s00"].crash(w)
+	return idle(t, w)
+}
+
+// givenUpStart returns the start order of a run that the holder has stopped, since the order had no answer, and the
+// backend server that confirmed the stop. Another one is listed from then on.
+func givenUpStart(t *testing.T, w *world) (Start, *fakeServer) {
+	t.Helper()
+	at, other := restartedServers(t, w)
+	w.orderDelay = time.Minute // start orders do not arrive
+	sent := len(w.startOrders)
+	w.submit(newJob(1, oneAccelerator, 60))
+	for len(w.startOrders) == sent {
+		w.run(time.Millisecond)
+	}
+	late := w.startOrders[sent].Start
+	for range 3 {
+		w.run(orderTimeout)
+		w.deliver(w.holder(), StartAnswered{Order: late, Err: ErrInDoubt})
+		w.run(holdRetry + tickInterval)
+	}
+	runUntil(w, "the run is stopped on its backend server", func() bool { return at.highestEndedRun[late.Task] == late.Run })
+	w.orderDelay = 0
+	other.unlisted = false
+	return late, at
+}
+
+// assertNotElsewhere fails the test if a task is started again before its late order arrives in the next incarnation
+// of the backend server.
+func assertNotElsewhere(t *testing.T, w *world, late Start, at *fakeServer) {
+	t.Helper()
+	w.run(8 * time.Second)
+	assert.Equal(t, w.oracle.startsOf[late.Task], 0, "the task was started elsewhere")
+	at.crash(w)
+	_, err := at.start(w, late, "a late order")
+	assert.NilError(t, err)
+	w.run(5 * time.Second)
+}
+
+// A task was placed elsewhere as soon as its stop was confirmed, although the late start order could still reach the
+// next incarnation of its backend server.
+func TestTaskIsNotPlacedElsewhereWhileItsStartMayArrive(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	late, at := givenUpStart(t, w)
+	assertNotElsewhere(t, w, late, at)
+	w.run(maxDeliveryDelay)
+	assert.Equal(t, w.oracle.startsOf[late.Task], 2, "the task was not started again")
+}
+
+// A successor placed the waiting task at once, since it did not know that a start order may still arrive.
+func TestSuccessorKnowsThatAStartMayArrive(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 2)
+	late, at := givenUpStart(t, w)
+	w.run(100 * time.Millisecond)
+	w.holder().dead = true
+	runUntil(w, "a successor holds the term", func() bool { return w.holder() != nil })
+	assertNotElsewhere(t, w, late, at)
+}
+
+// Where no backend server has started again under its ID, a late order is refused by the ID, and the task is placed
+// elsewhere at once.
+func TestTaskDoesNotWaitForItsStartWhereServersGetNewIDs(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	at, other := idle(t, w)
+	late := lostStart(t, w, at)
+	other.unlisted = false
+	cut(w, at, true)
+	w.run(8 * time.Second)
+	assert.Assert(t, other.runs[late.Task] != nil, "the task was not started elsewhere")
+}
+
+// All VMs are lost, and others read the records only then.
+func TestNewVMsKnowThatAStartMayArrive(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 2)
+	late, at := givenUpStart(t, w)
+	w.run(100 * time.Millisecond)
+	for _, n := range w.nodes {
+		n.dead = true
+	}
+	w.addNode()
+	runUntil(w, "a new VM holds the term", func() bool { return w.holder() != nil })
+	assertNotElsewhere(t, w, late, at)
+}
+
+// A backend server has started again before its first report to a successor, and once more after it. A start order of
+// the previous holder reaches the last incarnation.
+func TestStartOfAPreviousHolderReachesTheSecondIncarnationAfterIt(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 2)
+	at, other := idle(t, w)
+	late := lostStart(t, w, at)
+	w.holder().dead = true
+	at.crash(w)
+	other.unlisted = false
+	runUntil(w, "a successor hears of the restart", func() bool {
+		h := w.holder()
+		return h != nil && h.state.servers[at.id].incarnationStart == at.startedAt.UnixMilli()
+	})
+	assertNotElsewhere(t, w, late, at)
+}
+
+// A start order that certainly had no effect does not hold its task back.
+func TestStartWithoutEffectDoesNotHoldItsTaskBack(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	restartedServers(t, w)
+	w.orderDelay = time.Minute
+	sent := len(w.startOrders)
+	w.submit(newJob(1, oneAccelerator, 60))
+	runUntil(w, "the start is ordered", func() bool { return len(w.startOrders) > sent })
+	order := w.startOrders[sent].Start
+	w.deliver(w.holder(), StartAnswered{Order: order, Err: ErrNoEffect})
+	assert.Assert(t, !w.holder().state.startMayArrive(order.Task))
+}
+
+// A start order with an answer does not either: the task is placed elsewhere at once when its run fails.
+func TestAnsweredStartDoesNotHoldItsTaskBack(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	at, other := restartedServers(t, w)
+	at.failsAll = true
+	id := w.submit(newJob(1, oneAccelerator, 60)).ID
+	w.run(500 * time.Millisecond)
+	other.unlisted = false
+	w.run(2 * time.Second)
+	assert.Assert(t, other.runs[job.GroupKey{Job: id}.TaskName(0)] != nil, "the task was not started elsewhere")
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -311,18 +311,18 @@
 	return []sched.PendingStep{p, isolated}
 }
 
-// mayStillRun reports whether an older run of a task may still exist on a backend server.
+// mayStillRun reports whether an older run of a task may still exist on a backend server, or begin there.
 func (s *State) mayStillRun(g *job.Group, index int) bool {
 	t := &g.Tasks[index]
 	if len(s.orphans) == 0 && t.Run == 0 {
 		return false
 	}
 	v := s.servers[t.Server]
-	if len(s.orphans) == 0 && (v == nil || len(v.runs) == 0) {
+	if len(s.orphans) == 0 && len(s.arrivals) == 0 && (v == nil || len(v.runs) == 0) {
 		return false
 	}
 	name := g.Key().TaskName(index)
-	return s.orphans[name] > 0 || v != nil && v.runs[name] != nil
+	return s.orphans[name] > 0 || v != nil && v.runs[name] != nil || s.startMayArrive(name)
 }
 
 // currentService is the service in the queue's current configuration, or the one at the time
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -182,6 +182,8 @@
 		}
 		c.Offset = r.Offset
 		s.claimRead(target, c, initial)
+	case strings.HasPrefix(r.Key, arrivalPrefix):
+		return s.applyArrival(target, r)
 	case strings.HasPrefix(r.Key, recordedEndPrefix):
 		id := model.BackendServerID(strings.TrimPrefix(r.Key, recordedEndPrefix))
 		if len(r.Value) == 0 {
@@ -193,6 +195,7 @@
 			return err
 		}
 		target.recordedEnds[id] = n
+		target.restartsSeen = target.restartsSeen || n.StartedAgain
 	case strings.HasPrefix(r.Key, peerPrefix) && from == vmsPartition:
 		return target.applyPeer(r)
 	}
--- a/internal/fleet/restart.go
+++ b/internal/fleet/restart.go
@@ -36,6 +36,7 @@
 	s.addLoss(lost)
 	v.incarnationStart, v.earlierIncarnation = incarnationStart, v.incarnationStart
 	v.appliedEnd, v.recordedEnd, v.acknowledgedEnd = 0, 0, 0
+	s.observeRestartUnderID(v)
 	s.forgetIncarnation(id, v)
 }
 
@@ -50,6 +51,7 @@
 			r.progress = straggler.Progress{}
 			if r.inFlight {
 				r.unansweredAt = s.now
+				s.expectArrival(r)
 			}
 			r.inFlight, r.startInDoubt, r.stopConfirmed = false, false, false
 		}
@@ -119,7 +121,7 @@
 	if v.incarnationStart == 0 {
 		return s.recordedEnds[id]
 	}
-	return endPosition{IncarnationStart: v.incarnationStart, Number: v.appliedEnd, Reported: v.hasReported}
+	return endPosition{IncarnationStart: v.incarnationStart, Number: v.appliedEnd, Reported: v.hasReported, StartedAgain: v.startedAgain}
 }
 
 // observeUnreached counts with calls of previous holders on a backend server that has not reported to this one,
@@ -130,6 +132,9 @@
 	if stored.IncarnationStart == 0 || born < stored.IncarnationStart || born == stored.IncarnationStart && stored.Reported {
 		return
 	}
+	if born != stored.IncarnationStart {
+		s.observeRestartUnderID(v)
+	}
 	arrived := s.term.takenAt.Add(holderAuthority + longestCall + maxDeliveryDelay)
 	if !s.now.Before(arrived) || !arrived.After(v.callsArriveUntil) {
 		return
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -110,10 +110,14 @@
 		v.leaseEnd = maxTime(v.leaseEnd, leaseEnd)
 	}
 	name := g.Key().TaskName(index)
-	v.putRun(&run{
+	r := &run{
 		group: g, index: index, name: name, number: t.Run, server: t.Server, phase: runAdopting,
 		startedAt: s.now, progressAt: s.now,
-	})
+	}
+	if s.startMayArrive(name) {
+		r.unansweredAt = s.arrivals[name].Add(-maxDeliveryDelay)
+	}
+	v.putRun(r)
 }
 
 // superviseRuns sends the start and stop orders that are due on a backend server.
@@ -361,7 +365,8 @@
 	r.group.Tasks[r.index].Phase = job.Waiting
 	s.markDirty(r.group, r.index)
 	s.log.Info("task waits again", zap.String("task", r.name), zap.Int64("run", r.number),
-		zap.String("server", string(r.server)), zap.String("reason", reason), zap.Bool("start_may_arrive", r.startMayArrive(s.now)))
+		zap.String("server", string(r.server)), zap.String("reason", reason), zap.Bool("start_may_arrive", r.startMayArrive(s.now)),
+		zap.Duration("arrives_within", max(s.arrivals[r.name].Sub(s.now), 0)), zap.Bool("restarts_seen", s.restartsSeen))
 	if r.step().Gang {
 		s.stopGang(r.group, r.number, stopGangBroken, reason)
 	}
@@ -413,9 +418,12 @@
 	case errors.Is(e.Err, ErrExpired):
 		s.startExpired(v, r)
 	default:
-		r.startInDoubt, r.unansweredAt, v.grantedAt = true, s.now, s.now
+		r.startInDoubt, v.grantedAt = true, s.now
 		v.callsArriveUntil = maxTime(v.callsArriveUntil, s.now.Add(maxDeliveryDelay))
-		r.reached = r.reached || !errors.Is(e.Err, ErrNoEffect)
+		if !errors.Is(e.Err, ErrNoEffect) {
+			r.reached, r.unansweredAt = true, s.now
+			s.expectArrival(r)
+		}
 		r.nextCallAt = s.now.Add(holdRetry)
 		s.log.Info("start order was not answered", zap.String("task", r.name), zap.Int64("run", r.number),
 			zap.String("server", string(r.server)), zap.Error(e.Err))
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -25,6 +25,10 @@
 	// hasReported is set once it has reported under its token; reachedBefore if the same incarnation had reported
 	// to a holder before that.
 	hasReported, reachedBefore bool
+	// restartedBeforeTerm is set if another incarnation had reported to a previous holder, whose start orders may still
+	// arrive.
+	restartedBeforeTerm bool
+	startedAgain        bool // an earlier incarnation had the same ID
 
 	// incarnationStart is of the present incarnation, and earlierIncarnation of the one before, which entries may
 	// still name. The times need not rise: the time of day of the server's machine may have been set back.
@@ -333,6 +337,11 @@
 	v.hasReported = true
 	stored := s.recordedEnds[id]
 	v.reachedBefore = stored.Reported && stored.IncarnationStart == v.incarnationStart
+	v.restartedBeforeTerm = !v.reachedBefore && stored.IncarnationStart != 0 && v.token == s.term.token
+	v.startedAgain = v.startedAgain || stored.StartedAgain
+	if stored.IncarnationStart != 0 && stored.IncarnationStart != v.incarnationStart {
+		s.observeRestartUnderID(v)
+	}
 	s.tokens[id] = v.token
 	if !v.leaseEnd.IsZero() {
 		// A lease that an earlier call has granted lasts on, although the backend server refuses such calls from now on.
@@ -498,5 +507,9 @@
 	if r.startInDoubt && !r.stopConfirmed {
 		return // the start is repeated, or stopped if that takes too long
 	}
+	if r.phase == runAdopting && v.restartedBeforeTerm {
+		r.unansweredAt = maxTime(r.unansweredAt, s.term.takenAt.Add(holderAuthority)) // of a previous holder
+		s.expectArrival(r)
+	}
 	s.requeue(v, r, "no longer there")
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -43,6 +43,8 @@
 	Number           int64 `json:"n"`
 	// Reported is set once the incarnation has reported to a holder, and refuses calls for earlier ones.
 	Reported bool `json:"r,omitempty"`
+	// StartedAgain is set if an earlier incarnation had the same ID.
+	StartedAgain bool `json:"again,omitempty"`
 }
 
 // replicated is the state that a VM builds from the stored records: all of it on replicas, only the
@@ -50,6 +52,10 @@
 type replicated struct {
 	jobs         *job.Table
 	recordedEnds map[model.BackendServerID]endPosition
+	// arrivals holds until when start orders without an answer may arrive, by task.
+	arrivals map[string]time.Time
+	// restartsSeen is set if a backend server has started again under its ID.
+	restartsSeen bool
 	peers        map[string]Peer
 	// newestPeer is the offset of the newest announcement of a VM.
 	newestPeer int64
@@ -60,6 +66,7 @@
 	return &replicated{
 		jobs:         job.NewTable(),
 		recordedEnds: make(map[model.BackendServerID]endPosition),
+		arrivals:     make(map[string]time.Time),
 		peers:        make(map[string]Peer),
 		claim:        claim{Offset: -1},
 	}
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -23,6 +23,7 @@
 type writer struct {
 	groups   map[job.GroupKey]*job.Group    // changed since the previous batch
 	servers  map[model.BackendServerID]bool // with ends applied since the previous batch
+	arrivals map[string]bool                // tasks with start orders that may arrive later than was stored
 	started  []*run                         // placed since the previous batch
 	drops    []job.Record                   // tombstones of deleted jobs
 	inFlight *batch
@@ -43,7 +44,7 @@
 }
 
 func newWriter() writer {
-	return writer{groups: make(map[job.GroupKey]*job.Group), servers: make(map[model.BackendServerID]bool)}
+	return writer{groups: make(map[job.GroupKey]*job.Group), servers: make(map[model.BackendServerID]bool), arrivals: make(map[string]bool)}
 }
 
 // markDirty marks a task to be stored with the next batch. All tasks of a gang are stored together,
@@ -85,7 +86,7 @@
 // nextBatch returns a batch of all changes; nil if there are none.
 func (s *State) nextBatch() *batch {
 	w := &s.writer
-	if len(w.groups) == 0 && len(w.servers) == 0 && len(w.drops) == 0 {
+	if len(w.groups) == 0 && len(w.servers) == 0 && len(w.arrivals) == 0 && len(w.drops) == 0 {
 		return nil
 	}
 	b := &batch{
@@ -96,7 +97,7 @@
 	}
 	remaining := newWriter()
 	remaining.sequence = w.sequence + 1
-	records := s.groupRecords(b, &remaining)
+	records := append(s.groupRecords(b, &remaining), s.arrivalRecords()...)
 	for _, id := range eventloop.SortedKeys(w.servers) {
 		if v := s.servers[id]; v != nil {
 			n := s.endsToRecord(id, v)
@@ -292,6 +293,7 @@
 		delete(s.avoid, g.Key())
 		delete(s.stepRates, g.Key())
 		s.writer.drops = append(s.writer.drops, job.ProgressTombstones(g)...)
+		s.writer.drops = append(s.writer.drops, s.arrivalTombstones(g)...)
 	})
 	s.jobs.Drop(id)
 	s.emit(Append{Number: 0, Request: AppendRequest{Partition: SubmissionPartition(id), Records: job.JobTombstones(id), At: -1}})
