Fleet: the answer to an append of an earlier term confirms nothing

Callers could see a start whose placement was never stored, and so a second run once another VM held the term.

Cause: each term numbers its batches from 1, and an answer was matched by its number alone. A VM that loses the term and takes it again within the time-out of an append took the answer to an earlier batch for one to its present batch: placements counted as stored, and a refusal made it give the term up.

Change: the answer carries the epoch of its append.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -39,9 +39,11 @@
 // ServersUnread carries the error of a failed read of the entries of the backend servers.
 type ServersUnread struct{ Err error }
 
-// AppendAnswered carries the outcome of the Append action with this number.
+// AppendAnswered carries the outcome of the Append action with this number and epoch: each term numbers its
+// own.
 type AppendAnswered struct {
 	Number int64
+	Epoch  int64
 	Offset int64
 	Err    error
 }
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -412,7 +412,7 @@
 	case Append:
 		l.goroutines.Go(func() {
 			offset, err := l.append(ctx, a.Request)
-			l.post(ctx, AppendAnswered{Number: a.Number, Offset: offset, Err: err})
+			l.post(ctx, AppendAnswered{Number: a.Number, Epoch: a.Request.Epoch, Offset: offset, Err: err})
 		})
 	case Claim:
 		l.goroutines.Go(func() {
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -291,13 +291,13 @@
 	switch a := a.(type) {
 	case Append:
 		if w.progressUnstored && a.Request.Partition == progressPartition {
-			w.at(callTimeout, func() { w.deliver(n, AppendAnswered{Number: a.Number, Err: ErrInDoubt}) })
+			w.at(callTimeout, func() { w.deliver(n, AppendAnswered{Number: a.Number, Epoch: a.Request.Epoch, Err: ErrInDoubt}) })
 			return
 		}
 		w.exchange(n, "store", storeDelay, func() Event {
 			offset, err := w.store.append(w, a.Request)
-			return AppendAnswered{Number: a.Number, Offset: offset, Err: err}
-		}, AppendAnswered{Number: a.Number, Err: ErrInDoubt}, w.store.lossRate)
+			return AppendAnswered{Number: a.Number, Epoch: a.Request.Epoch, Offset: offset, Err: err}
+		}, AppendAnswered{Number: a.Number, Epoch: a.Request.Epoch, Err: ErrInDoubt}, w.store.lossRate)
 	case Claim:
 		w.claims++
 		w.exchange(n, "store", storeDelay, func() Event {
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -166,7 +166,7 @@
 func (s *State) appendAnswered(e AppendAnswered) {
 	s.observeStore(e.Err)
 	b := s.writer.inFlight
-	if !s.holdsTerm() || b == nil || b.number != e.Number {
+	if !s.holdsTerm() || b == nil || b.number != e.Number || b.append.Epoch != e.Epoch {
 		return
 	}
 	switch {
