Fleet: tests of VMs that read all records again, which fail

The store may drop records that a VM has not read, or not read back. The VM then reads the newest record of each key on top of what it knows. A holder takes records of the previous term for newer than its own decisions that are not stored yet; a VM without the term keeps jobs that were dropped meanwhile. In both cases a task runs again after its end.

--- /dev/null
+++ b/internal/fleet/reread_test.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+)
+
+// readAgain has a node read the newest record of each key, as after the store has dropped records that it had not
+// read yet.
+func (w *world) readAgain(n *node) {
+	for _, p := range n.partitions {
+		n.nextOffsets[p] = w.store.end(p)
+		w.deliver(n, RecordsRead{Generation: n.generation, Partition: p, Records: w.store.newest(p), Initial: true, Synced: true, Next: n.nextOffsets[p], AsOf: w.now})
+	}
+}
+
+// taskOf returns a node's state of the only task of a job.
+func taskOf(t *testing.T, n *node, name string) *job.Task {
+	t.Helper()
+	g, index, err := n.state.groupOf(name)
+	assert.NilError(t, err)
+	assert.Assert(t, g != nil)
+	return &g.Tasks[index]
+}
+
+// The store dropped records that the holder had not read back. It read the newest of each key again while its own
+// newest ones were not stored yet, took the previous holder's for the state, and a task that was done ran again.
+func TestHolderThatReadsAllRecordsAgainKeepsItsDecisions(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 2)
+	name, _ := runningTask(t, w, 4, 500*time.Millisecond)
+	w.holder().dead = true
+	runUntil(w, "a successor", func() bool { return w.holder() != nil })
+	w.run(time.Second)
+	w.progressUnstored = true
+	runUntil(w, "the end", func() bool { return taskOf(t, w.holder(), name).Phase == job.Done })
+	w.readAgain(w.holder())
+	assert.Equal(t, taskOf(t, w.holder(), name).Phase, job.Done)
+	w.progressUnstored = false
+	w.run(10 * time.Second)
+	assert.Equal(t, w.oracle.startsOf[name], 1, "%s was started again after it was done", name)
+}
+
+// A VM was cut off from the store until a job was done and dropped, and the store no longer kept the records of that.
+// The VM read the newest records again, kept the job as it had known it, took the term, and ran the job again.
+func TestVMThatMissedTheEndOfADroppedJobDoesNotRunItAgain(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 2)
+	for _, n := range w.nodes {
+		n.state.bounds.FinalStateRetention = time.Second
+	}
+	name, _ := runningTask(t, w, 4, 500*time.Millisecond)
+	var away *node
+	for _, n := range w.nodes {
+		if n != w.holder() {
+			away = n
+		}
+	}
+	w.cutLinks[link(away.name, "store")] = true
+	w.run(dropDelay + dropInterval + 15*time.Second)
+	assert.Assert(t, !slices.ContainsFunc(w.store.newest(progressPartition), func(r StoredRecord) bool { return strings.HasPrefix(r.Key, "tasks/") }), "the job is not dropped")
+	delete(w.cutLinks, link(away.name, "store"))
+	w.readAgain(away)
+	for _, n := range w.nodes {
+		n.dead = n != away
+	}
+	w.run(15 * time.Second)
+	assert.Assert(t, away.state.HoldsTerm())
+	assert.Equal(t, w.oracle.startsOf[name], 1, "%s was started again after it was done", name)
+}
