Fleet: the holder skips progress records that it reads again

Callers saw a task run again after its end, or an earlier run of a gang ordered beside its present one.

Cause: the store drops records that the holder has not read back (its own newest ones among them), and it reads the newest record of each key again. It skipped the records of its own term only. Where its newest decision on a task was not stored yet, the newest record was the previous holder's: the task went back to its run of then, which was adopted, found missing and ordered again.

Now the holder skips all progress records but claims. Its state includes them: it takes the term when it reads its claim, after all records before it.

TestHolderThatReadsAllRecordsAgainKeepsItsDecisions fails before and passes now.

--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -69,8 +69,8 @@
 	return len(r.Value) > 0 && r.Key == job.SubmissionKey(id)
 }
 
-// recordsRead applies the records of a read in order. The holder skips the progress records
-// of its own term, since its state already includes them.
+// recordsRead applies the records of a read in order. The holder skips progress records: its state includes those
+// before its claim and its own, also if the store has dropped some and it reads the newest of each key again.
 func (s *State) recordsRead(e RecordsRead) {
 	s.observeStore(nil)
 	if e.Generation != s.generation {
@@ -81,7 +81,7 @@
 		target = s.incoming
 	}
 	for _, r := range e.Records {
-		if e.Partition == progressPartition && s.holdsTerm() && r.Offset >= s.term.token-1 && r.Key != claimKey {
+		if e.Partition == progressPartition && s.holdsTerm() && r.Key != claimKey {
 			continue
 		}
 		s.apply(target, e.Partition, r, e.Initial)
--- a/internal/fleet/reread_test.go
+++ b/internal/fleet/reread_test.go
@@ -14,9 +14,10 @@
 // readAgain has a node read the newest record of each key, as after the store has dropped records that it had not
 // read yet.
 func (w *world) readAgain(n *node) {
+	generation := n.generation
 	for _, p := range n.partitions {
 		n.nextOffsets[p] = w.store.end(p)
-		w.deliver(n, RecordsRead{Generation: n.generation, Partition: p, Records: w.store.newest(p), Initial: true, Synced: true, Next: n.nextOffsets[p], AsOf: w.now})
+		w.deliver(n, RecordsRead{Generation: generation, Partition: p, Records: w.store.newest(p), Initial: true, Synced: true, Next: n.nextOffsets[p], AsOf: w.now})
 	}
 }
 
