Fleet: a deposed holder reads the progress again before it counts as having read all

A holder that reads of a newer claim starts to read all partitions anew. The read that told it was then taken for the first of the new reads of the progress partition, so that the VM counts as having read all records without any progress if the other partitions are read first. It would answer calls about jobs from that state, and claim the term in vain, since it names no claim before its own (read in the code, not played).

TestDeposedHolderReadsTheProgressAgain fails before and passes now.

--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -90,6 +90,9 @@
 		}
 		s.apply(target, e.Partition, r, e.Initial)
 	}
+	if e.Generation != s.generation {
+		return // a claim among them has ended this VM's term
+	}
 	if e.Partition == vmsPartition {
 		target.forgetGonePeers()
 	}
--- a/internal/fleet/reread_test.go
+++ b/internal/fleet/reread_test.go
@@ -73,3 +73,18 @@
 	assert.Assert(t, away.state.HoldsTerm())
 	assert.Equal(t, w.oracle.startsOf[name], 1, "%s was started again after it was done", name)
 }
+
+// A holder that read of a newer claim counted as having read all records, without those of the progress partition.
+func TestDeposedHolderReadsTheProgressAgain(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 2)
+	_, _ = runningTask(t, w, 60, 500*time.Millisecond)
+	deposed := w.holder()
+	s := deposed.state
+	value := []byte(`{"node":"vm9","incarnation":"vm9"}`)
+	w.deliver(deposed, RecordsRead{
+		Generation: deposed.generation, Partition: progressPartition, Synced: true, Next: s.nextOf[progressPartition] + 1, AsOf: w.now,
+		Records: []StoredRecord{{Record: job.Record{Key: claimKey, Value: value}, Offset: s.nextOf[progressPartition]}},
+	})
+	assert.Assert(t, !s.HoldsTerm())
+	assert.Assert(t, s.unsynced[progressPartition], "the progress counts as read")
+}
