Fleet: test of a job whose submission cannot be dropped, which fails

The progress of a job is dropped even if its submission is not: the append that deletes the submission is sent once, and its outcome is ignored. A VM that reads the store later takes the job for one that has not begun, and runs it again.

--- a/internal/fleet/reread_test.go
+++ b/internal/fleet/reread_test.go
@@ -88,3 +88,27 @@
 	assert.Assert(t, !s.HoldsTerm())
 	assert.Assert(t, s.unsynced[progressPartition], "the progress counts as read")
 }
+
+// The store refused to delete the submission of a job that was to be dropped, and its progress was deleted. A VM that
+// started later read a job that had not begun, and ran it again.
+func TestJobWhoseSubmissionCannotBeDroppedIsNotRunAgain(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	w.holder().state.bounds.FinalStateRetention = time.Second
+	name, _ := runningTask(t, w, 4, 500*time.Millisecond)
+	w.jobsUnstored = true
+	w.run(dropDelay + dropInterval + 15*time.Second)
+	w.jobsUnstored = false
+	old := w.holder()
+	old.dead = true
+	w.addNode()
+	w.run(15 * time.Second)
+	assert.Assert(t, w.holder() != nil && w.holder() != old)
+	assert.Equal(t, w.oracle.startsOf[name], 1, "%s was started again after it was done", name)
+	w.holder().state.bounds.FinalStateRetention = time.Second
+	w.run(dropDelay + 2*dropInterval)
+	for _, p := range Partitions() {
+		for _, r := range w.store.newest(p) {
+			assert.Assert(t, !strings.Contains(r.Key, "/0"), "%s is not dropped", r.Key) // IDs of jobs begin with 0
+		}
+	}
+}
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -55,6 +55,7 @@
 	listsUnread        bool               // no node can read the entries of the backend servers
 	listsLimited       bool               // the store refuses reads of these entries as too many
 	progressUnstored   bool               // the partition for progress stores nothing
+	jobsUnstored       bool               // the partitions for submissions store nothing
 	carryingOutLate    bool               // a late order is being carried out
 	// readPause is the shortest time between two reads of a node.
 	readPause time.Duration
@@ -290,7 +291,7 @@
 func (w *world) execute(n *node, a Action) {
 	switch a := a.(type) {
 	case Append:
-		if w.progressUnstored && a.Request.Partition == progressPartition {
+		if w.progressUnstored && a.Request.Partition == progressPartition || w.jobsUnstored && a.Request.Partition.Topic == submissionsTopic {
 			w.at(callTimeout, func() { w.deliver(n, AppendAnswered{Number: a.Number, Err: ErrInDoubt}) })
 			return
 		}
