Fleet: a job's progress is dropped only after its submission

Callers saw a job run again minutes after it had ended.

Cause: a job whose final state need no longer be kept was dropped by two appends, one for its submission and one for its progress. The first was sent once, one call a job, and its outcome ignored; the second was repeated until stored. If the store refused the first, a VM that read the store later found a submission without progress, a job that has not begun, and ran it when it took the term.

It deletes a job's progress when it reads back that the submission is gone. If the term changes in between, the progress stays in the store.

--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -144,6 +144,9 @@
 }
 
 func (s *State) apply(target *replicated, p Partition, r StoredRecord, initial bool) {
+	if id, dropped := job.DroppedJob(r.Record); dropped && s.holdsTerm() && target.jobs.Job(id) != nil {
+		s.jobDropped(target.jobs.Job(id))
+	}
 	var changed *job.State
 	known := false
 	err := guard.Do(func() (err error) {
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -267,32 +267,35 @@
 	}
 }
 
-// dropJobs deletes the jobs whose final state need no longer be kept.
+// dropJobs deletes the submissions of jobs whose final state need no longer be kept, and repeats that until it has
+// read them back as deleted. Only then jobDropped deletes their progress: a submission without it would run again.
 func (s *State) dropJobs() {
 	if s.now.Sub(s.lastDrop) < dropInterval {
 		return
 	}
 	s.lastDrop = s.now
 	keep := s.bounds.FinalStateRetention + dropDelay
-	var old []*job.State
+	records, count := make(map[Partition][]job.Record), 0
 	s.jobs.ForEach(func(st *job.State) {
-		if st.Recorded.Final() && s.now.Sub(st.FinalSince) > keep && len(old) < maxBatchRecords {
-			old = append(old, st)
+		if id := st.Job.ID; st.Recorded.Final() && s.now.Sub(st.FinalSince) > keep && count < maxBatchRecords {
+			p := SubmissionPartition(id)
+			records[p] = append(records[p], job.JobTombstones(id)...)
+			count++
 		}
 	})
-	for _, st := range old {
-		s.dropJob(st)
+	for _, p := range Partitions() {
+		if len(records[p]) > 0 {
+			s.emit(Append{Number: 0, Request: AppendRequest{Partition: p, Records: records[p], At: -1}})
+		}
 	}
 }
 
-func (s *State) dropJob(st *job.State) {
-	id := st.Job.ID
+// jobDropped has the progress of a job deleted whose submission is deleted.
+func (s *State) jobDropped(st *job.State) {
 	st.ForEachGroup(func(g *job.Group) {
 		delete(s.writer.groups, g.Key())
 		delete(s.avoid, g.Key())
 		delete(s.stepRates, g.Key())
 		s.writer.drops = append(s.writer.drops, job.ProgressTombstones(g)...)
 	})
-	s.jobs.Drop(id)
-	s.emit(Append{Number: 0, Request: AppendRequest{Partition: SubmissionPartition(id), Records: job.JobTombstones(id), At: -1}})
 }
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -106,6 +106,12 @@
 	return t.jobs[key.Job], nil
 }
 
+// DroppedJob returns the job whose submission a record deletes; false if it is another record.
+func DroppedJob(r Record) (model.JobID, bool) {
+	id, ok := strings.CutPrefix(r.Key, submissionPrefix)
+	return model.JobID(id), ok && len(r.Value) == 0
+}
+
 // JobTombstones returns the records that delete a job's submission and cancellation.
 func JobTombstones(id model.JobID) []Record {
 	return []Record{{Key: cancellationPrefix + string(id)}, {Key: submissionPrefix + string(id)}}
