Fleet: tests of restarts whose time of start is not later, which fail

The time of day of a backend server's machine may be set back. Its next incarnation then has an earlier time of start, or the same one. The holder keeps the ends of before for the same one, and a successor takes no entry with an earlier one for news.

--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -106,6 +106,7 @@
 	id            model.BackendServerID
 	rack          model.RackID
 	startedAt     time.Time
+	setBack       time.Duration // by how much the time of day of its machine was set back
 	dead          bool
 	unlisted      bool
 	draining      bool
@@ -150,10 +151,12 @@
 
 func (s *fakeServer) clock(w *world) int64 { return startClock + w.now.Sub(s.startedAt).Milliseconds() }
 
+func (s *fakeServer) born() int64 { return s.startedAt.Add(-s.setBack).UnixMilli() }
+
 func (s *fakeServer) entry(w *world) ServerEntry {
 	return ServerEntry{
 		ID: s.id, Service: service, Address: string(s.id), Rack: s.rack, Labels: []string{"a", string(s.rack), s.label},
-		Capacity: s.capacity, Draining: s.draining, Remaining: s.stays, IncarnationStart: s.startedAt.UnixMilli(), Clock: s.clock(w), Sequence: s.heartbeats(w),
+		Capacity: s.capacity, Draining: s.draining, Remaining: s.stays, IncarnationStart: s.born(), Clock: s.clock(w), Sequence: s.heartbeats(w),
 	}
 }
 
@@ -310,7 +313,7 @@
 		}
 		return e.Number <= o.AcknowledgedEnd
 	})
-	report := Report{IncarnationStart: s.startedAt.UnixMilli(), Clock: s.clock(w), Ended: slices.Clone(s.ended)}
+	report := Report{IncarnationStart: s.born(), Clock: s.clock(w), Ended: slices.Clone(s.ended)}
 	for _, name := range eventloop.SortedKeys(s.runs) {
 		r := s.runs[name]
 		percent := int(100 * w.now.Sub(r.startedAt) / r.duration)
--- /dev/null
+++ b/internal/fleet/set_back_test.go
@@ -0,0 +1,53 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// restartAt has a backend server start again, with a time of start that differs from the one before by d.
+func (s *fakeServer) restartAt(w *world, d time.Duration) {
+	before := s.born()
+	s.crash(w)
+	s.setBack += time.Duration(s.born()-before)*time.Millisecond - d
+}
+
+// A backend server starts again in the millisecond of its earlier start, by a time of day that was set back. The ends
+// of its new incarnation were taken for those of the earlier one, and a task that was done ran again.
+func TestEndsOfAnIncarnationWithTheSameTimeOfStart(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 1)
+	at := w.servers["s00"]
+	for range 3 {
+		_, _ = runningTask(t, w, 1, 500*time.Millisecond)
+		w.run(2 * time.Second)
+	}
+	assert.Equal(t, w.holder().state.servers[at.id].appliedEnd, int64(3))
+	at.restartAt(w, 0)
+	w.run(contactTime)
+	name, _ := runningTask(t, w, 1, 2*time.Second)
+	w.run(10 * time.Second)
+	assert.Equal(t, w.oracle.startsOf[name], 1)
+	assert.Assert(t, w.oracle.done[name])
+}
+
+// As TestSuccessorHearsOfARestartFromTheEntry, with a time of start that is earlier than the one before.
+func TestSuccessorHearsOfAnEarlierTimeOfStartFromTheEntry(t *testing.T) {
+	for _, d := range []time.Duration{-time.Second, 0} {
+		w := newWorldWithHolder(t, 3, 2)
+		at, other := idle(t, w)
+		late := lostStart(t, w, at)
+		cutOff(w, at)
+		w.holder().dead = true
+		w.run(4 * time.Second)
+		assert.Assert(t, w.holder() != nil)
+		at.restartAt(w, d)
+		w.run(6 * time.Second)
+		_, err := at.start(w, late, "a late order")
+		assert.NilError(t, err)
+		other.unlisted = false
+		w.run(30 * time.Second)
+		assert.Assert(t, other.runs[late.Task] != nil, "the task was not started elsewhere")
+	}
+}
