Fleet: no member of a gang is started while one of an earlier run is there

Callers may see two runs of one gang at the same time.

Cause: before a start order the holder looked for earlier runs of the same task only. A gang is one run of all its tasks: a member of an earlier run that turns up, after a late start, stood beside members of the present run that were ordered again meanwhile.

Now the check covers all tasks of the gang, as the placement of a gang does already.

TestStartOfAMemberIsNotRepeatedWhileAnEarlierRunOfItsGangIsThere fails before and passes now.

--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -228,13 +228,27 @@
 		return listTooOld
 	case !s.mayAct():
 		return termUnconfirmed
-	case !r.orphan && s.orphans[r.name] > 0:
+	case !r.orphan && s.earlierRunIsThere(r):
 		return earlierRunWorks
 	default:
 		return noObstacle
 	}
 }
 
+// earlierRunIsThere reports whether a run of the task that is not its current one is known to be on a backend server,
+// or one of any task of its gang.
+func (s *State) earlierRunIsThere(r *run) bool {
+	if len(s.orphans) == 0 || !r.step().Gang {
+		return s.orphans[r.name] > 0
+	}
+	for i := range r.group.Tasks {
+		if s.orphans[r.group.Key().TaskName(i)] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // reserved is what all runs on the backend server take of its capacity, also those that are being
 // stopped.
 func (v *server) reserved() job.Resources {
