--- a/internal/fleet/reread_test.go
+++ b/internal/fleet/reread_test.go
@@ -112,3 +112,39 @@
 		}
 	}
 }
+
+// The same with a gang of which the previous holder had started one member only. The holder ordered the start of the
+// other one, of the earlier run, while the members of the next run were started.
+func TestHolderThatReadsAllRecordsAgainStartsNoEarlierRunOfAGang(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 4)
+	w.servers["s02"].unlisted, w.servers["s03"].unlisted = true, true
+	w.run(20 * time.Second)
+	gang := gangOfTwo(w)
+	s := w.holder().state
+	second := w.servers["s01"]
+	runUntil(w, "the placement", func() bool { return len(s.servers[second.id].runs) == 1 })
+	cutOff(w, second) // placed, and not ordered yet
+	runUntil(w, "a member", func() bool { return len(w.servers["s00"].runs) == 1 })
+	w.holder().dead = true
+	runUntil(w, "a successor", func() bool { return w.holder() != nil })
+	s = w.holder().state
+	w.servers["s02"].unlisted, w.servers["s03"].unlisted = false, false
+	g := s.jobs.Job(gang.Job).Group(0, 0)
+	w.run(time.Second)
+	assert.Equal(t, g.Tasks[0].Run, int64(1))
+	w.progressUnstored = true
+	runUntil(w, "the next run", func() bool { return g.Tasks[0].Run == 2 && g.Tasks[1].Run == 2 })
+	for _, n := range w.nodes {
+		delete(w.cutLinks, link(n.name, string(second.id)))
+	}
+	runUntil(w, "a report", func() bool { return s.servers[second.id].hasReported })
+	w.readAgain(w.holder())
+	w.run(50 * time.Millisecond)
+	w.progressUnstored = false
+	w.run(idleHoldInterval + time.Second)
+	assert.Equal(t, len(w.oracle.running[gang.TaskName(0)]), 1)
+	assert.Equal(t, len(w.oracle.running[gang.TaskName(1)]), 1)
+	for _, o := range w.startOrders[2:] {
+		assert.Equal(t, o.Run, int64(2), "the start of %s was ordered", o.Task)
+	}
+}
