--- a/internal/fleet/reread_test.go
+++ b/internal/fleet/reread_test.go
@@ -148,3 +148,27 @@
 		assert.Equal(t, o.Run, int64(2), "the start of %s was ordered", o.Task)
 	}
 }
+
+// Pages of the newest records are no snapshot. A VM that read its claim on a later page than an older record of a
+// placement took the term on the older one.
+func TestClaimOnALaterPageTakesNoTerm(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 2)
+	_, _ = runningTask(t, w, 60, 500*time.Millisecond)
+	old := w.holder()
+	old.dead = true
+	var n *node
+	for _, other := range w.nodes {
+		if other != old {
+			n = other
+		}
+	}
+	isClaim := func(r StoredRecord) bool { return r.Key == claimKey && r.Offset > n.state.claim.Offset }
+	runUntil(w, "a claim", func() bool { return slices.ContainsFunc(w.store.newest(progressPartition), isClaim) })
+	assert.Assert(t, n.state.term.claiming && !n.state.HoldsTerm())
+	records := w.store.newest(progressPartition)
+	claimed := records[slices.IndexFunc(records, isClaim)]
+	w.deliver(n, RecordsRead{Generation: n.generation, Partition: progressPartition, Records: []StoredRecord{claimed}, Initial: true, Next: claimed.Offset - 1, AsOf: w.now})
+	assert.Assert(t, !n.state.HoldsTerm(), "the term is taken before all records are read")
+	w.run(5 * time.Second)
+	assert.Assert(t, n.state.HoldsTerm())
+}
