Fleet: an entry that changes tells of a restart also by an earlier time of start

Callers may see two runs of one task, where the time of day of a backend server's machine was set back before its restart.

Cause: a new incarnation was read from the entry only if its time of start was later than the one known. A successor that did not reach the backend server counted the leases of before, and a late start ran beside the task elsewhere. Earlier times were ignored since an entry may be older than what the previous holder has recorded.

Now a VM remembers which incarnation an entry named before. An entry that has changed from the known or the recorded incarnation names a newer one, whatever its time of start is; an entry that was never seen to name it stays an old one. An entry without a time of start tells nothing, as before.

TestSuccessorHearsOfAnEarlierTimeOfStartFromTheEntry and TestSuccessorRemembersThatTheEntryChangedToAnEarlierTimeOfStart fail before and pass now.

--- a/internal/fleet/restart.go
+++ b/internal/fleet/restart.go
@@ -127,7 +127,8 @@
 func (s *State) observeUnreached(id model.BackendServerID, v *server) {
 	stored := s.recordedEnds[id]
 	born := v.entry.IncarnationStart
-	if stored.IncarnationStart == 0 || born < stored.IncarnationStart || born == stored.IncarnationStart && stored.Reported {
+	older := born < stored.IncarnationStart && v.entryBefore != stored.IncarnationStart
+	if stored.IncarnationStart == 0 || born == 0 || older || born == stored.IncarnationStart && stored.Reported {
 		return
 	}
 	arrived := s.term.takenAt.Add(holderAuthority + longestCall + maxDeliveryDelay)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -29,7 +29,9 @@
 	// incarnationStart is of the present incarnation, and earlierIncarnation of the one before, which entries may
 	// still name. The times need not rise: the time of day of the server's machine may have been set back.
 	incarnationStart, earlierIncarnation int64
-	reportedAt                           time.Time // when the newest report was received
+	// entryBefore is the incarnation that its entry named before the present one.
+	entryBefore int64
+	reportedAt  time.Time // when the newest report was received
 	// clock is the reading of its clock at clockAt; deadline is the latest lease deadline that
 	// was sent to it.
 	clock    int64
@@ -136,6 +138,9 @@
 	}
 	if e.IncarnationStart != v.entry.IncarnationStart {
 		v.largest = job.Resources{}
+		if v.entry.IncarnationStart != 0 {
+			v.entryBefore = v.entry.IncarnationStart
+		}
 	}
 	v.largest = v.largest.Max(e.Capacity)
 	lost := s.newLoss(v)
@@ -144,7 +149,8 @@
 	case !s.holdsTerm():
 	case v.incarnationStart == 0:
 		s.observeUnreached(e.ID, v)
-	case e.IncarnationStart > v.incarnationStart && e.IncarnationStart != v.earlierIncarnation:
+	case e.IncarnationStart == 0 || e.IncarnationStart == v.incarnationStart || e.IncarnationStart == v.earlierIncarnation:
+	case e.IncarnationStart > v.incarnationStart || v.entryBefore == v.incarnationStart:
 		s.handleRestart(e.ID, v, e.IncarnationStart, lost)
 	}
 }
--- a/internal/fleet/set_back_test.go
+++ b/internal/fleet/set_back_test.go
@@ -34,20 +34,58 @@
 
 // As TestSuccessorHearsOfARestartFromTheEntry, with a time of start that is earlier than the one before.
 func TestSuccessorHearsOfAnEarlierTimeOfStartFromTheEntry(t *testing.T) {
-	for _, d := range []time.Duration{-time.Second, 0} {
-		w := newWorldWithHolder(t, 3, 2)
-		at, other := idle(t, w)
-		late := lostStart(t, w, at)
-		cutOff(w, at)
-		w.holder().dead = true
-		w.run(4 * time.Second)
-		assert.Assert(t, w.holder() != nil)
-		at.restartAt(w, d)
-		w.run(6 * time.Second)
-		_, err := at.start(w, late, "a late order")
-		assert.NilError(t, err)
-		other.unlisted = false
-		w.run(30 * time.Second)
-		assert.Assert(t, other.runs[late.Task] != nil, "the task was not started elsewhere")
-	}
+	playRestartAfterATakeOver(t, -time.Second)
+}
+
+// The same with a time of start that is the one before.
+func TestSuccessorHearsOfTheSameTimeOfStartFromTheEntry(t *testing.T) {
+	playRestartAfterATakeOver(t, 0)
+}
+
+func playRestartAfterATakeOver(t *testing.T, d time.Duration) {
+	t.Helper()
+	w := newWorldWithHolder(t, 3, 2)
+	at, other := idle(t, w)
+	late := lostStart(t, w, at)
+	cutOff(w, at)
+	w.holder().dead = true
+	w.run(4 * time.Second)
+	assert.Assert(t, w.holder() != nil)
+	at.restartAt(w, d)
+	w.run(6 * time.Second)
+	_, err := at.start(w, late, "a late order")
+	assert.NilError(t, err)
+	other.unlisted = false
+	w.run(30 * time.Second)
+	assert.Assert(t, other.runs[late.Task] != nil, "the task was not started elsewhere")
+}
+
+// A VM that has seen the entry change before its take-over knows of the restart too.
+func TestSuccessorRemembersThatTheEntryChangedToAnEarlierTimeOfStart(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 2)
+	at, other := idle(t, w)
+	late := lostStart(t, w, at)
+	cutOff(w, at)
+	at.restartAt(w, -time.Second)
+	w.run(nonHolderServersPause + time.Second) // both others read the entry
+	w.holder().dead = true
+	w.run(10 * time.Second)
+	assert.Assert(t, w.holder() != nil)
+	_, err := at.start(w, late, "a late order")
+	assert.NilError(t, err)
+	other.unlisted = false
+	w.run(30 * time.Second)
+	assert.Assert(t, other.runs[late.Task] != nil, "the task was not started elsewhere")
+}
+
+// An entry that does not tell the time of start tells of no restart.
+func TestEntryWithoutATimeOfStartTellsOfNoRestart(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 1)
+	_, at := runningTask(t, w, 60, 5*time.Second)
+	token := at.highestToken
+	e := at.entry(w)
+	e.IncarnationStart = 0
+	w.deliver(w.holder(), ServersListed{Servers: []ServerEntry{e}, AsOf: w.now})
+	w.run(5 * time.Second)
+	assert.Equal(t, at.highestToken, token)
 }
