--- a/internal/fleet/gang_starts_test.go
+++ b/internal/fleet/gang_starts_test.go
@@ -55,3 +55,55 @@
 		return len(third.runs) == 0
 	})
 }
+
+// A successor found a start of the previous holder missing from a report, when its gang was broken already, and took it
+// for never sent. It arrived in the next incarnation, and the holder, which knew of that, ordered the start of a member of
+// the next run beside it.
+func TestStartOfAMemberWaitsForAStartOfThePreviousHolderAfterARestart(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 3)
+	first, second, third := w.servers["s00"], w.servers["s01"], w.servers["s02"]
+	third.unlisted = true
+	w.run(20 * time.Second)
+	gang := gangOfTwo(w)
+	s := w.holder().state
+	runUntil(w, "the placement", func() bool { return len(s.servers[second.id].runs) == 1 })
+	cutOff(w, second) // placed, and not ordered yet
+	runUntil(w, "the other member", func() bool { return len(first.runs) == 1 })
+	var late Start
+	for _, o := range w.startOrders {
+		if o.Server == second.id {
+			late = o.Start
+		}
+	}
+	w.holder().dead = true
+	runUntil(w, "a successor", func() bool { return w.holder() != nil })
+	s = w.holder().state
+	third.unlisted, second.draining = false, true
+	g := s.jobs.Job(gang.Job).Group(0, 0)
+	w.run(3 * time.Second)
+	assert.Equal(t, len(first.runs), 0, "the gang has not ended as alone")
+	reach := func(at *fakeServer) {
+		for _, n := range w.nodes {
+			delete(w.cutLinks, link(n.name, string(at.id)))
+		}
+	}
+	reach(second)
+	runUntil(w, "the next run", func() bool { return g.Tasks[0].Run == 2 && g.Tasks[1].Run == 2 })
+	for _, at := range []*fakeServer{first, second, third} {
+		cutOff(w, at) // placed, and not ordered yet
+	}
+	runUntil(w, "its start orders", func() bool { return w.startOrders[len(w.startOrders)-1].Run == 2 })
+	second.crash(w)
+	_, err := second.start(w, late, "a late order")
+	assert.NilError(t, err)
+	runUntil(w, "the notice of the restart", func() bool { return s.servers[second.id].incarnationStart == second.born() })
+	sent := len(w.startOrders)
+	reach(first)
+	reach(third)
+	w.run(time.Second)
+	assert.Equal(t, len(w.startOrders), sent, "the start of a member was ordered beside an earlier run")
+	reach(second)
+	second.draining = false
+	w.run(15 * time.Second)
+	assert.Equal(t, len(w.oracle.running[gang.TaskName(0)]), 1, "the gang is not at work again")
+}
