Fleet: a successor repeats no start before the backend servers have reported

Callers may see two runs of one task, or of one gang, right after a take-over.

Cause: a successor places tasks only once most backend servers have reported or 0.6 s have passed, but had a start of the previous holder ordered again as soon as the backend server of it had reported. Another one, which reported milliseconds later, had an earlier run at work, begun by a late start in a new incarnation. The check for earlier runs before each order did not know of it yet.

Now a start is repeated once all listed backend servers have reported, or 0.6 s after the take-over.

--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -167,7 +167,7 @@
 			s.requestStop(r, stopInDoubt, "start without an answer: "+string(o))
 		case s.now.Sub(r.orderedAt) > startRetryPeriod && v.failedCalls > 0, s.now.Sub(r.orderedAt) > startRetryLimit:
 			s.requestStop(r, stopInDoubt, "start without an answer")
-		case o == noObstacle:
+		case o == noObstacle && s.firstReportsIn():
 			s.orderStart(v, r)
 		}
 	}
@@ -195,6 +195,20 @@
 	s.log.Info("start of a previous holder is repeated", zap.String("task", r.name), zap.Int64("run", r.number), zap.String("server", string(r.server)))
 }
 
+// firstReportsIn reports whether all listed backend servers have reported after the take-over, or had the time to:
+// one of them may have an earlier run of a task whose start is to be repeated.
+func (s *State) firstReportsIn() bool {
+	if s.now.Sub(s.term.takenAt) >= firstReportTimeout {
+		return true
+	}
+	for _, v := range s.servers {
+		if v.listed && !v.hasReported {
+			return false
+		}
+	}
+	return true
+}
+
 // obstacle is why a start order must not be sent now.
 type obstacle string
 
