--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -69,23 +69,30 @@
 	return len(r.Value) > 0 && r.Key == job.SubmissionKey(id)
 }
 
-// recordsRead applies the records of a read in order. The holder skips the progress records
-// of its own term, since its state already includes them.
+// recordsRead applies the records of a read in order. The holder skips progress records: its state includes those
+// before its claim and its own, also if the store has dropped some and it reads the newest of each key again.
 func (s *State) recordsRead(e RecordsRead) {
 	s.observeStore(nil)
 	if e.Generation != s.generation {
 		return
 	}
+	if e.Initial && !s.unsynced[e.Partition] && !s.holdsTerm() {
+		s.resync() // the records that the store has dropped may have deleted keys
+		return
+	}
 	target := s.replicated
 	if s.incoming != nil {
 		target = s.incoming
 	}
 	for _, r := range e.Records {
-		if e.Partition == progressPartition && s.holdsTerm() && r.Offset >= s.term.token-1 && r.Key != claimKey {
+		if e.Partition == progressPartition && s.holdsTerm() && r.Key != claimKey {
 			continue
 		}
 		s.apply(target, e.Partition, r, e.Initial)
 	}
+	if e.Generation != s.generation {
+		return // a claim among them has ended this VM's term
+	}
 	if e.Partition == vmsPartition {
 		target.forgetGonePeers()
 	}
@@ -137,6 +144,9 @@
 }
 
 func (s *State) apply(target *replicated, p Partition, r StoredRecord, initial bool) {
+	if id, dropped := job.DroppedJob(r.Record); dropped && s.holdsTerm() && target.jobs.Job(id) != nil {
+		s.jobDropped(target.jobs.Job(id))
+	}
 	var changed *job.State
 	known := false
 	err := guard.Do(func() (err error) {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -171,7 +171,7 @@
 			s.requestStop(r, stopInDoubt, "start without an answer: "+string(o))
 		case s.now.Sub(r.orderedAt) > startRetryPeriod && v.failedCalls > 0, s.now.Sub(r.orderedAt) > startRetryLimit:
 			s.requestStop(r, stopInDoubt, "start without an answer")
-		case o == noObstacle:
+		case o == noObstacle && s.firstReportsIn():
 			s.orderStart(v, r)
 		}
 	}
@@ -199,6 +199,20 @@
 	s.log.Info("start of a previous holder is repeated", zap.String("task", r.name), zap.Int64("run", r.number), zap.String("server", string(r.server)))
 }
 
+// firstReportsIn reports whether all listed backend servers have reported after the take-over, or had the time to:
+// one of them may have an earlier run of a task whose start is to be repeated.
+func (s *State) firstReportsIn() bool {
+	if s.now.Sub(s.term.takenAt) >= firstReportTimeout {
+		return true
+	}
+	for _, v := range s.servers {
+		if v.listed && !v.hasReported {
+			return false
+		}
+	}
+	return true
+}
+
 // obstacle is why a start order must not be sent now.
 type obstacle string
 
@@ -232,13 +246,27 @@
 		return listTooOld
 	case !s.mayAct():
 		return termUnconfirmed
-	case !r.orphan && s.orphans[r.name] > 0:
+	case !r.orphan && s.earlierRunIsThere(r):
 		return earlierRunWorks
 	default:
 		return noObstacle
 	}
 }
 
+// earlierRunIsThere reports whether a run of the task that is not its current one is known to be on a backend server,
+// or one of any task of its gang.
+func (s *State) earlierRunIsThere(r *run) bool {
+	if len(s.orphans) == 0 || !r.step().Gang {
+		return s.orphans[r.name] > 0
+	}
+	for i := range r.group.Tasks {
+		if s.orphans[r.group.Key().TaskName(i)] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // reserved is what all runs on the backend server take of its capacity, also those that are being
 // stopped.
 func (v *server) reserved() job.Resources {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -25,15 +25,14 @@
 	// hasReported is set once it has reported under its token; reachedBefore if the same incarnation had reported
 	// to a holder before that.
 	hasReported, reachedBefore bool
-	// restartedBeforeTerm is set if another incarnation had reported to a previous holder, whose start orders may still
-	// arrive.
-	restartedBeforeTerm bool
-	startedAgain        bool // an earlier incarnation had the same ID
+	startedAgain               bool // an earlier incarnation had the same ID
 
 	// incarnationStart is of the present incarnation, and earlierIncarnation of the one before, which entries may
 	// still name. The times need not rise: the time of day of the server's machine may have been set back.
 	incarnationStart, earlierIncarnation int64
-	reportedAt                           time.Time // when the newest report was received
+	// entryBefore is the incarnation that its entry named before the present one.
+	entryBefore int64
+	reportedAt  time.Time // when the newest report was received
 	// clock is the reading of its clock at clockAt; deadline is the latest lease deadline that
 	// was sent to it.
 	clock    int64
@@ -140,6 +139,9 @@
 	}
 	if e.IncarnationStart != v.entry.IncarnationStart {
 		v.largest = job.Resources{}
+		if v.entry.IncarnationStart != 0 {
+			v.entryBefore = v.entry.IncarnationStart
+		}
 	}
 	v.largest = v.largest.Max(e.Capacity)
 	lost := s.newLoss(v)
@@ -148,7 +150,8 @@
 	case !s.holdsTerm():
 	case v.incarnationStart == 0:
 		s.observeUnreached(e.ID, v)
-	case e.IncarnationStart > v.incarnationStart && e.IncarnationStart != v.earlierIncarnation:
+	case e.IncarnationStart == 0 || e.IncarnationStart == v.incarnationStart || e.IncarnationStart == v.earlierIncarnation:
+	case e.IncarnationStart > v.incarnationStart || v.entryBefore == v.incarnationStart:
 		s.handleRestart(e.ID, v, e.IncarnationStart, lost)
 	}
 }
@@ -337,7 +340,6 @@
 	v.hasReported = true
 	stored := s.recordedEnds[id]
 	v.reachedBefore = stored.Reported && stored.IncarnationStart == v.incarnationStart
-	v.restartedBeforeTerm = !v.reachedBefore && stored.IncarnationStart != 0 && v.token == s.term.token
 	v.startedAgain = v.startedAgain || stored.StartedAgain
 	if stored.IncarnationStart != 0 && stored.IncarnationStart != v.incarnationStart {
 		s.observeRestartUnderID(v)
@@ -507,8 +509,8 @@
 	if r.startInDoubt && !r.stopConfirmed {
 		return // the start is repeated, or stopped if that takes too long
 	}
-	if r.phase == runAdopting && v.restartedBeforeTerm {
-		r.unansweredAt = maxTime(r.unansweredAt, s.term.takenAt.Add(holderAuthority)) // of a previous holder
+	if r.phase == runAdopting { // the previous holder may have ordered its start, without an answer
+		r.unansweredAt = maxTime(r.unansweredAt, s.term.takenAt.Add(holderAuthority))
 		s.expectArrival(r)
 	}
 	s.requeue(v, r, "no longer there")
