--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -291,8 +291,17 @@
 		return 0, &RefusedError{Reason: RefusedFenced, Clock: s.clock(w)}
 	}
 	s.highestEndedRun[o.Task] = max(s.highestEndedRun[o.Task], o.Run)
-	if r := s.runs[o.Task]; r != nil && r.order.Run <= o.Run {
+	r := s.runs[o.Task]
+	switch {
+	case r == nil || r.order.Run > o.Run:
+	case w.stopTime == 0:
 		s.end(w, r, EndedStopped)
+	default:
+		w.at(time.Duration(w.rng.Int64N(int64(w.stopTime))), func() {
+			if s.runs[o.Task] == r {
+				s.end(w, r, EndedStopped)
+			}
+		})
 	}
 	return s.clock(w), nil
 }
