Fleet: the test of repeated starts fails for the fault that it names

TestStartOfAPreviousHolderIsNotRepeatedBeforeTheOthersReport was wrong, and failed with and without: it ended the cuts while the lost order was still under way, so that this order arrived. It also took a repeated start for a fault that followed after the earlier run had been stopped. Now the order is lost first, and the oracle judges whether two runs are there at once, which is the rule.

--- a/internal/fleet/repeat_test.go
+++ b/internal/fleet/repeat_test.go
@@ -21,16 +21,13 @@
 	runUntil(w, "the next placement", func() bool { return s.servers[other.id] != nil && s.servers[other.id].runs[early.Task] != nil })
 	cutOff(w, other) // placed, and not ordered yet
 	runUntil(w, "the order of run 2", func() bool { return w.startOrders[len(w.startOrders)-1].Server == other.id })
+	w.run(10 * time.Millisecond) // it is lost
 	w.holder().dead = true
 	// the late order of run 1 is the first call of a new incarnation
 	at.crash(w)
 	_, err := at.start(w, early, "a late order")
 	assert.NilError(t, err)
 	clear(w.cutLinks)
-	sent := len(w.startOrders)
-	runUntil(w, "a successor", func() bool { return w.holder() != nil })
-	w.run(200 * time.Millisecond)
-	assert.Equal(t, len(w.startOrders), sent, "the start of run 2 was ordered beside run 1")
-	w.run(10 * time.Second)
+	w.run(10 * time.Second) // the oracle finds two runs at once
 	assert.Equal(t, len(w.oracle.running[early.Task]), 1, "the task does not run again")
 }
