Holder that is at work shows it in the log to VMs that do not hear it

Cause: a standby claims when it has neither heard the holder nor read a record of the term for 0.9 s. A holder without work to record is silent in the log, so that VMs that do not hear each other, while all reach the store, took the term from each other every 0.95 s.

Change: a holder that a VM that may claim has not answered for 0.4 s stores a record ("present") when it has stored none for 0.4 s, in the batch that is due or in one of its own, under the term's epoch. It does so only while it reaches nine tenths of the listed backend servers. No other VM waits longer than before: a failed holder stores nothing.

--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -24,6 +24,7 @@
 	submissionPartitions = 4
 
 	claimKey          = "term"
+	presenceKey       = "present"
 	recordedEndPrefix = "noted/"
 	peerPrefix        = "vm/"
 
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -29,7 +29,13 @@
 	heartbeatInterval = 250 * time.Millisecond // less than a third of holderTimeout
 	// holderTimeout is the time without a heartbeat after which the holder counts as failed.
 	// It keeps a take-over within its goal of 2 s.
-	holderTimeout    = 900 * time.Millisecond
+	holderTimeout = 900 * time.Millisecond
+	// unheardAfter is how long a VM that may claim the term can leave heartbeats unanswered before the holder
+	// stores a record at least each presenceInterval, unless it does not reach more than the share mostUnreached
+	// of the backend servers. The VM reads the first record within holderTimeout.
+	unheardAfter     = 400 * time.Millisecond
+	presenceInterval = 400 * time.Millisecond
+	mostUnreached    = 0.1
 	claimStagger     = 150 * time.Millisecond // between VMs of equal strength, so that one claims first
 	maxClaimStaggers = 5                      // limits the total stagger, which delays a take-over
 	weakerClaimDelay = 1 * time.Second        // for each class of stronger VMs, which may have failed too
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -107,6 +107,7 @@
 	// authority is until when this holder may act, as of authorityAsOf; acting is whether it could then.
 	authority, authorityAsOf time.Time
 	acting                   bool
+	recordsSentAt            time.Time            // when the newest records of this term were first sent
 	peerAnswers              map[string]time.Time // when each peer last answered a heartbeat, by node
 	eligiblePeers            map[string]time.Time // the same for peers that could take the term
 	yielding                 bool
@@ -253,7 +254,7 @@
 	s.term.peerAnswers, s.term.eligiblePeers = make(map[string]time.Time), make(map[string]time.Time)
 	s.term.unopposedAt, s.term.authorityAsOf, s.term.acting = s.term.epochClaimedAt, time.Time{}, true
 	s.term.confirmedBy, s.term.askedSince = make(map[string]time.Time), make(map[string]time.Time)
-	s.term.yielding = false
+	s.term.yielding, s.term.recordsSentAt = false, s.now
 	s.role.namedSince, s.role.silentUntil, s.role.answersAsReplica = make(map[string]time.Time), make(map[string]time.Time), make(map[string]bool)
 	s.writer = newWriter()
 	s.startsUnderWay = 0
@@ -325,6 +326,42 @@
 	}
 }
 
+// presenceDue reports whether the holder has to show by a record that it is at work: it has stored nothing
+// lately, and a VM that may claim the term has not answered, so that it may not hear the heartbeats. A holder
+// that does not reach many backend servers leaves the term to such a VM, which may reach them.
+func (s *State) presenceDue() bool {
+	if s.leaving || s.term.yielding || s.storeLost() || s.now.Sub(s.term.recordsSentAt) < presenceInterval {
+		return false
+	}
+	return s.isUnheard() && s.reachesMostServers()
+}
+
+// isUnheard reports whether a VM that may claim the term has not answered this holder's heartbeats lately.
+func (s *State) isUnheard() bool {
+	for node, since := range s.term.askedSince {
+		if _, known := s.peers[node]; known && s.now.Sub(maxTime(since, s.term.confirmedBy[node])) > unheardAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// reachesMostServers reports whether at most the share mostUnreached of the listed backend servers does not
+// answer this holder.
+func (s *State) reachesMostServers() bool {
+	listed, unreached := 0, 0
+	for _, v := range s.servers {
+		if !v.listed {
+			continue
+		}
+		listed++
+		if !v.hasReported || v.failedCalls > 0 {
+			unreached++
+		}
+	}
+	return float64(unreached) <= mostUnreached*float64(listed)
+}
+
 // unknownToHolder reports whether this VM is a replica that gets no heartbeats from the VM with the
 // newest claim.
 func (s *State) unknownToHolder() bool {
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -77,7 +77,7 @@
 	}
 	b.sent = true
 	if b.sentAt.IsZero() {
-		b.sentAt = s.now
+		b.sentAt, s.term.recordsSentAt = s.now, s.now
 	}
 	s.emit(Append{Number: b.number, Request: b.append})
 }
@@ -85,7 +85,8 @@
 // nextBatch returns a batch of all changes; nil if there are none.
 func (s *State) nextBatch() *batch {
 	w := &s.writer
-	if len(w.groups) == 0 && len(w.servers) == 0 && len(w.drops) == 0 {
+	presence := s.presenceDue()
+	if len(w.groups) == 0 && len(w.servers) == 0 && len(w.drops) == 0 && !presence {
 		return nil
 	}
 	b := &batch{
@@ -110,6 +111,9 @@
 		}
 	}
 	records = append(records, w.drops...)
+	if presence {
+		records = append(records, job.Record{Key: presenceKey, Value: []byte("{}")})
+	}
 	b.append = AppendRequest{
 		Partition: progressPartition, Records: records, At: -1,
 		Producer: holderProducer, Epoch: s.term.token, Sequence: remaining.sequence,
