Fleet soaks: judge idle jobs by the record, not by samples

Cause: checkJobs took the last sample with a run under way as the last time that a job ran.

Change: the record says when a run of a job was last under way, which samples could only miss. The bounds are as before, and idle time begins at the finish bound at the earliest, as before. A job whose tasks are all done has nothing to run; that it is shown as complete in time is checked as before.

--- a/internal/standin/prepared/record.go
+++ b/internal/standin/prepared/record.go
@@ -105,14 +105,24 @@
 	return tasks
 }
 
-// Running reports whether a run of one of the job's tasks is under way.
-func (r *Record) Running(job string) (running bool) {
+// LastRan is when a run of one of the job's tasks was last under way; now, if one is.
+func (r *Record) LastRan(job string) (last time.Time) {
 	r.change(func() {
+		now := time.Now()
 		for task, runs := range r.runs {
-			running = running || strings.HasPrefix(task, job+".") && slices.ContainsFunc(runs, func(run *Run) bool { return run.Ended.IsZero() })
+			if !strings.HasPrefix(task, job+".") {
+				continue
+			}
+			for _, run := range runs {
+				if run.Ended.IsZero() {
+					last = now
+				} else if run.Ended.After(last) {
+					last = run.Ended
+				}
+			}
 		}
 	})
-	return running
+	return last
 }
 
 // Ran reports whether there is a run of one of the job's tasks, however it ended.
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -317,13 +317,14 @@
 		}
 	}
 	began := time.Now()
-	ranAt, reported := make(map[*clientJob]time.Time), make(map[*clientJob]bool)
+	reported := make(map[*clientJob]bool)
 	for ; len(open) > 0 && time.Since(began) < fleetSettle; time.Sleep(100 * time.Millisecond) {
 		for j := range open {
-			if f.Record.Running(j.id) || time.Since(began) < finishBound {
-				ranAt[j] = time.Now()
+			since := began.Add(finishBound)
+			if ran := f.Record.LastRan(j.id); ran.After(since) {
+				since = ran
 			}
-			if idle := time.Since(ranAt[j]); idle > idleBound && !reported[j] {
+			if idle := time.Since(since); idle > idleBound && !reported[j] && f.Record.Done(j.id) < j.tasks {
 				reported[j] = true
 				f.t.Errorf("job %s has had nothing running for %v, %v after the end of the traffic", j.id, idle, time.Since(began))
 			}
