--- a/test/e2e/fleet_limits_test.go
+++ b/test/e2e/fleet_limits_test.go
@@ -14,7 +14,7 @@
 
 const (
 	limitedDescriptors = 192 // of each process
-	limitedMemoryMB    = 48
+	limitedMemoryMB    = 24
 	settingsMemory     = "limits.memoryMb=284"
 )
 
