Tests: starts of a gang while an earlier run of a member is there

TestStartsOfAGangAreNotRepeatedWhileAnEarlierRunOfAMemberWorks fails: a successor repeats the start of one member of run 2 while it knows that another member of run 1 is at work on a backend server that started again. obstacle holds back the start of the same member only. TestMembersOfAGangAreNotStartedWhileAnEarlierRunOfOneIsReported passes: after the record of a placement all members are checked before the first order.

--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -395,6 +397,72 @@
 	w.run(3 * time.Second)
 }
 
+// The same with a gang: the start of one member is held back, those of the others are not.
+func TestMembersOfAGangAreNotStartedWhileAnEarlierRunOfOneIsReported(t *testing.T) {
+	for lost := range 2 {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) { testMemberReportedBeforeTheNextRun(t, lost) })
+	}
+}
+
+func testMemberReportedBeforeTheNextRun(t *testing.T, lost int) {
+	w := newWorldWithHolder(t, 1, 3)
+	w.run(20 * time.Second)
+	id := w.submit(job.Job{Priority: 1, Steps: []job.Step{{Count: 2, Gang: true, EstimatedRuntime: 30 * time.Second, Need: wholeServer}}}).ID
+	key := job.GroupKey{Job: id}
+	s := w.holder().state
+	at := w.servers["s00"]
+	placed := func(number int64) (runs int) {
+		for i := range 2 {
+			if m := s.currentRun(s.jobs.Job(id).Group(0, 0), i); m != nil && m.number == number {
+				runs++
+			}
+		}
+		return runs
+	}
+	await := func(what string, met func() bool) {
+		t.Helper()
+		for range 30000 {
+			if met() {
+				return
+			}
+			w.run(time.Millisecond)
+		}
+		t.Fatalf("not seen: %s", what)
+	}
+	await("run 1", func() bool { return s.jobs.Job(id) != nil && placed(1) == 2 })
+	for _, v := range s.servers {
+		for name := range v.runs {
+			if name == key.TaskName(lost) {
+				at = w.servers[v.entry.ID]
+			}
+		}
+	}
+	cut(w, at, true) // placed, and not ordered yet
+	await("a start without an answer", func() bool {
+		return slices.ContainsFunc(w.startOrders, func(o startOrder) bool { return o.Task == key.TaskName(lost) })
+	})
+	late := w.startOrders[slices.IndexFunc(w.startOrders, func(o startOrder) bool { return o.Task == key.TaskName(lost) })].Start
+	w.run(2500 * time.Millisecond)
+	w.progressUnstored = true
+	await("run 2", func() bool { return placed(2) == 2 })
+	at.crash(w)
+	_, err := at.start(w, late, "a late order")
+	assert.NilError(t, err)
+	cut(w, at, false)
+	w.run(1500 * time.Millisecond)
+	assert.Assert(t, s.orphans[late.Task] > 0, "run 1 is not known")
+	sent := len(w.startOrders)
+	w.progressUnstored = false
+	for range 3000 {
+		present := w.oracle.running[late.Task][at] != nil
+		w.run(time.Millisecond)
+		for _, o := range w.startOrders[sent:] {
+			assert.Assert(t, !present || o.Run == 1, "%s run %d is ordered on %s while %s run 1 is on %s", o.Task, o.Run, o.Server, late.Task, at.id)
+		}
+		sent = len(w.startOrders)
+	}
+}
+
 // A successor is told of an earlier run of a task on one backend server, and repeats the start of the present run
 // on another one while the earlier one is still at work.
 func TestStartOfAPreviousHolderIsNotRepeatedWhileAnEarlierRunWorks(t *testing.T) {
@@ -441,6 +509,76 @@
 	w.run(2 * time.Second)
 }
 
+// The same with a gang: the successor repeats the starts of the other members.
+func TestStartsOfAGangAreNotRepeatedWhileAnEarlierRunOfAMemberWorks(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 3)
+	w.run(20 * time.Second)
+	key := job.GroupKey{Job: w.submit(job.Job{Priority: 1, Steps: []job.Step{{Count: 2, Gang: true, EstimatedRuntime: 30 * time.Second, Need: wholeServer}}}).ID}
+	reachable := func(id model.BackendServerID, on bool) {
+		for _, n := range w.nodes {
+			w.cutLinks[link(n.name, string(id))] = !on
+		}
+	}
+	// ordered returns the first start order of a member under a run number.
+	ordered := func(index int, number int64) (first *Start) {
+		for i := range w.startOrders {
+			if o := &w.startOrders[i]; o.Task == key.TaskName(index) && o.Run == number {
+				return &o.Start
+			}
+		}
+		return nil
+	}
+	await := func(what string, met func() bool) {
+		t.Helper()
+		for range 30000 {
+			if met() {
+				return
+			}
+			w.run(time.Millisecond)
+		}
+		t.Fatalf("not seen: %s", what)
+	}
+	placedOn := func(index int, number int64) model.BackendServerID {
+		st := w.holder().state.jobs.Job(key.Job)
+		if st == nil || st.Group(0, 0).Tasks[index].Run != number {
+			return ""
+		}
+		return st.Group(0, 0).Tasks[index].Server
+	}
+	await("run 1", func() bool { return placedOn(0, 1) != "" })
+	reachable(placedOn(0, 1), false)
+	await("the start of run 1", func() bool { return ordered(0, 1) != nil })
+	early := *ordered(0, 1) // under way
+	at := w.servers[early.Server]
+	await("run 2", func() bool { return placedOn(0, 2) != "" })
+	for index := range 2 {
+		reachable(placedOn(index, 2), false) // its orders are lost too
+	}
+	await("the starts of run 2", func() bool { return ordered(0, 2) != nil && ordered(1, 2) != nil })
+	others := []model.BackendServerID{ordered(0, 2).Server, ordered(1, 2).Server}
+	w.holder().dead = true
+	// the late order of run 1 is the first call of a new incarnation
+	at.crash(w)
+	_, err := at.start(w, early, "a late order")
+	assert.NilError(t, err)
+	reachable(at.id, true)
+	await("the successor knows of run 1", func() bool { h := w.holder(); return h != nil && h.state.orphans[early.Task] > 0 })
+	at.hangs = true
+	reachable(at.id, false) // its stop order does not arrive
+	sent := len(w.startOrders)
+	for _, id := range others {
+		reachable(id, true)
+	}
+	for range 2000 {
+		w.run(time.Millisecond)
+		for _, o := range w.startOrders[sent:] {
+			assert.Assert(t, w.oracle.running[early.Task][at] == nil || o.Run == 1,
+				"%s run %d is ordered on %s while %s run 1 is on %s", o.Task, o.Run, o.Server, early.Task, at.id)
+		}
+		sent = len(w.startOrders)
+	}
+}
+
 // A member of a gang whose start had no answer is ordered to start again after the gang is known to be done. Its
 // backend server, which has started again meanwhile, starts it.
 func TestStartOfAMemberIsNotRepeatedAfterItsGangIsDone(t *testing.T) {
