--- a/internal/fleet/presence_test.go
+++ b/internal/fleet/presence_test.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 )
 
@@ -134,3 +136,63 @@
 	w.run(20 * time.Second)
 	assert.Equal(t, w.store.end(progressPartition), before)
 }
+
+// partitions is the state machine of a random run in which VMs are parted while they reach the store.
+type partitions struct{ *departures }
+
+// partVMs parts the VMs into two groups for a while: in one direction or both, perhaps with the backend servers,
+// and perhaps one group from the store.
+func (p *partitions) partVMs(*rapid.T) {
+	in := make(side)
+	for _, n := range p.nodes {
+		in[n.name] = p.draw("group", 2) == 0
+	}
+	if p.draw("servers", 3) == 0 {
+		for _, id := range eventloop.SortedKeys(p.servers) {
+			in[string(id)] = p.draw("group", 2) == 0
+		}
+	}
+	if p.draw("store", 4) == 0 {
+		in["store"] = true
+	}
+	forth, back := true, true
+	switch p.draw("direction", 4) {
+	case 0:
+		forth = false
+	case 1:
+		back = false
+	}
+	var cut [][2]string
+	for _, a := range eventloop.SortedKeys(in) {
+		for _, b := range eventloop.SortedKeys(in) {
+			if in[a] != in[b] && (in[a] && forth || in[b] && back) {
+				cut = append(cut, [2]string{a, b})
+				p.cutOneWay[[2]string{a, b}] = true
+			}
+		}
+	}
+	p.at(time.Duration(1000+p.draw("length", 20000))*time.Millisecond, func() {
+		for _, l := range cut {
+			delete(p.cutOneWay, l)
+		}
+	})
+}
+
+// TestRandomPartitions parts VMs from each other, beside lost holders, lost orders and crashes. The oracle checks
+// that no task runs twice.
+func TestRandomPartitions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{world: newWorld(t, uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")), 4+rapid.IntRange(0, 2).Draw(t, "vms"), 6), t: t}
+		p := &partitions{departures: &departures{machine: m}}
+		p.oracle.mayGiveUp = true // listed: TestRandomRestartsGiveUpNoSoundTask
+		p.run(3 * time.Second)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": p.submitJob, "submit2": p.submitJob, "cancel": p.cancelJob, "part": p.partVMs, "part2": p.partVMs, "holder": p.loseHolder,
+			"orders": p.loseOrders, "crash": p.crashServer, "pass": p.passTime, "pass2": p.passTime, "pass3": p.passTime,
+		})
+		p.run(21 * time.Second) // the scheduled ends of all faults
+		p.endFaults()
+		p.run(settleTime)
+		p.oracle.checkAllEnded()
+	})
+}
