A repeat that is not carried out leaves a run that is at work

Cause: a start without an answer is repeated. A report that lists the run ends the doubt (startInDoubt), and startExpired and startRefused took a repeat that came to nothing after that for proof that nothing runs: the task waited again at once and was started elsewhere, beside its run.

Ruled out by the logs: take-overs, restarts and leases; both runs come from one holder, under one token. Gangs are not needed.

Change: a run that a report has listed is left to the reports.

TestRepeatThatIsNotCarriedOutLeavesTheRunThatAReportLists fails before and passes after. internal/fleet: only the three tests of KNOWN-RED.txt fail.

--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -426,6 +426,9 @@
 // still be in doubt.
 func (s *State) startExpired(v *server, r *run) {
 	s.metrics.StartsExpired.Inc(1)
+	if r.phase == runRunning {
+		return // a report has listed it since the order was decided
+	}
 	if r.startInDoubt {
 		r.nextCallAt = s.now.Add(holdRetry)
 		return
@@ -462,6 +465,9 @@
 		v.health.pauseAfterRefusal(s.now, refused.Reason)
 		v.nextHoldAt = s.now
 	}
+	if r.phase == runRunning {
+		return // a report has listed it since the order was decided; the next one tells whether it still runs
+	}
 	if r.startInDoubt {
 		s.requestStop(r, stopInDoubt, "refused after a start in doubt")
 		return
