Fleet: random start orders that are not carried out

Orders that wait in the holder's process until it is too late, that a backend server refuses and whose answers come too late, in series and at the same time.

--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -120,6 +120,7 @@
 	failsAll        bool // every run fails
 	hangs           bool
 	refuses         Refusal     // every order is refused for this reason, if any
+	refusesStarts   Refusal     // the same for start orders only
 	label           string      // besides those that all have
 	slowdown        int         // factor for the duration of new runs; 0 means 1
 	failsJob        model.JobID // the tasks of this job fail here
@@ -246,6 +247,9 @@
 	if s.refuses != "" {
 		return refuse(s.refuses)
 	}
+	if s.refusesStarts != "" && !w.carryingOutLate {
+		return refuse(s.refusesStarts)
+	}
 	if s.fenced(o.Token) {
 		return refuse(RefusedFenced)
 	}
--- a/internal/fleet/repeated_start_test.go
+++ b/internal/fleet/repeated_start_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"pgregory.net/rapid"
+
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 )
 
@@ -47,3 +49,40 @@
 		})
 	}
 }
+
+// overload is the state machine of a random run in which start orders get no answer, wait in the holder's process until
+// it is too late to send them, or are refused, in series and at the same time.
+type overload struct{ *machine }
+
+func (o *overload) changeExpireShare(*rapid.T) { o.expireShare = float64(o.draw("expire", 3)) * 0.25 }
+
+func (o *overload) refuseStarts(*rapid.T) {
+	s := o.server()
+	s.refusesStarts = []Refusal{"", RefusedUnhealthy, RefusedNoCapacity}[o.draw("refusal", 3)]
+	o.at(time.Duration(200+o.draw("length", 3000))*time.Millisecond, func() { s.refusesStarts = "" })
+}
+
+// answerSlowly lets orders arrive at once and their answers too late.
+func (o *overload) answerSlowly(*rapid.T) {
+	o.answerDelay = 3 * callTimeout
+	o.at(time.Duration(500+o.draw("slow", 4000))*time.Millisecond, func() { o.answerDelay = 0 })
+}
+
+// TestRandomStartsThatAreNotCarriedOut checks that no task runs twice beside start orders without an answer, repeats
+// that are not sent or refused, and lost holders.
+func TestRandomStartsThatAreNotCarriedOut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := &overload{&machine{world: newWorld(t, uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")), 3, 6), t: t}}
+		o.run(4 * time.Second)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": o.submitJob, "submit2": o.submitJob, "submit3": o.submitJob, "expire": o.changeExpireShare, "refuse": o.refuseStarts, "refuse2": o.refuseStarts,
+			"slow": o.answerSlowly, "slow2": o.answerSlowly, "late": o.changeLateShare, "freeze": o.freezeVM, "kill": o.killVM,
+			"pass": o.passTime, "pass2": o.passTime, "pass3": o.passTime,
+		})
+		o.run(5 * time.Second) // the scheduled ends of all faults
+		o.expireShare = 0
+		o.endFaults()
+		o.run(settleTime)
+		o.oracle.checkAllEnded()
+	})
+}
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -85,8 +85,10 @@
 	deadly map[string]bool
 	// expireStarts is how many of the next start orders are not sent in time.
 	expireStarts int
-	oracle       *oracle
-	log          *zap.Logger
+	// expireShare is the share of start orders that wait in the node's process until it is too late to send them.
+	expireShare float64
+	oracle      *oracle
+	log         *zap.Logger
 }
 
 // node is one VM.
@@ -324,6 +326,10 @@
 			w.at(linkDelay, func() { w.deliver(n, StartAnswered{Order: a.Start, Err: ErrExpired}) })
 			return
 		}
+		if w.expireShare > 0 && w.rng.Float64() < w.expireShare {
+			w.at(firstLeaseDuration/2, func() { w.deliver(n, StartAnswered{Order: a.Start, Err: ErrExpired}) })
+			return
+		}
 		w.startOrders = append(w.startOrders, startOrder{at: w.now, Start: a.Start})
 		send := func() {
 			w.order(n, a.Server, func(s *fakeServer) Event {
