--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -76,8 +76,8 @@
 	if e.Generation != s.generation {
 		return
 	}
-	if e.Initial && !s.unsynced[e.Partition] && !s.holdsTerm() {
-		s.resync() // the records that the store has dropped may have deleted keys
+	if e.Initial && !s.unsynced[e.Partition] && !s.holdsTerm() && e.Partition != vmsPartition {
+		s.resync() // the records that the store has dropped may have deleted jobs
 		return
 	}
 	target := s.replicated
