--- a/internal/fleet/arrival.go
+++ b/internal/fleet/arrival.go
@@ -69,9 +69,9 @@
 	return records
 }
 
-// applyArrival applies the record of such a time. Times of day differ between VMs, so that none counts for longer than
-// an order can take.
-func (s *State) applyArrival(target *replicated, r StoredRecord) error {
+// applyArrival applies the record of such a time. Times of day differ between VMs: a record that is read as it is stored
+// counts from now, and one that is read later for as long as the order may take at most.
+func (s *State) applyArrival(target *replicated, r StoredRecord, initial bool) error {
 	name := strings.TrimPrefix(r.Key, arrivalPrefix)
 	if len(r.Value) == 0 {
 		delete(target.arrivals, name)
@@ -84,7 +84,10 @@
 	if err != nil {
 		return fmt.Errorf("time of arrival of starts of %s: %w", name, err)
 	}
-	left := time.UnixMilli(until).Sub(s.wall)
-	target.arrivals[name] = s.now.Add(min(max(left, 0), maxDeliveryDelay))
+	left := time.UnixMilli(until).Sub(s.wall) + maxTimeOfDayDifference
+	if !initial {
+		left = max(left, maxDeliveryDelay)
+	}
+	target.arrivals[name] = s.now.Add(min(max(left, 0), holderAuthority+maxDeliveryDelay))
 	return nil
 }
--- a/internal/fleet/arrival_bounds_test.go
+++ b/internal/fleet/arrival_bounds_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 // A successor was to repeat a start of the previous holder, gave it up, and placed the task elsewhere at once,
@@ -15,3 +18,27 @@
 	other.unlisted = false
 	assertNotElsewhere(t, w, late, at)
 }
+
+// The time of day of a VM was ahead of the holder's, so that a start order seemed to have arrived before it could.
+func TestTimeOfDayDoesNotShortenTheWaitForAStart(t *testing.T) {
+	for _, readLate := range []bool{false, true} {
+		w := newWorldWithHolder(t, 3, 2)
+		for _, n := range w.nodes {
+			if n != w.holder() {
+				n.ahead = 3 * time.Second
+			}
+		}
+		late, _ := givenUpStart(t, w)
+		w.run(100 * time.Millisecond)
+		until := w.holder().state.arrivals[late.Task]
+		w.holder().dead = true
+		if readLate {
+			for _, n := range w.nodes {
+				n.dead = true
+			}
+			w.addNode().ahead = 3 * time.Second
+		}
+		runUntil(w, "a successor holds the term", func() bool { return w.holder() != nil })
+		assert.Assert(t, !w.holder().state.arrivals[late.Task].Before(until), "read late: %v", readLate)
+	}
+}
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -194,7 +194,7 @@
 		c.Offset = r.Offset
 		s.claimRead(target, c, initial)
 	case strings.HasPrefix(r.Key, arrivalPrefix):
-		return s.applyArrival(target, r)
+		return s.applyArrival(target, r, initial)
 	case strings.HasPrefix(r.Key, recordedEndPrefix):
 		id := model.BackendServerID(strings.TrimPrefix(r.Key, recordedEndPrefix))
 		if len(r.Value) == 0 {
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -83,6 +83,8 @@
 	// firstLeaseDuration is used while no run on the backend server is confirmed. It bounds how
 	// long a start without an answer stays in doubt.
 	firstLeaseDuration = 2500 * time.Millisecond
+	// maxTimeOfDayDifference bounds how much the times of day of two VMs differ.
+	maxTimeOfDayDifference = 5 * time.Second
 	// maxClockRatio bounds how much slower a backend server's clock may run than this VM's.
 	maxClockRatio = 1.03
 
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -99,6 +99,7 @@
 	partitions  []Partition // that it follows
 	nextOffsets map[Partition]int64
 	lag         time.Duration // queueing delay of its events
+	ahead       time.Duration // how far its time of day is ahead
 	listedAt    time.Time     // when it last read the entries of the backend servers
 	disturbedAt time.Time     // when a fault last affected it or its way to the store
 	readBytes   int           // what it has read from the store
@@ -270,7 +271,7 @@
 	case n.frozen:
 		n.queue = append(n.queue, events...)
 	default:
-		for _, a := range n.state.Step(events, Clock{Now: w.now, Wall: w.now, Lag: n.lag}) {
+		for _, a := range n.state.Step(events, Clock{Now: w.now, Wall: w.now.Add(n.ahead), Lag: n.lag}) {
 			w.execute(n, a)
 		}
 	}
