Fleet: a partition that is read again before all are read is read anew

Callers may see a job that was done and dropped run again.

Cause: a VM that reads all records keeps what it has read of a partition, if the store drops the next records before it has caught up and it reads the newest of each key again. A job whose records were deleted in between stayed known, without its progress.

Now such a VM begins anew, as it does once it has caught up.

TestVMThatReadsAPartitionTwiceForgetsTheFirstRead fails before and passes now.

--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -77,10 +77,11 @@
 	if e.Generation != s.generation {
 		return
 	}
-	if e.Initial && !s.unsynced[e.Partition] && !s.holdsTerm() {
+	if e.Initial && s.begun[e.Partition] && !s.holdsTerm() {
 		s.resync() // the records that the store has dropped may have deleted keys
 		return
 	}
+	s.begun[e.Partition] = true
 	target := s.replicated
 	if s.incoming != nil {
 		target = s.incoming
--- a/internal/fleet/reread_test.go
+++ b/internal/fleet/reread_test.go
@@ -172,3 +172,29 @@
 	w.run(5 * time.Second)
 	assert.Assert(t, n.state.HoldsTerm())
 }
+
+// A VM that had just read the newest records had to read those of a partition again, as the store had dropped the next
+// ones. It kept a job whose records were deleted in between, took the term, and ran the job again.
+func TestVMThatReadsAPartitionTwiceForgetsTheFirstRead(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 2)
+	for _, n := range w.nodes {
+		n.state.bounds.FinalStateRetention = time.Second
+	}
+	name, _ := runningTask(t, w, 4, 500*time.Millisecond)
+	key, _, err := job.ParseTaskName(name)
+	assert.NilError(t, err)
+	p := SubmissionPartition(key.Job)
+	first, next := w.store.newest(p), w.store.end(p)
+	away := w.nodes[0]
+	if away == w.holder() {
+		away = w.nodes[1]
+	}
+	w.cutLinks[link(away.name, "store")] = true
+	w.readAgain(away) // the first read of all partitions, which does not go on
+	w.deliver(away, RecordsRead{Generation: away.generation, Partition: p, Records: first, Initial: true, Next: next, AsOf: w.now})
+	w.run(dropDelay + dropInterval + 15*time.Second)
+	delete(w.cutLinks, link(away.name, "store"))
+	w.run(time.Second)
+	assert.Assert(t, away.state.synced())
+	assert.Assert(t, away.state.jobs.Job(key.Job) == nil, "the VM still knows the job")
+}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -89,6 +89,7 @@
 	incoming   *replicated
 	generation int
 	unsynced   map[Partition]bool
+	begun      map[Partition]bool  // partitions of which records were read since
 	nextOf     map[Partition]int64 // offset of the next record to read of each partition
 	// readAsOf is the time up to which everything stored in a partition has been read.
 	readAsOf        map[Partition]time.Time
@@ -172,7 +173,7 @@
 func (s *State) resync() {
 	s.generation++
 	s.incoming = newReplicated()
-	s.unsynced = make(map[Partition]bool)
+	s.unsynced, s.begun = make(map[Partition]bool), make(map[Partition]bool)
 	for _, p := range s.partitions() {
 		s.unsynced[p] = true
 	}
