Fleet: the answer to an earlier claim does not end the present one

Callers may wait up to some 2 s longer for a take-over.

Cause: the refusal of a claim ended whatever claim was under way. If it came late, and the VM had claimed a later term meanwhile, the VM read its own claim back and did not take the term, which others gave it time to do.

Now answers to claims carry their epoch, as those to appends do.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -48,8 +48,11 @@
 	Err    error
 }
 
-// ClaimAnswered carries the outcome of a Claim action.
-type ClaimAnswered struct{ Err error }
+// ClaimAnswered carries the outcome of a Claim action with this epoch.
+type ClaimAnswered struct {
+	Epoch int64
+	Err   error
+}
 
 // StartAnswered carries the outcome of an OrderStart action.
 type StartAnswered struct {
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -417,7 +417,7 @@
 	case Claim:
 		l.goroutines.Go(func() {
 			_, err := l.append(ctx, a.Request)
-			l.post(ctx, ClaimAnswered{Err: err})
+			l.post(ctx, ClaimAnswered{Epoch: a.Request.Epoch, Err: err})
 		})
 	case OrderStart:
 		l.starts.add(a.Start)
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -212,7 +212,7 @@
 		return
 	}
 	s.log.Info("claim not confirmed", zap.Error(e.Err))
-	if errors.Is(e.Err, ErrConflict) || errors.Is(e.Err, ErrFenced) {
+	if e.Epoch == s.term.claimedEpoch && (errors.Is(e.Err, ErrConflict) || errors.Is(e.Err, ErrFenced)) {
 		s.term.holderHeardAt = s.now // another VM writes records; wait for its heartbeat
 		s.term.claiming = false
 	}
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -308,8 +308,8 @@
 		w.claims++
 		w.exchange(n, "store", storeDelay, func() Event {
 			_, err := w.store.append(w, a.Request)
-			return ClaimAnswered{Err: err}
-		}, ClaimAnswered{Err: ErrInDoubt}, w.store.lossRate)
+			return ClaimAnswered{Epoch: a.Request.Epoch, Err: err}
+		}, ClaimAnswered{Epoch: a.Request.Epoch, Err: ErrInDoubt}, w.store.lossRate)
 	case OrderStart:
 		if w.expireStarts > 0 {
 			w.expireStarts--
