Fleet: a task waits for the lease of a late start that has arrived unseen

Cause: the task waited until its start had certainly arrived, and was placed elsewhere then, although the start may have begun a run shortly before on a backend server that the holder, which took the term meanwhile, had not reached since.

Change: where the start was sent is stored with its time. Once it has arrived, the task is placed after a report of that backend server that was asked for since, or after the longest lease.

TestTaskWaitsForTheLeaseOfAStartThatHasArrivedUnseen fails before (runs on s00 and is started on s01) and passes after.

--- a/internal/fleet/arrival.go
+++ b/internal/fleet/arrival.go
@@ -10,6 +10,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
 // A start order without an answer may arrive seconds later. The incarnation of the backend server that it was sent to
@@ -18,22 +19,38 @@
 // certainly arrived. The time is stored, for later holders.
 
 // arrivalPrefix is the prefix of the records that tell until when start orders for a task may arrive, by the time of day
-// in Unix milliseconds.
+// in Unix milliseconds, and where.
 const arrivalPrefix = "arrival/"
 
+// arrival is until when the newest start order without an answer may arrive, and the backend server that it was sent to.
+type arrival struct {
+	until  time.Time
+	server model.BackendServerID
+}
+
 // expectArrival notes that the newest start order for a run, which has no answer, may still arrive.
 func (s *State) expectArrival(r *run) {
 	until := r.unansweredAt.Add(maxDeliveryDelay)
-	if until.After(s.now) && until.After(s.arrivals[r.name]) {
-		s.arrivals[r.name] = until
+	if until.After(s.now) && until.After(s.arrivals[r.name].until) {
+		s.arrivals[r.name] = arrival{until: until, server: r.server}
 		s.writer.arrivals[r.name] = true
 	}
 }
 
-// startMayArrive reports whether a start order for an earlier run of a task may still arrive, in a next incarnation of
-// its backend server.
+// startMayArrive reports whether a start order for an earlier run of a task may still arrive in a next incarnation of its
+// backend server, or may have arrived in one that has not reported since: what it began lasts as long as a lease.
 func (s *State) startMayArrive(name string) bool {
-	return s.restartsSeen && s.now.Before(s.arrivals[name])
+	a, expected := s.arrivals[name]
+	switch v := s.servers[a.server]; {
+	case !expected || !s.restartsSeen:
+		return false
+	case s.now.Before(a.until):
+		return true
+	case v != nil && v.hasReported && v.reportSentAt.After(a.until):
+		return false // a run that it began is known
+	default:
+		return s.now.Before(a.until.Add(s.longestLease() + clockSlack))
+	}
 }
 
 // observeRestartUnderID notes that a backend server has started again under its ID. It is stored with the server.
@@ -49,8 +66,9 @@
 func (s *State) arrivalRecords() []job.Record {
 	var records []job.Record
 	for _, name := range eventloop.SortedKeys(s.writer.arrivals) {
-		until := s.wall.Add(s.arrivals[name].Sub(s.now)).UnixMilli()
-		records = append(records, job.Record{Key: arrivalPrefix + name, Value: strconv.AppendInt(nil, until, 10)})
+		a := s.arrivals[name]
+		value := fmt.Appendf(nil, "%d %s", s.wall.Add(a.until.Sub(s.now)).UnixMilli(), a.server)
+		records = append(records, job.Record{Key: arrivalPrefix + name, Value: value})
 	}
 	return records
 }
@@ -80,7 +98,8 @@
 	if _, _, err := job.ParseTaskName(name); err != nil {
 		return err
 	}
-	until, err := strconv.ParseInt(string(r.Value), 10, 64)
+	ms, server, _ := strings.Cut(string(r.Value), " ")
+	until, err := strconv.ParseInt(ms, 10, 64)
 	if err != nil {
 		return fmt.Errorf("time of arrival of starts of %s: %w", name, err)
 	}
@@ -88,6 +107,7 @@
 	if !initial {
 		left = max(left, maxDeliveryDelay)
 	}
-	target.arrivals[name] = s.now.Add(min(max(left, 0), holderAuthority+maxDeliveryDelay))
+	left = min(max(left, 0), holderAuthority+maxDeliveryDelay)
+	target.arrivals[name] = arrival{until: s.now.Add(left), server: model.BackendServerID(server)}
 	return nil
 }
--- a/internal/fleet/arrival_bounds_test.go
+++ b/internal/fleet/arrival_bounds_test.go
@@ -30,7 +30,7 @@
 		}
 		late, _ := givenUpStart(t, w)
 		w.run(100 * time.Millisecond)
-		until := w.holder().state.arrivals[late.Task]
+		until := w.holder().state.arrivals[late.Task].until
 		w.holder().dead = true
 		if readLate {
 			for _, n := range w.nodes {
@@ -39,7 +39,7 @@
 			w.addNode().ahead = 3 * time.Second
 		}
 		runUntil(w, "a successor holds the term", func() bool { return w.holder() != nil })
-		assert.Assert(t, !w.holder().state.arrivals[late.Task].Before(until), "read late: %v", readLate)
+		assert.Assert(t, !w.holder().state.arrivals[late.Task].until.Before(until), "read late: %v", readLate)
 	}
 }
 
@@ -59,7 +59,7 @@
 	ended := w.now
 	w.deliver(w.holder(), StartAnswered{Order: order, Err: ErrInDoubt})
 	w.run(2 * time.Second)
-	assert.Assert(t, !w.holder().state.arrivals[order.Task].Before(ended.Add(maxDeliveryDelay)))
+	assert.Assert(t, !w.holder().state.arrivals[order.Task].until.Before(ended.Add(maxDeliveryDelay)))
 }
 
 // A run was removed while a start order for it was under way, which can arrive in the next incarnation.
@@ -83,5 +83,5 @@
 	w.run(orderTimeout)
 	ended := w.now
 	w.deliver(w.holder(), StartAnswered{Order: repeated, Err: ErrInDoubt})
-	assert.Assert(t, !w.holder().state.arrivals[order.Task].Before(ended.Add(maxDeliveryDelay)))
+	assert.Assert(t, !w.holder().state.arrivals[order.Task].until.Before(ended.Add(maxDeliveryDelay)))
 }
--- a/internal/fleet/arrival_test.go
+++ b/internal/fleet/arrival_test.go
@@ -113,6 +113,27 @@
 	assertNotElsewhere(t, w, late, at)
 }
 
+// A late order of the previous holder began its run shortly before the wait was over, on a backend server that its
+// successor did not reach. The task was placed elsewhere when the wait was over.
+func TestTaskWaitsForTheLeaseOfAStartThatHasArrivedUnseen(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 2)
+	late, at := givenUpStart(t, w)
+	key, _, err := job.ParseTaskName(late.Task)
+	assert.NilError(t, err)
+	task := &w.holder().state.jobs.Job(key.Job).Group(0, 0).Tasks[0]
+	runUntil(w, "the task waits", func() bool { return task.Phase == job.Waiting })
+	w.run(100 * time.Millisecond)
+	w.holder().dead = true
+	cutOff(w, at)
+	w.run(10 * time.Second)
+	at.crash(w)
+	_, err = at.start(w, late, "a late order")
+	assert.NilError(t, err)
+	at.hangs = true
+	w.run(maxDeliveryDelay + leaseMax)
+	assert.Equal(t, w.oracle.startsOf[late.Task], 2, "the task was not started again")
+}
+
 // A start order that certainly had no effect does not hold its task back.
 func TestStartWithoutEffectDoesNotHoldItsTaskBack(t *testing.T) {
 	w := newWorldWithHolder(t, 1, 2)
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -115,8 +115,8 @@
 		group: g, index: index, name: name, number: t.Run, server: t.Server, phase: runAdopting,
 		startedAt: s.now, progressAt: s.now,
 	}
-	if s.startMayArrive(name) {
-		r.unansweredAt = s.arrivals[name].Add(-maxDeliveryDelay)
+	if a := s.arrivals[name]; a.server == r.server {
+		r.unansweredAt = a.until.Add(-maxDeliveryDelay)
 	}
 	v.putRun(r)
 }
@@ -396,7 +396,7 @@
 	s.markDirty(r.group, r.index)
 	s.log.Info("task waits again", zap.String("task", r.name), zap.Int64("run", r.number),
 		zap.String("server", string(r.server)), zap.String("reason", reason), zap.Bool("start_may_arrive", r.startMayArrive(s.now)),
-		zap.Duration("arrives_within", max(s.arrivals[r.name].Sub(s.now), 0)), zap.Bool("restarts_seen", s.restartsSeen))
+		zap.Duration("arrives_within", max(s.arrivals[r.name].until.Sub(s.now), 0)), zap.Bool("restarts_seen", s.restartsSeen))
 	if r.step().Gang {
 		s.stopGang(r.group, r.number, stopGangBroken, reason)
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -33,6 +33,8 @@
 	// entryBefore is the incarnation that its entry named before the present one.
 	entryBefore int64
 	reportedAt  time.Time // when the newest report was received
+	// reportSentAt is when the newest report was asked for.
+	reportSentAt time.Time
 	// clock is the reading of its clock at clockAt; deadline is the latest lease deadline that
 	// was sent to it.
 	clock    int64
@@ -314,7 +316,7 @@
 	}
 	lost := s.newLoss(v)
 	v.failedCalls = 0
-	v.reportedAt = s.now
+	v.reportedAt, v.reportSentAt = s.now, e.Sent
 	first := !v.hasReported
 	v.nextHoldAt = s.now.Add(unrecordedHoldInterval)
 	if v.incarnationStart != 0 && e.Report.IncarnationStart != v.incarnationStart { // earlier ones cannot answer under this token
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -53,7 +53,7 @@
 	jobs         *job.Table
 	recordedEnds map[model.BackendServerID]endPosition
 	// arrivals holds until when start orders without an answer may arrive, by task.
-	arrivals map[string]time.Time
+	arrivals map[string]arrival
 	// restartsSeen is set if a backend server has started again under its ID.
 	restartsSeen bool
 	peers        map[string]Peer
@@ -66,7 +66,7 @@
 	return &replicated{
 		jobs:         job.NewTable(),
 		recordedEnds: make(map[model.BackendServerID]endPosition),
-		arrivals:     make(map[string]time.Time),
+		arrivals:     make(map[string]arrival),
 		peers:        make(map[string]Peer),
 		claim:        claim{Offset: -1},
 	}
