Stand-in of the prepared platform: slow clocks and answers that overtake each other

The lease clocks of a quarter of the backend servers are 2% slow, and in the soaks with late calls the answers of some come up to 1.5 s late in any order, both as the platform's protocol allows.

--- a/internal/standin/prepared/deployment.go
+++ b/internal/standin/prepared/deployment.go
@@ -27,6 +27,9 @@
 // leaseMax is the holdMaxMs of a Deployment.
 const leaseMax = 6 * time.Second
 
+// clockLag is by how much of the time the clocks of some backend servers are slow.
+const clockLag = 0.02
+
 // VM is the platform's side of one VM.
 type VM struct {
 	Node, Zone   string
@@ -62,6 +65,9 @@
 	}
 	for i := range zones * serversPerZone {
 		s := &Server{id: fmt.Sprintf("i-%08x", 0x1000+i), Zone: d.Zones[i%zones], Rack: fmt.Sprintf("r1-%d", 1+i%zones), LeaseMax: leaseMax}
+		if i%4 == 2 {
+			s.ClockLag = clockLag
+		}
 		if err := StartServer(ctx, s, d.Network, d.Store, d.Record, d.Gangs, d.Zones); err != nil {
 			return nil, err
 		}
--- a/internal/standin/prepared/server.go
+++ b/internal/standin/prepared/server.go
@@ -50,6 +50,8 @@
 	// arrived, without an answer, by the incarnation that has the ID then.
 	LateHolds     time.Duration
 	LateHoldShare float64
+	// SlowAnswers holds each answer back for up to this time, so that later ones overtake it.
+	SlowAnswers time.Duration
 	// FromArrival lets the lease of a late hold last as long from the moment when it is carried out as it would
 	// have lasted when it was sent, up to LeaseMax.
 	FromArrival bool
@@ -60,6 +62,8 @@
 	Zone, Rack string
 	LeaseMax   time.Duration
 	Labels     []string
+	// ClockLag is the share of the time by which its clock is slow.
+	ClockLag float64
 
 	network   *Network
 	store     *Store
@@ -203,7 +207,9 @@
 	s.running, s.highest, s.ended, s.late = make(map[string]*serverRun), make(map[string]int64), nil, make(map[string]int)
 }
 
-func (s *Server) clock() int64 { return firstClock + time.Since(s.born).Milliseconds() }
+func (s *Server) clock() int64 {
+	return firstClock + int64(float64(time.Since(s.born).Milliseconds())*(1-s.ClockLag))
+}
 
 func (s *Server) heartbeat(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -288,7 +294,7 @@
 	if s.deadline == 0 {
 		return time.Time{}
 	}
-	return s.born.Add(time.Duration(s.deadline-firstClock) * time.Millisecond)
+	return s.born.Add(time.Duration(float64(s.deadline-firstClock) / (1 - s.ClockLag) * float64(time.Millisecond)))
 }
 
 func (s *Server) finish(r *serverRun, how string, at time.Time) {
@@ -343,6 +349,10 @@
 		}
 		held := &heldAnswer{header: make(http.Header)}
 		mux.ServeHTTP(held, r)
+		s.mu.Lock()
+		slow := s.fault.SlowAnswers
+		s.mu.Unlock()
+		time.Sleep(rand.N(slow + 1))
 		if held.status == 0 || !s.network.Open(s.Zone, zone) || s.network.silentRequest(r) {
 			<-gone.Done()
 			panic(http.ErrAbortHandler)
--- a/internal/standin/prepared/server_test.go
+++ b/internal/standin/prepared/server_test.go
@@ -44,3 +44,12 @@
 		})
 	}
 }
+
+func TestLeaseOfASlowClock(t *testing.T) {
+	s := &Server{LeaseMax: time.Minute, ClockLag: 0.02, record: newRecord()}
+	s.reset()
+	s.extend(firstClock + 4900)
+	assert.Equal(t, s.leaseEnd().Sub(s.born), 5*time.Second)
+	s.born = s.born.Add(-100 * time.Second)
+	assert.Assert(t, s.clock() >= firstClock+98000 && s.clock() < firstClock+100000, "%d", s.clock())
+}
--- a/test/e2e/fleet_restarts_test.go
+++ b/test/e2e/fleet_restarts_test.go
@@ -113,6 +113,9 @@
 			FromArrival: *fleetFromArrival,
 		})
 		pause(between(rng, 500, 3000))
+		s = anyServer(f, rng)
+		s.SetFault(prepared.ServerFault{SlowAnswers: between(rng, 200, 1500)})
+		pause(between(rng, 500, 3000))
 	}
 	for _, s := range f.Servers {
 		s.SetFault(prepared.ServerFault{})
