--- a/internal/fleet/arrival.go
+++ b/internal/fleet/arrival.go
@@ -53,6 +53,19 @@
 	}
 }
 
+// reportAfterArrivals has the backend servers report to which start orders have just arrived at the latest.
+func (s *State) reportAfterArrivals() {
+	if !s.restartsSeen {
+		return
+	}
+	for _, a := range s.arrivals {
+		v := s.servers[a.server]
+		if v != nil && v.hasReported && v.failedCalls == 0 && s.now.After(a.until) && !v.reportSentAt.After(a.until) {
+			v.nextHoldAt = minTime(v.nextHoldAt, s.now)
+		}
+	}
+}
+
 // observeRestartUnderID notes that a backend server has started again under its ID. It is stored with the server.
 func (s *State) observeRestartUnderID(v *server) {
 	if !s.restartsSeen {
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -255,6 +255,7 @@
 		s.lastFullCheck = s.now
 		due = s.servers
 		s.dropJobs()
+		s.reportAfterArrivals()
 	}
 	ids := eventloop.SortedKeys(due)
 	for _, id := range ids {
