Fleet: a successor waits only for starts of runs that were placed shortly before

Cause: took each adopted run that a restarted backend server does not list for one whose start may be under way. But a start without an answer is stored, so that only those of the last seconds before a take-over are unknown.

TestTaskThatWasAtWorkDoesNotWaitForItsStartAfterATakeOver fails before and passes after; TestStartOfAPreviousHolderReachesTheSecondIncarnationAfterIt passes before and after.

--- a/internal/fleet/arrival.go
+++ b/internal/fleet/arrival.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// placedBeforeTakeOver reports whether a run was placed so shortly before the take-over that the previous holder may not
+// have stored that its start has no answer.
+func (s *State) placedBeforeTakeOver(r *run) bool {
+	at := r.group.Tasks[r.index].RunReadAt
+	return !at.IsZero() && s.term.takenAt.Sub(at) < startRetryLimit+longestStart
+}
+
 // startMayArrive reports whether a start order for an earlier run of a task may still arrive in a next incarnation of its
 // backend server, or may have arrived in one that has not reported since: what it began lasts as long as a lease.
 func (s *State) startMayArrive(name string) bool {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -511,9 +511,11 @@
 	if r.startInDoubt && !r.stopConfirmed {
 		return // the start is repeated, or stopped if that takes too long
 	}
-	if r.phase == runAdopting && r.placedAt.IsZero() { // a previous holder may have ordered its start, without an answer
+	if r.phase == runAdopting && r.placedAt.IsZero() { // the previous holder may have ordered its start, without an answer
 		r.unansweredAt = maxTime(r.unansweredAt, s.term.takenAt.Add(holderAuthority))
-		s.expectArrival(r)
+		if s.placedBeforeTakeOver(r) {
+			s.expectArrival(r)
+		}
 	}
 	s.requeue(v, r, "no longer there")
 }
--- a/internal/job/chunk.go
+++ b/internal/job/chunk.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -110,7 +111,7 @@
 }
 
 // applyChunk applies the record of a chunk. A record without a value was dropped together with its job.
-func (t *Table) applyChunk(r Record) (*State, error) {
+func (t *Table) applyChunk(r Record, now time.Time) (*State, error) {
 	name, number, _ := strings.Cut(strings.TrimPrefix(r.Key, chunkPrefix), "/")
 	key, err := ParseGroupKey(name)
 	if err != nil {
@@ -127,7 +128,7 @@
 	if err := chunkDecoding.Unmarshal(r.Value, &m); err != nil {
 		return nil, fmt.Errorf("record %s: %w", r.Key, err)
 	}
-	p := progress{first: first, count: m.Count, tasks: make([]Task, len(m.Tasks))}
+	p := progress{first: first, count: m.Count, tasks: make([]Task, len(m.Tasks)), readAt: now}
 	if len(m.Tasks) == 0 || len(m.Tasks) > ChunkTasks || first+len(m.Tasks) > m.Count {
 		return nil, fmt.Errorf("record %s: %d tasks from %d on, of %d", r.Key, len(m.Tasks), first, m.Count)
 	}
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
@@ -30,6 +31,8 @@
 	Checkpoint string `json:"c,omitempty"`
 	// Crashes are the losses of backend servers with a run of the task.
 	Crashes []Crash `json:"x,omitempty"`
+	// RunReadAt is when the record of the newest run was read; zero if it may be older than that.
+	RunReadAt time.Time `json:"-"`
 }
 
 // GroupKey identifies a step of one occurrence of a job.
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -53,7 +53,7 @@
 		}
 		changed = t.Cancel(model.JobID(strings.TrimPrefix(r.Key, cancellationPrefix)), now)
 	case strings.HasPrefix(r.Key, chunkPrefix):
-		changed, err = t.applyChunk(r)
+		changed, err = t.applyChunk(r, now)
 		changed.recordProgress(now)
 	case strings.HasPrefix(r.Key, progressPrefix):
 		changed, err = t.applyProgress(r)
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -163,6 +163,7 @@
 	first, count int
 	tasks        []Task
 	wholeGroup   bool
+	readAt       time.Time
 }
 
 // NewTable returns an empty table.
@@ -241,7 +242,14 @@
 		return // the record belongs to another submission of the same ID, which does not count
 	}
 	g.wholeGroup = g.wholeGroup || p.wholeGroup
-	copy(g.Tasks[p.first:], p.tasks)
+	for i, t := range p.tasks {
+		old := &g.Tasks[p.first+i]
+		t.RunReadAt = old.RunReadAt
+		if t.Run != old.Run {
+			t.RunReadAt = p.readAt
+		}
+		*old = t
+	}
 }
 
 // Drop removes a job from the table.
