Fleet: a stop under way at a restart holds no task back

Its task waited up to 17 s as for a start without an answer (found by the review, by reading). The tests of starts and restarts pass but for the known red one.

--- a/internal/fleet/restart.go
+++ b/internal/fleet/restart.go
@@ -52,7 +52,7 @@
 		if r.phase != runRecording {
 			r.phase, r.startedAt, r.progressAt, r.percent = runAdopting, s.now, s.now, 0
 			r.progress = straggler.Progress{}
-			if r.inFlight {
+			if r.startInFlight {
 				r.unansweredAt = s.now.Add(longestStart) // its answer will not be taken
 				s.expectArrival(r)
 			}
