--- a/internal/fleet/gang_faults_test.go
+++ b/internal/fleet/gang_faults_test.go
@@ -140,6 +140,7 @@
 // TestGangsBesideFaults plays gangs, scheduled jobs and lasting tasks beside answers that overtake each other, stops that
 // take their time, and VMs that read all records again.
 func TestGangsBesideFaults(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2, 3, 4, 5, 6, 7, 8, 273} { // 273 failed at 82aa74c
 		r := &recorder{T: t}
 		func() {
--- a/internal/fleet/presence_test.go
+++ b/internal/fleet/presence_test.go
@@ -181,6 +181,7 @@
 // TestRandomPartitions parts VMs from each other, beside lost holders, lost orders and crashes. The oracle checks
 // that no task runs twice.
 func TestRandomPartitions(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		m := &machine{world: newWorld(t, uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")), 4+rapid.IntRange(0, 2).Draw(t, "vms"), 6), t: t}
 		p := &partitions{departures: &departures{machine: m}}
--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -176,6 +176,7 @@
 const settleTime = 150 * time.Second
 
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		c := &machine{world: newWorld(t, uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")), 3, 6), t: t}
 		c.run(3 * time.Second)
@@ -265,6 +266,7 @@
 // TestRandomDepartures has backend servers leave beside lost holders, lost orders and parts of the
 // store that are away. The oracle checks the bound on starts after an announcement.
 func TestRandomDepartures(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		d := &departures{machine: &machine{world: newWorld(t, uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")), 3, 6), t: t}}
 		d.run(4 * time.Second)
@@ -335,6 +337,7 @@
 // TestRandomCrashes checks that tasks that crash their backend servers are given up in time, and no
 // others, beside lost holders and a store that is away.
 func TestRandomCrashes(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		m := &machine{world: newWorld(t, uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")), 3, 8), t: t}
 		c := &crashes{departures: &departures{machine: m}}
--- a/internal/fleet/repeated_start_test.go
+++ b/internal/fleet/repeated_start_test.go
@@ -71,6 +71,7 @@
 // TestRandomStartsThatAreNotCarriedOut checks that no task runs twice beside start orders without an answer, repeats
 // that are not sent or refused, and lost holders.
 func TestRandomStartsThatAreNotCarriedOut(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		o := &overload{&machine{world: newWorld(t, uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")), 3, 6), t: t}}
 		o.run(4 * time.Second)
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -777,11 +777,13 @@
 // TestRandomRestarts has backend servers restart in series beside late orders and cuts. Late holds reach
 // whatever incarnation is there.
 func TestRandomRestarts(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { playRandomRestarts(t, func(c *machine) { c.oracle.mayGiveUp = true }) })
 }
 
 // Late starts reach whatever incarnation is there too. No task may run twice at once.
 func TestRandomRestartsBesideLateStarts(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		playRandomRestarts(t, func(c *machine) {
 			c.oracle.mayGiveUp, c.oracle.lateAfterDone, c.lateAcrossRestarts = true, true, true
@@ -791,6 +793,7 @@
 
 // The same plays, in which no sound task may be given up for restarts that come right after its starts.
 func TestRandomRestartsGiveUpNoSoundTask(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { playRandomRestarts(t, func(*machine) {}) })
 }
 
