--- a/internal/fleet/arrival.go
+++ b/internal/fleet/arrival.go
@@ -40,7 +40,7 @@
 // placedBeforeTakeOver reports whether a run was placed so shortly before the take-over that the previous holder may not
 // have stored that its start has no answer.
 func (s *State) placedBeforeTakeOver(r *run) bool {
-	at := r.group.Tasks[r.index].RunReadAt
+	at := r.group.RunReadAt(r.index)
 	return !at.IsZero() && s.term.takenAt.Sub(at) < startRetryLimit+longestStart
 }
 
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -175,7 +175,7 @@
 		return
 	}
 	if initial {
-		forgetReadTimes(changed)
+		changed.ForEachGroup(func(g *job.Group) { g.ForgetReadTimes() }) // the records may be older
 	}
 	if initial && changed.FirstSeen.Equal(s.now) {
 		age := min(max(s.wall.Sub(changed.Job.Accepted), 0), maxAge)
@@ -188,15 +188,6 @@
 	s.replan = true
 }
 
-// forgetReadTimes forgets when the runs of a job were read: they may be older.
-func forgetReadTimes(st *job.State) {
-	st.ForEachGroup(func(g *job.Group) {
-		for i := range g.Tasks {
-			g.Tasks[i].RunReadAt = time.Time{}
-		}
-	})
-}
-
 func (s *State) applyOther(target *replicated, from Partition, r StoredRecord, initial bool) error {
 	switch {
 	case r.Key == claimKey:
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -31,8 +31,6 @@
 	Checkpoint string `json:"c,omitempty"`
 	// Crashes are the losses of backend servers with a run of the task.
 	Crashes []Crash `json:"x,omitempty"`
-	// RunReadAt is when the record of the newest run was read; zero if it may be older than that.
-	RunReadAt time.Time `json:"-"`
 }
 
 // GroupKey identifies a step of one occurrence of a job.
@@ -90,6 +88,8 @@
 	Tasks      []Task
 	// changed holds the chunks with tasks that are to be stored, by the number of their first task.
 	changed map[int]bool
+	// runReadAt holds when the record of the newest run of each task was read; empty if none was.
+	runReadAt []time.Time
 	// wholeGroup is set if a record of the whole group is stored, from an earlier release.
 	wholeGroup bool
 }
@@ -111,6 +111,17 @@
 	return true
 }
 
+// RunReadAt is when the record of the newest run of a task was read; zero if the run may be older than that.
+func (g *Group) RunReadAt(index int) time.Time {
+	if g.runReadAt == nil {
+		return time.Time{}
+	}
+	return g.runReadAt[index]
+}
+
+// ForgetReadTimes forgets when the records of runs were read.
+func (g *Group) ForgetReadTimes() { g.runReadAt = nil }
+
 // NextRun returns a number above those of all runs of the task; for a gang, above those
 // of all runs of its tasks.
 func (g *Group) NextRun(index int) int64 {
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -242,14 +242,15 @@
 		return // the record belongs to another submission of the same ID, which does not count
 	}
 	g.wholeGroup = g.wholeGroup || p.wholeGroup
+	if g.runReadAt == nil {
+		g.runReadAt = make([]time.Time, len(g.Tasks))
+	}
 	for i, t := range p.tasks {
-		old := &g.Tasks[p.first+i]
-		t.RunReadAt = old.RunReadAt
-		if t.Run != old.Run {
-			t.RunReadAt = p.readAt
+		if t.Run != g.Tasks[p.first+i].Run {
+			g.runReadAt[p.first+i] = p.readAt
 		}
-		*old = t
 	}
+	copy(g.Tasks[p.first:], p.tasks)
 }
 
 // Drop removes a job from the table.
