Fleet: a restart is noticed also if the time of start is the one before

Callers saw TWICE: a backend server whose time of day was set back starts again with the time of its earlier start. The holder took the first ends of the new incarnation for ends that it had applied, and tasks that were done ran again; a successor that did not reach the server took its entry for the known incarnation, and a late start of the previous holder ran beside the task elsewhere.

Cause: the time of start alone told incarnations apart.

Change: a report that was asked for after the highest reading of the clock and has a lower one is of another incarnation; noted/SERVER holds that reading, for successors. An entry whose sequence began anew is of another incarnation too, also to VMs that do not hold the term. What is left: a cut that outlasts the incarnation's age, and an entry whose sequence has passed the one that was read last.

TestEndsOfAnIncarnationWithTheSameTimeOfStart asked for a task of 1 s that still runs after 2 s, which only the repeated runs of the fault gave. It now asks that the task runs once and is done, in the same 12 s.

--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -206,7 +206,11 @@
 			w.oracle.breakGang(r)
 		}
 	}
+	before := s.born()
 	s.startedAt = w.now
+	if w.sameTimeOfStart {
+		s.setBack += time.Duration(s.born()-before) * time.Millisecond
+	}
 	s.highestToken, s.deadline, s.number = 0, 0, 0
 	s.runs, s.ended, s.highestEndedRun = make(map[string]*fakeRun), nil, make(map[string]int64)
 }
@@ -222,9 +226,9 @@
 	for _, name := range eventloop.SortedKeys(s.runs) {
 		w.oracle.crashes[name]++
 	}
-	startedAt := s.startedAt
+	startedAt, setBack := s.startedAt, s.setBack
 	s.crash(w)
-	s.startedAt, s.dead, s.diedAt = startedAt, true, w.now
+	s.startedAt, s.setBack, s.dead, s.diedAt = startedAt, setBack, true, w.now
 	w.at(5*time.Second, func() { w.addServer() })
 }
 
--- a/internal/fleet/restart.go
+++ b/internal/fleet/restart.go
@@ -38,6 +38,7 @@
 	s.recordCrash(v, lost, true)
 	s.addLoss(lost)
 	v.incarnationStart, v.earlierIncarnation = incarnationStart, v.incarnationStart
+	v.highestClock, v.highestClockAt = 0, time.Time{}
 	v.appliedEnd, v.recordedEnd, v.acknowledgedEnd = 0, 0, 0
 	s.observeRestartUnderID(v)
 	s.forgetIncarnation(id, v)
@@ -128,7 +129,7 @@
 	if v.incarnationStart == 0 {
 		return s.recordedEnds[id]
 	}
-	return endPosition{IncarnationStart: v.incarnationStart, Number: v.appliedEnd, Reported: v.hasReported, StartedAgain: v.startedAgain}
+	return endPosition{IncarnationStart: v.incarnationStart, Number: v.appliedEnd, Reported: v.hasReported, StartedAgain: v.startedAgain, Clock: v.highestClock}
 }
 
 // observeUnreached counts with calls of previous holders on a backend server that has not reported to this one,
@@ -137,10 +138,11 @@
 	stored := s.recordedEnds[id]
 	born := v.entry.IncarnationStart
 	older := born < stored.IncarnationStart && v.entryBefore != stored.IncarnationStart
-	if stored.IncarnationStart == 0 || born == 0 || older || born == stored.IncarnationStart && stored.Reported {
+	startedAnew := born == stored.IncarnationStart && v.entryBefore == born
+	if stored.IncarnationStart == 0 || born == 0 || older || born == stored.IncarnationStart && stored.Reported && !startedAnew {
 		return
 	}
-	if born != stored.IncarnationStart {
+	if born != stored.IncarnationStart || startedAnew {
 		s.observeRestartUnderID(v)
 	}
 	arrived := s.term.takenAt.Add(holderAuthority + longestCall + maxDeliveryDelay)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -30,9 +30,12 @@
 	// incarnationStart is of the present incarnation, and earlierIncarnation of the one before, which entries may
 	// still name. The times need not rise: the time of day of the server's machine may have been set back.
 	incarnationStart, earlierIncarnation int64
-	// entryBefore is the incarnation that its entry named before the present one.
+	// entryBefore is the incarnation that its entry named before the present one. It is the same time if the sequence
+	// of the entry began anew without a change of it.
 	entryBefore int64
-	reportedAt  time.Time // when the newest report was received
+	// entrySequence is the highest sequence of its entries of the present incarnation.
+	entrySequence int64
+	reportedAt    time.Time // when the newest report was received
 	// reportSentAt is when the newest report was asked for.
 	reportSentAt time.Time
 	// clock is the reading of its clock at clockAt; deadline is the latest lease deadline that
@@ -40,6 +43,9 @@
 	clock    int64
 	clockAt  time.Time
 	deadline int64
+	// highestClock is the highest reading of its clock in this incarnation, which an answer at highestClockAt told.
+	highestClock   int64
+	highestClockAt time.Time
 	// leaseEnd bounds the leases that a previous holder, or a call for an earlier incarnation, may have granted.
 	leaseEnd time.Time
 	// grantedAt is when the newest call that may have granted a lease ended without an answer.
@@ -139,25 +145,43 @@
 	if e.Sequence != v.entry.Sequence || e.IncarnationStart != v.entry.IncarnationStart {
 		v.heartbeatAt = s.now
 	}
-	if e.IncarnationStart != v.entry.IncarnationStart {
-		v.largest = job.Resources{}
+	startedAnew := v.sequenceBeganAnew(e)
+	v.entrySequence = max(v.entrySequence, e.Sequence)
+	if e.IncarnationStart != v.entry.IncarnationStart || startedAnew {
+		v.largest, v.entrySequence = job.Resources{}, e.Sequence
 		if v.entry.IncarnationStart != 0 {
 			v.entryBefore = v.entry.IncarnationStart
 		}
 	}
 	v.largest = v.largest.Max(e.Capacity)
 	lost := s.newLoss(v)
+	unnoticed := startedAnew && v.clockIsLower(e)
 	v.listed, v.listedAt, v.entry = true, s.now, e
 	switch {
 	case !s.holdsTerm():
 	case v.incarnationStart == 0:
 		s.observeUnreached(e.ID, v)
+	case unnoticed && e.IncarnationStart == v.incarnationStart:
+		s.handleRestart(e.ID, v, e.IncarnationStart, lost)
 	case e.IncarnationStart == 0 || e.IncarnationStart == v.incarnationStart || e.IncarnationStart == v.earlierIncarnation:
 	case e.IncarnationStart > v.incarnationStart || v.entryBefore == v.incarnationStart:
 		s.handleRestart(e.ID, v, e.IncarnationStart, lost)
 	}
 }
 
+// sequenceBeganAnew reports whether an entry is of another incarnation that tells the same time of start. An entry
+// without a sequence tells nothing.
+func (v *server) sequenceBeganAnew(e ServerEntry) bool {
+	return e.IncarnationStart != 0 && e.IncarnationStart == v.entry.IncarnationStart && e.Sequence != 0 && e.Sequence < v.entrySequence
+}
+
+// clockIsLower reports whether an entry that was written after the one before was listed has a lower clock than the
+// known incarnation has had by then. If not, an answer has told of the restart already.
+func (v *server) clockIsLower(e ServerEntry) bool {
+	passed := max(v.highestClockAt.Sub(v.listedAt), 0) + clockOvertaking
+	return e.Clock < v.highestClock-passed.Milliseconds()
+}
+
 // poll requests a report from a backend server when that is due.
 func (s *State) poll(id model.BackendServerID, v *server) {
 	if v.holdInFlight || v.token == 0 || s.now.Before(v.nextHoldAt) || v.entry.Address == "" {
@@ -227,6 +251,9 @@
 	switch {
 	case clock > v.clock:
 		v.clock, v.clockAt = clock, s.now
+		if clock > v.highestClock {
+			v.highestClock, v.highestClockAt = clock, s.now
+		}
 	case clock != 0 && clock < v.clock-clockOvertaking.Milliseconds():
 		s.log.Warn("clock of a backend server has started anew", zap.String("server", string(v.entry.ID)), zap.Int64("from", v.clock), zap.Int64("to", clock))
 		lost := s.newLoss(v).untilRestart(s.now)
@@ -236,6 +263,12 @@
 	}
 }
 
+// clockStartedAnew reports whether a report that was asked for after the highest reading of the clock has a lower one:
+// another incarnation answers, also if it tells the same time of start.
+func (v *server) clockStartedAnew(e HoldAnswered) bool {
+	return e.Report.Clock != 0 && e.Report.Clock < v.highestClock && e.Sent.After(v.highestClockAt)
+}
+
 // leasesExpireAt is when all leases on the backend server have certainly expired.
 func (v *server) leasesExpireAt() time.Time {
 	if v.clock == 0 || !v.hasReported {
@@ -319,10 +352,14 @@
 	v.reportedAt, v.reportSentAt = s.now, e.Sent
 	first := !v.hasReported
 	v.nextHoldAt = s.now.Add(unrecordedHoldInterval)
-	if v.incarnationStart != 0 && e.Report.IncarnationStart != v.incarnationStart { // earlier ones cannot answer under this token
+	if v.incarnationStart != 0 && (e.Report.IncarnationStart != v.incarnationStart || v.clockStartedAnew(e)) { // earlier ones cannot answer under this token
 		s.handleRestart(e.Order.Server, v, e.Report.IncarnationStart, lost)
 		return // what it says of runs may change until calls for the earlier incarnation are refused
 	}
+	if stored := s.recordedEnds[e.Order.Server]; first && stored.IncarnationStart == e.Report.IncarnationStart && e.Report.Clock < stored.Clock {
+		s.handleRestart(e.Order.Server, v, e.Report.IncarnationStart, lost) // after the incarnation that reported to a holder
+		return
+	}
 	v.incarnationStart = e.Report.IncarnationStart
 	s.observeAlive(v)
 	if s.observeClock(v, e.Report.Clock); v.token == 0 {
--- a/internal/fleet/set_back_test.go
+++ b/internal/fleet/set_back_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
 )
 
 // restartAt has a backend server start again, with a time of start that differs from the one before by d.
@@ -26,8 +29,8 @@
 	assert.Equal(t, w.holder().state.servers[at.id].appliedEnd, int64(3))
 	at.restartAt(w, 0)
 	w.run(contactTime)
-	name, _ := runningTask(t, w, 1, 2*time.Second)
-	w.run(10 * time.Second)
+	name := job.GroupKey{Job: w.submit(newJob(1, oneAccelerator, 1)).ID}.TaskName(0)
+	w.run(12 * time.Second)
 	assert.Equal(t, w.oracle.startsOf[name], 1)
 	assert.Assert(t, w.oracle.done[name])
 }
@@ -78,6 +81,46 @@
 	assert.Assert(t, other.runs[late.Task] != nil, "the task was not started elsewhere")
 }
 
+// All backend servers tell the time of their first start after each restart.
+func TestRandomRestartsWithTheSameTimeOfStart(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		playRandomRestarts(t, func(c *machine) { c.oracle.mayGiveUp, c.sameTimeOfStart = true, true })
+	})
+}
+
+// A successor hears first from the next incarnation, whose clock is lower than the one that the previous holder has
+// stored. Its ends are not those that are stored.
+func TestSuccessorHearsOfTheSameTimeOfStartFromTheClock(t *testing.T) {
+	w := newWorldWithHolder(t, 2, 1)
+	at := w.servers["s00"]
+	w.run(5 * time.Second)
+	for range 3 {
+		_, _ = runningTask(t, w, 1, 500*time.Millisecond)
+		w.run(2 * time.Second)
+	}
+	w.holder().dead = true
+	at.restartAt(w, 0)
+	name := job.GroupKey{Job: w.submit(newJob(1, oneAccelerator, 1)).ID}.TaskName(0)
+	w.run(12 * time.Second)
+	assert.Equal(t, w.oracle.startsOf[name], 1)
+	assert.Assert(t, w.oracle.done[name])
+}
+
+// A list that names the next incarnation after an answer has told of it does not count as one more restart.
+func TestEntryAfterTheClockTellsOfNoSecondRestart(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 1)
+	at := w.servers["s00"]
+	w.run(10 * time.Second)
+	token := at.highestToken
+	at.restartAt(w, 0)
+	w.run(idleHoldInterval + contactTime)
+	first := at.highestToken
+	assert.Assert(t, first > token)
+	w.run(10 * time.Second)
+	assert.Equal(t, at.highestToken, first)
+}
+
 // An entry that does not tell the time of start tells of no restart.
 func TestEntryWithoutATimeOfStartTellsOfNoRestart(t *testing.T) {
 	w := newWorldWithHolder(t, 1, 1)
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -45,6 +45,8 @@
 	Reported bool `json:"r,omitempty"`
 	// StartedAgain is set if an earlier incarnation had the same ID.
 	StartedAgain bool `json:"again,omitempty"`
+	// Clock is the highest reading of the incarnation's clock, milliseconds; 0 if none is known.
+	Clock int64 `json:"clock,omitempty"`
 }
 
 // replicated is the state that a VM builds from the stored records: all of it on replicas, only the
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -68,6 +68,8 @@
 	// lateAcrossRestarts lets late orders reach the next incarnation of a backend server too; see
 	// TestLateStartReachesRestartedServer.
 	lateAcrossRestarts bool
+	// sameTimeOfStart has backend servers tell the time of their first start after each restart.
+	sameTimeOfStart bool
 	// lateHoldsAcrossRestarts is the same for holds only.
 	lateHoldsAcrossRestarts bool
 	// lateHoldsFromArrival and lateStartsFromArrival let the deadlines of late orders count from
