Fleet: a report of an earlier run on the backend server of the next one counts

Cause: of two runs of a task on one server only the newer one was looked at.

Change: if the start of the newer run waits for its record, its placement is given up, and the earlier run is stopped first, as on any other server. If it is ordered already, the earlier run is stopped, and the order is not repeated while reports list that run.

--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -262,7 +262,10 @@
 		s.extend(w, deadline)
 		return clock, nil
 	}
-	if s.runs[o.Task] != nil || o.Run <= s.highestEndedRun[o.Task] {
+	if r := s.runs[o.Task]; r != nil && o.Run > s.highestEndedRun[o.Task] { // both would run
+		w.t.Fatalf("%v: run %d of task %s works on %s and run %d is started there by %s", w.now, r.order.Run, o.Task, s.id, o.Run, by)
+	}
+	if o.Run <= s.highestEndedRun[o.Task] {
 		s.extend(w, deadline)
 		return refuse(RefusedOldRun)
 	}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -48,6 +48,8 @@
 	stoppingSince time.Time
 	orphan        bool // not the task's current run
 	lossRecorded  bool // the loss of its backend server is recorded with its task
+	// earlierWorks is set while reports list an earlier run of the task on the same backend server.
+	earlierWorks bool
 	// reached is set if a start order may have reached the backend server.
 	reached bool
 
@@ -248,7 +250,7 @@
 		return listTooOld
 	case !s.mayAct():
 		return termUnconfirmed
-	case !r.orphan && s.earlierRunIsThere(r):
+	case r.earlierWorks || !r.orphan && s.earlierRunIsThere(r):
 		return earlierRunWorks
 	default:
 		return noObstacle
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -458,6 +458,7 @@
 	}
 	for _, name := range eventloop.SortedKeys(v.runs) {
 		if r := v.runs[name]; r != nil && !running[name] {
+			r.earlierWorks = false
 			s.handleMissingRun(v, r, e.Sent)
 		}
 	}
@@ -479,7 +480,7 @@
 		s.markRunning(r, s.workDone(r, row.Percent), clock)
 		r.lossRecorded = false
 	}
-	r.startInDoubt, r.reportedAt, r.reportedClock = false, s.now, clock
+	r.startInDoubt, r.earlierWorks, r.reportedAt, r.reportedClock = false, false, s.now, clock
 	if r.progress.Observe(row.Percent, serverTime(clock)) {
 		rated = r
 	}
@@ -506,10 +507,15 @@
 		return
 	}
 	if old := v.runs[row.Task]; old != nil {
+		if old.number > row.Run && old.phase != runRecording {
+			s.stopEarlierRun(v, old, row)
+			return
+		}
 		if old.number > row.Run {
-			return // a newer run has been ordered since the report
+			s.requeue(v, old, "an earlier run works on its backend server")
+		} else {
+			s.removeRun(v, old)
 		}
-		s.removeRun(v, old)
 	}
 	t := &g.Tasks[index]
 	s.log.Warn("a backend server runs what is not expected there", zap.String("task", row.Task), zap.Int64("run", row.Run), zap.String("server", string(v.entry.ID)),
@@ -520,6 +526,15 @@
 	s.requestStop(r, stopUnexpected, "not expected there")
 }
 
+// stopEarlierRun orders the stop of a run that works, or worked when the report was made, on the backend server of a
+// newer run whose start is ordered already. The stop does not concern the newer run.
+func (s *State) stopEarlierRun(v *server, newer *run, row RunReport) {
+	s.log.Warn("a backend server runs an earlier run beside the one that is expected there", zap.String("task", row.Task), zap.Int64("run", row.Run),
+		zap.Int64("expected", newer.number), zap.String("server", string(v.entry.ID)), zap.Int("percent", row.Percent))
+	newer.earlierWorks = true
+	s.emit(OrderStop{Stop{Server: v.entry.ID, Address: v.entry.Address, Task: row.Task, Run: row.Run, Token: v.token}})
+}
+
 // groupOf returns the group of a task by the task's name; nil if the job is not known.
 func (s *State) groupOf(name string) (g *job.Group, index int, err error) {
 	key, index, err := job.ParseTaskName(name)
--- a/internal/standin/prepared/server.go
+++ b/internal/standin/prepared/server.go
@@ -414,7 +414,13 @@
 	switch {
 	case known != nil && known.Number == o.Run:
 		s.extend(o.DeadlineMs)
-	case known != nil || o.Run <= s.highest[o.Task]:
+	case known != nil && o.Run > s.highest[o.Task]: // both would run
+		now := time.Now()
+		s.record.began(&Run{Task: o.Task, Server: s.id, Zone: s.Zone, Number: o.Run, Token: o.FenceToken, Began: now, Ended: now, How: Stopped, Gang: known.Gang,
+			Late: late > 0, Across: !s.born.Equal(born)})
+		refuse("old")
+		return
+	case o.Run <= s.highest[o.Task]:
 		s.extend(o.DeadlineMs)
 		refuse("old")
 		return
--- a/internal/standin/prepared/server_test.go
+++ b/internal/standin/prepared/server_test.go
@@ -53,3 +53,15 @@
 	s.born = s.born.Add(-100 * time.Second)
 	assert.Assert(t, s.clock() >= firstClock+98000 && s.clock() < firstClock+100000, "%d", s.clock())
 }
+
+// A backend server carries out a run beside an earlier one of the same task.
+func TestRunBesideAnEarlierOneOnItsServerIsRecorded(t *testing.T) {
+	network := NewNetwork()
+	s := &Server{id: "i-1", LeaseMax: time.Minute, network: network, store: NewStore(network, nil), record: newRecord()}
+	s.reset()
+	for run := 1; run <= 2; run++ {
+		body := fmt.Sprintf(`{"task":"1.0.0.0","run":%d,"spec":"{\"RunMs\":60000}","deadlineMs":%d,"fenceToken":1}`, run, s.clock()+30000)
+		s.handleStart(httptest.NewRecorder(), httptest.NewRequest("POST", "/run-start", strings.NewReader(body)))
+	}
+	assert.Equal(t, len(s.record.RunTwice()), 1)
+}
