Dispatch: a repeated forward proves nothing of the first one

Callers see: a VM that stops tells `not run` for a request that runs, or has run, on the VM that it forwarded it to.

Cause: a forward without an answer is sent once more, and what became of the second call was told for both. The repeat may not be sent (connection refused) or be refused (queue full, kind unknown) while the first call is carried out. For a ticket the arbiter settles one outcome for all calls, except where it has no memory for the ticket and settles nothing.

Change: the repeat counts only if its outcome is that of all attempts; else the first one stays in doubt. A settled `not run` of a ticket is told as before.

--- /dev/null
+++ b/internal/dispatch/attempts_test.go
@@ -0,0 +1,76 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/ports"
+)
+
+// forgetKinds makes all VMs refuse requests as of unknown kinds. The caller holds cluster.mu.
+func (cluster *testCluster) forgetKinds() { cluster.view.Config = nil }
+
+// A leaving VM forwarded a request, got no answer, and forwarded it again. It told its caller `not run` when the
+// repeat was not carried out, although the first call ran.
+func TestRepeatOfAForwardDoesNotProveTheFirstNotRun(t *testing.T) {
+	for name, repeat := range map[string]func(*testCluster) wireFault{
+		"not sent": func(*testCluster) wireFault { return wireRefused },
+		"refused": func(cluster *testCluster) wireFault {
+			cluster.forgetKinds()
+			return wireOK
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, 2, 1, func(t *testing.T, cluster *testCluster) {
+				var calls callLog
+				leavingVM := cluster.vms["vm-0"]
+				leavingVM.startDrain()
+				forwards := 0
+				cluster.peerFault = func(call, _, _ string) wireFault {
+					if call != "forward" {
+						return wireOK
+					}
+					if forwards++; forwards == 1 {
+						return wireCutAfter
+					}
+					return repeat(cluster)
+				}
+				r := newQuote("1")
+				res := calls.call(context.Background(), leavingVM, r)
+				time.Sleep(time.Second)
+				assert.Equal(t, forwards, 2)
+				assert.Equal(t, cluster.executions(r.ID), 1)
+				assert.Equal(t, res.Outcome, model.OutcomeUnknown, "told %s: %s", res.Outcome, res.Reason)
+				calls.check(t, cluster)
+			})
+		})
+	}
+}
+
+// fullArbiter is a VM to which the first forward gets no answer, and that has no memory for the ticket of the next.
+type fullArbiter struct {
+	Peers
+	forwards int
+}
+
+func (f *fullArbiter) Forward(_ context.Context, _ string, r Request) (Result, error) {
+	if f.forwards++; f.forwards == 1 {
+		return Result{}, ports.ErrInDoubt
+	}
+	return notRunResult(r.ID, NotRunProof{kind: proofNeverSent, reason: ReasonTicketMemoryFull, retryAfter: time.Second}), nil
+}
+
+// An arbiter without memory for a ticket settles nothing for it: a forward that has not arrived yet may still run.
+func TestArbiterWithoutMemoryDoesNotProveAnEarlierForwardNotRun(t *testing.T) {
+	withCluster(t, 2, 1, func(t *testing.T, cluster *testCluster) {
+		m, arbiter := cluster.vms["vm-0"], &fullArbiter{}
+		m.ports.Peers = arbiter
+		res := m.Do(context.Background(), cluster.vms["vm-1"].newOrder("1"))
+		assert.Equal(t, arbiter.forwards, 2)
+		assert.Equal(t, res.Outcome, model.OutcomeUnknown, "told %s: %s", res.Outcome, res.Reason)
+	})
+}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -38,11 +38,13 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	r.Hops++
+	inDoubt := false
 	for _, address := range candidates {
 		res, err := d.forwardWithRetry(ctx, address, r)
-		if err == nil && !isNotArbiter(res) {
+		if err == nil && !isNotArbiter(res) && (!inDoubt || coversAllAttempts(r, res)) {
 			return d.checkPeerResult(r, res)
 		}
+		inDoubt = inDoubt || !errors.Is(err, ports.ErrUnavailable)
 		if ctx.Err() != nil {
 			return unknownResult(r.ID, ReasonInDoubt)
 		}
@@ -80,13 +82,21 @@
 }
 
 // forwardWithRetry forwards a request and does so once more when the answer was lost.
-// This is safe because the request has a ticket or is idempotent.
+// This is safe because the request has a ticket or is idempotent. What became of the second
+// call proves nothing of the first one, unless the outcome is that of both.
 func (d *Dispatcher) forwardWithRetry(ctx context.Context, address string, r Request) (Result, error) {
 	res, err := d.forward(ctx, address, r)
-	if errors.Is(err, ports.ErrInDoubt) && ctx.Err() == nil {
-		return d.forward(ctx, address, r)
+	if !errors.Is(err, ports.ErrInDoubt) || ctx.Err() != nil {
+		return res, err
+	}
+	res, err = d.forward(ctx, address, r)
+	if err != nil {
+		return Result{}, fmt.Errorf("%w: the repeat: %v", ports.ErrInDoubt, err)
+	}
+	if !coversAllAttempts(r, res) {
+		return Result{}, fmt.Errorf("%w: only the repeat is known not to have run: %s", ports.ErrInDoubt, res.Reason)
 	}
-	return res, err
+	return res, nil
 }
 
 type peerReply struct {
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -73,6 +73,13 @@
 	return Result{Request: id, Outcome: model.OutcomeNotRun, Reason: p.reason, RetryAfter: p.retryAfter}
 }
 
+// coversAllAttempts reports whether an outcome is that of all attempts of a request, and not only of
+// the one that it answers. `not run` is so only as the outcome of a ticket, which its arbiter settles
+// once; an arbiter without memory for the ticket settles nothing.
+func coversAllAttempts(r Request, res Result) bool {
+	return res.Outcome != model.OutcomeNotRun || r.Ticket != "" && res.Reason != ReasonTicketMemoryFull
+}
+
 func unknownResult(id model.RequestID, reason model.Reason) Result {
 	return Result{Request: id, Outcome: model.OutcomeUnknown, Reason: reason}
 }
