Dispatch: a forward is not answered by an earlier request of its ID

Callers see: an idempotent request that goes through a VM that stops gets the answer of another caller that has used the same request ID, or `not run` although it runs.

Cause: a VM that stops forwards such requests, and looks up the outcome at the other VM after a second without an answer. The look-up names the request's ID alone, which callers choose and may repeat. While the forward is still under way, the other VM tells what it knows of the ID: the outcome of an earlier request.

Change: without a ticket a look-up ends no forward. One that tells an outcome shows only that the call has not arrived or that its answer is lost; the request is then forwarded again, as after a look-up without an answer. Requests with a ticket are looked up by it, as before.

Ruled out: an ID of its own for each forward, since callers look requests up by theirs at any VM.

--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -74,3 +74,34 @@
 		assert.Equal(t, res.Outcome, model.OutcomeUnknown, "told %s: %s", res.Outcome, res.Reason)
 	})
 }
+
+// A leaving VM forwarded a request and looked up its outcome by its ID, which callers choose. It was told that of an
+// earlier request, and took it for that of its own: the answer of another caller, or `not run` before the request ran.
+func TestForwardIsNotAnsweredByAnEarlierRequestOfItsID(t *testing.T) {
+	for name, refused := range map[string]bool{"of another caller": false, "refused before": true} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, 2, 1, func(t *testing.T, cluster *testCluster) {
+				var calls callLog
+				leavingVM, other := cluster.vms["vm-0"], cluster.vms["vm-1"]
+				earlier, r := newQuote("1"), newQuote("1")
+				if refused {
+					config := cluster.view.Config
+					cluster.change(func(v *View) { v.Config = nil })
+					assert.Equal(t, other.Do(context.Background(), earlier).Outcome, model.OutcomeNotRun)
+					cluster.change(func(v *View) { v.Config = config })
+				} else {
+					earlier.Caller = "another"
+					assert.Equal(t, other.Do(context.Background(), earlier).Outcome, model.OutcomeDone)
+				}
+				leavingVM.startDrain()
+				fail := failCalls("forward", wireDelayed)
+				cluster.peerFault = func(call, _, _ string) wireFault { return fail(call) }
+				res := calls.call(context.Background(), leavingVM, r)
+				assert.Equal(t, res.Outcome, model.OutcomeDone, "told %s: %s", res.Outcome, res.Reason)
+				assert.Equal(t, string(res.Body), expectedBody(r))
+				time.Sleep(recoveryTime)
+				calls.check(t, cluster)
+			})
+		})
+	}
+}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -105,7 +105,9 @@
 }
 
 // forward sends a request to another VM and looks up its outcome when the answer takes
-// long, because the connection may have failed without an error.
+// long, because the connection may have failed without an error. Without a ticket the other
+// VM knows the request by its ID alone, which callers choose: an outcome found there may be
+// that of an earlier request, and tells only that this call has not arrived or was answered.
 func (d *Dispatcher) forward(ctx context.Context, address string, r Request) (Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -124,9 +126,9 @@
 		}
 		res, err := d.lookupAt(ctx, address, r)
 		switch {
-		case err == nil && isFinal(res):
+		case err == nil && isFinal(res) && r.Ticket != "":
 			return res, nil
-		case err == nil:
+		case err == nil && !isFinal(res):
 			lookupFailures = 0
 		case errors.Is(err, ports.ErrNotFound):
 			return Result{}, fmt.Errorf("%s has no record of the request: %w", address, ports.ErrInDoubt)
