Dispatch: a refused attempt proves nothing of an earlier one

Callers see: a look-up of a request by its ID tells `not run` while an earlier attempt of it runs, or after one has run or may have.

Cause: the outcome of the newest attempt took the place of all that was known of the ID. An attempt that is refused (queue full, kind unknown, VM stopping) is told `not run`, which is true of that attempt alone.

Change: `not run` replaces only `not run`, and what is known of a request whose attempts all have the same ticket, which has one outcome. While an attempt is open, the ID is in flight unless an earlier attempt is done.

--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -105,3 +105,51 @@
 		})
 	}
 }
+
+// A look-up by ID told the outcome of the newest attempt, `not run`, although an earlier attempt of the request was
+// running, had run or may have.
+func TestRefusedAttemptDoesNotProveAnEarlierOneNotRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault     wireFault     // of all calls to the server
+		repeat    time.Duration // when the refused attempt is made
+		then, end model.Outcome // what is known after the refused attempt, and after the earlier one
+	}{
+		"running":  {wireOK, 10 * time.Millisecond, unknown, done},
+		"done":     {wireOK, time.Second, done, done},
+		"in doubt": {wireSilent, 20 * time.Second, unknown, unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, 1, 1, func(t *testing.T, cluster *testCluster) {
+				m := cluster.vms["vm-0"]
+				cluster.servers["backend-0"].faults = func(string) wireFault { return c.fault }
+				r := newQuote("1")
+				go m.Do(context.Background(), r)
+				time.Sleep(c.repeat)
+				cluster.change(func(v *View) { v.Config = nil })
+				assert.Equal(t, m.Do(context.Background(), r).Outcome, model.OutcomeNotRun)
+				found, ok := m.Lookup(context.Background(), r.ID, "")
+				assert.Assert(t, ok)
+				assert.Equal(t, found.Outcome, c.then, found.Reason)
+				time.Sleep(recoveryTime)
+				found, _ = m.Lookup(context.Background(), r.ID, "")
+				assert.Equal(t, found.Outcome, c.end, found.Reason)
+			})
+		})
+	}
+}
+
+// All attempts of a ticket have one outcome: `not run` ends a doubt about it.
+func TestSettledTicketEndsTheDoubtAboutAnID(t *testing.T) {
+	withCluster(t, 1, 1, func(t *testing.T, cluster *testCluster) {
+		m := cluster.vms["vm-0"]
+		cluster.servers["backend-0"].faults = func(string) wireFault { return wireSilent }
+		r := m.newOrder("1")
+		assert.Equal(t, m.Do(context.Background(), r).Outcome, model.OutcomeUnknown)
+		cluster.servers["backend-0"].faults = nil
+		time.Sleep(2 * resolveAfterDeadline)
+		assert.Equal(t, m.Do(context.Background(), r).Outcome, model.OutcomeNotRun)
+		found, ok := m.Lookup(context.Background(), r.ID, "")
+		assert.Assert(t, ok)
+		assert.Equal(t, found.Outcome, model.OutcomeNotRun)
+	})
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -132,11 +132,11 @@
 	started := time.Now()
 	v := d.ports.View()
 	kind, known := v.kind(r.Kind)
-	d.recent.add(r, unknownResult(r.ID, ReasonInFlight), started)
+	d.recent.begin(r, started)
 	res := d.decide(ctx, v, r, kind, known)
 	res.Request = r.ID
 	d.checkResult(r, res)
-	d.recent.add(r, res, time.Now())
+	d.recent.end(r, res, time.Now())
 	d.metrics.recordOutcome(kind.Class, res, time.Since(started))
 	span.SetAttributes(
 		attribute.String("request.outcome", string(res.Outcome)),
--- a/internal/dispatch/lookup.go
+++ b/internal/dispatch/lookup.go
@@ -81,34 +81,65 @@
 	bytes   int
 }
 
+// recentOutcome is what is known of all attempts of a request.
 type recentOutcome struct {
 	binding    ticket.Binding
-	result     Result
+	ticket     string
+	result     Result // of the attempts that have ended; no outcome before the first of them
+	open       int    // attempts without an outcome
 	recordedAt time.Time
 	ambiguous  bool // different requests used the ID
+	oneTicket  bool // all attempts have the same ticket
 }
 
 func newRecentOutcomes() *recentOutcomes {
 	return &recentOutcomes{entries: map[model.RequestID]*recentOutcome{}}
 }
 
-func (o *recentOutcomes) add(r Request, res Result, now time.Time) {
+// begin records that an attempt of a request has begun.
+func (o *recentOutcomes) begin(r Request, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e := o.entry(r)
+	e.open++
+	e.recordedAt = now
+	o.bound()
+}
+
+// end records the outcome of an attempt. One that did not run proves nothing of an earlier one.
+func (o *recentOutcomes) end(r Request, res Result, now time.Time) {
 	if len(res.Body) > maxRecentBytes {
-		return
+		res = unknownResult(r.ID, ReasonBodyDropped)
 	}
-	binding := ticket.Bind(r.Kind, r.Organisation, r.Caller, r.Body)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	e := o.entry(r)
+	e.open = max(e.open-1, 0)
+	e.recordedAt = now
+	known := e.result.Outcome
+	if known == "" || known == model.OutcomeNotRun || res.Outcome != model.OutcomeNotRun || e.oneTicket && coversAllAttempts(r, res) {
+		o.bytes += len(res.Body) - len(e.result.Body)
+		e.result = res
+	}
+	o.bound()
+}
+
+// entry returns the entry of a request, and notes what differs from its earlier attempts.
+func (o *recentOutcomes) entry(r Request) *recentOutcome {
+	binding := ticket.Bind(r.Kind, r.Organisation, r.Caller, r.Body)
 	e := o.entries[r.ID]
 	if e == nil {
-		e = &recentOutcome{binding: binding}
+		e = &recentOutcome{binding: binding, ticket: r.Ticket, oneTicket: true}
 		o.entries[r.ID] = e
 		o.order = append(o.order, r.ID)
 	}
-	o.bytes += len(res.Body) - len(e.result.Body)
 	e.ambiguous = e.ambiguous || e.binding != binding
-	e.result = res
-	e.recordedAt = now
+	e.oneTicket = e.oneTicket && e.ticket == r.Ticket
+	return e
+}
+
+// bound drops the oldest entries.
+func (o *recentOutcomes) bound() {
 	for len(o.order) > maxRecentOutcomes || o.bytes > maxRecentBytes {
 		o.drop(o.order[0])
 		o.order = o.order[1:]
@@ -124,8 +155,12 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	e := o.entries[id]
-	if e == nil || e.ambiguous || now.Sub(e.recordedAt) > recentTTL {
+	switch {
+	case e == nil || e.ambiguous || now.Sub(e.recordedAt) > recentTTL:
 		return Result{}, false
+	case e.open > 0 && e.result.Outcome != model.OutcomeDone:
+		return unknownResult(id, ReasonInFlight), true
+	default:
+		return e.result, true
 	}
-	return e.result, true
 }
