Control: a refused start is not taken for the end of its task

Callers see: a job that must run once has two runs at the same time.

Cause: a start without an answer is repeated. A backend server that leaves refuses the repeat, and still holds the task. The task counted as ended then: it was not stopped, the gang was given up, and the job was started elsewhere. If the server stays after all, the first start, which arrives late, finds the task held and runs it.

Change: a start, renewal or stop that is refused while the server still has the task makes the gang stop; the task ends by the stop that takes effect, by a report or with its lease.

--- a/internal/control/fakes_test.go
+++ b/internal/control/fakes_test.go
@@ -176,6 +176,10 @@
 	}
 	switch c.Verb {
 	case ports.VerbStart:
+		if f.leaving && t.State == ports.TaskHeld {
+			r.Refused = ports.RefusedLeaving // as for a hold; the task stays held
+			return r
+		}
 		f.start(t, now)
 		t.leaseEnd = now.Add(c.Lease)
 	case ports.VerbRenew:
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -65,9 +65,14 @@
 
 func (s *State) memberRefused(g *gang, m *member, verb ports.Verb, r ports.TaskResult) {
 	ended := r.State
-	if ended == "" || ended.Active() {
+	if ended == "" {
 		ended = ports.TaskLeaseExpired
 	}
+	if r.State.Active() && verb != ports.VerbHold && verb != ports.VerbCheckpoint {
+		// The backend server still has the task: it ends by a stop that takes effect, or with its lease.
+		s.stopGang(g, ending{result: replica.ResultRetry, reason: ReasonMemberLost})
+		return
+	}
 	switch verb {
 	case ports.VerbHold:
 		m.state = ports.TaskStopped
