Intake: the repeat of a stored job is acknowledged, not refused

Callers see: a job that was accepted is refused when its submission arrives again (after a lost answer, or late) while the store is away: 503 says that the job never runs, and it runs.

Cause: the outcome of the repeat's own append was told for the job, although the VM had read the job from the store.

Change: a submission of a job that this VM knows to be stored is acknowledged at once, which also saves its append. A VM that does not know the job answers as before.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -187,9 +187,11 @@
 	}
 }
 
-// Submit stores a job and acknowledges it.
+// Submit stores a job and acknowledges it. One that is known to be stored is acknowledged at once: a refusal of
+// the repeat would say that it never runs.
 func (s *Service) Submit(ctx context.Context, c Call, t Target, j *job.Job) Answer {
-	if a := s.prepareJob(ctx, t, j); a.Result != OK {
+	stored, a := s.prepareJob(ctx, t, j)
+	if stored || a.Result != OK {
 		return a
 	}
 	record, err := job.SubmissionRecord(j)
@@ -202,20 +204,25 @@
 	return s.store(ctx, c, j.ID, record)
 }
 
-// prepareJob adds the settings of its queue to a job and refuses a job that can never run.
-func (s *Service) prepareJob(ctx context.Context, t Target, j *job.Job) Answer {
+// prepareJob adds the settings of its queue to a job and refuses a job that can never run. It reports whether
+// the job is known to be stored already.
+func (s *Service) prepareJob(ctx context.Context, t Target, j *job.Job) (bool, Answer) {
 	if !validID(t.Job) {
-		return Answer{Result: Invalid, Reason: fmt.Sprintf("job ID %q is not 16 hexadecimal digits", t.Job)}
+		return false, Answer{Result: Invalid, Reason: fmt.Sprintf("job ID %q is not 16 hexadecimal digits", t.Job)}
 	}
 	q := t.Queue
 	j.ID, j.Queue, j.Service, j.Organisation = t.Job, q.Name, q.Service, t.Organisation
 	j.Priority, j.Attempts, j.Stretch, j.Grace, j.Advised = q.Priority, max(q.Attempts, 1), q.Stretch, q.Grace, q.Advised
 	j.Accepted = time.Now().UTC()
 	if err := j.Check(); err != nil {
-		return Answer{Result: Invalid, Reason: strings.ReplaceAll(err.Error(), "\n", "; ")}
+		return false, Answer{Result: Invalid, Reason: strings.ReplaceAll(err.Error(), "\n", "; ")}
 	}
 	var findings []string
+	var stored bool
 	err := s.options.Loop.Query(ctx, func(st *fleet.State) {
+		if _, stored = st.JobStatus(j.ID); stored {
+			return
+		}
 		for i := range j.Steps {
 			if !st.CouldFit(j.Service, &j.Steps[i]) {
 				findings = append(findings, fmt.Sprintf("steps[%d]: no backend server of service %s can hold a task of %+v", i, j.Service, j.Steps[i].Need))
@@ -223,12 +230,12 @@
 		}
 	})
 	if err != nil {
-		return Answer{Result: Unavailable, Reason: err.Error(), RetryAfter: storeRetryAfter}
+		return false, Answer{Result: Unavailable, Reason: err.Error(), RetryAfter: storeRetryAfter}
 	}
 	if len(findings) > 0 {
-		return Answer{Result: Invalid, Reason: strings.Join(findings, "; ")}
+		return false, Answer{Result: Invalid, Reason: strings.Join(findings, "; ")}
 	}
-	return Answer{}
+	return stored, Answer{}
 }
 
 // validID reports whether id is 16 hexadecimal digits.
