--- a/internal/fleet/arrival_test.go
+++ b/internal/fleet/arrival_test.go
@@ -158,3 +158,93 @@
 	w.run(2 * time.Second)
 	assert.Assert(t, other.runs[job.GroupKey{Job: id}.TaskName(0)] != nil, "the task was not started elsewhere")
 }
+
+// startedElsewhere returns a start order without an answer, whose task was given up on its silent backend server and
+// started elsewhere before any backend server was seen to start again under its ID.
+func startedElsewhere(t *testing.T, w *world) (late Start, at, other *fakeServer) {
+	t.Helper()
+	at, other = idle(t, w)
+	late = lostStart(t, w, at)
+	cutOff(w, at)
+	other.unlisted = false
+	runUntil(w, "the task is started elsewhere", func() bool { return other.runs[late.Task] != nil })
+	assert.Assert(t, !w.holder().state.restartsSeen)
+	return late, at, other
+}
+
+// assertRunsOnceMore reaches the restarted backend server again, and fails the test if the task is not at work soon.
+func assertRunsOnceMore(t *testing.T, w *world, late Start) {
+	t.Helper()
+	clear(w.cutLinks)
+	w.run(maxDeliveryDelay)
+	assert.Equal(t, len(w.oracle.running[late.Task]), 1, "the task is not at work")
+}
+
+// The first restart under an ID that a deployment shows. The holder, which did not reach the new incarnation, knew that the
+// task's first start could arrive there, and left its next run at work elsewhere. Found as play 40727 of the one-way cuts.
+func TestStartArrivesAfterTheFirstRestartWasSeen(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	late, at, _ := startedElsewhere(t, w)
+	at.crash(w)
+	noticed(t, w, at)
+	w.run(200 * time.Millisecond)
+	_, err := at.start(w, late, "a late order")
+	assert.NilError(t, err)
+	assertRunsOnceMore(t, w, late)
+}
+
+// The same where the holder has changed since, and its successor sees the restart.
+func TestStartOfAPreviousHolderArrivesAfterTheFirstRestartWasSeen(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 2)
+	late, at, _ := startedElsewhere(t, w)
+	w.holder().dead = true
+	runUntil(w, "a successor", func() bool { return w.holder() != nil })
+	w.run(contactTime)
+	at.crash(w)
+	runUntil(w, "the successor sees the restart", func() bool { return w.holder().state.restartsSeen })
+	w.run(200 * time.Millisecond)
+	_, err := at.start(w, late, "a late order")
+	assert.NilError(t, err)
+	assertRunsOnceMore(t, w, late)
+}
+
+// The same where the new incarnation answers nothing, though the earlier one answered until it ended.
+func TestStartArrivesAfterTheFirstRestartOfAServerThatFallsSilent(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	late, at, _ := startedElsewhere(t, w)
+	clear(w.cutLinks)
+	runUntil(w, "the backend server answers", func() bool { return w.holder().state.servers[at.id].failedCalls == 0 })
+	at.crash(w)
+	cutOff(w, at)
+	noticed(t, w, at)
+	w.run(2 * callTimeout)
+	_, err := at.start(w, late, "a late order")
+	assert.NilError(t, err)
+	assertRunsOnceMore(t, w, late)
+}
+
+// A restart of a backend server that answers costs nothing: the next call under its raised token refuses the start.
+func TestRestartOfAServerThatAnswersStopsNoRunElsewhere(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	late, at, other := startedElsewhere(t, w)
+	r := other.runs[late.Task]
+	clear(w.cutLinks)
+	runUntil(w, "the backend server answers", func() bool { return w.holder().state.servers[at.id].failedCalls == 0 })
+	at.crash(w)
+	noticed(t, w, at)
+	w.run(contactTime)
+	_, err := at.start(w, late, "a late order")
+	assertFenced(t, err)
+	w.run(contactTime)
+	assert.Equal(t, other.runs[late.Task], r, "the run elsewhere was stopped")
+}
+
+// The first restart under an ID that a deployment shows, and a late start that arrives before the holder sees it.
+func TestStartArrivesBeforeTheFirstRestartIsSeen(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	late, at, _ := startedElsewhere(t, w)
+	at.crash(w)
+	_, err := at.start(w, late, "a late order")
+	assert.NilError(t, err)
+	assertRunsOnceMore(t, w, late)
+}
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -233,6 +233,46 @@
 	lateThenLost(t, w, at, other, late)
 }
 
+// A hold to the earlier incarnation, without an answer yet, held back the first one to the next, so that a late start was
+// carried out there almost a second after the holder had seen the restart. Found as play 41456 of the one-way cuts.
+func TestHoldInFlightDoesNotHoldBackTheTokenOfTheNextIncarnation(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	at, _ := idle(t, w)
+	late := lostStart(t, w, at)
+	cut(w, at, false)
+	w.cutOneWay[[2]string{string(at.id), w.holder().name}] = true // answers
+	v := w.holder().state.servers[at.id]
+	runUntil(w, "a hold is not answered", func() bool { return v.failedCalls > 0 })
+	runUntil(w, "the next hold is in flight", func() bool { return v.holdInFlight })
+	at.crash(w)
+	noticed(t, w, at)
+	assert.Assert(t, v.holdInFlight)
+	w.run(100 * time.Millisecond)
+	_, err := at.start(w, late, "a late order")
+	assertFenced(t, err)
+}
+
+// The same where the successor has not reached the earlier incarnation.
+func TestHoldInFlightDoesNotHoldBackTheTokenOfASuccessor(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 2)
+	at, _ := idle(t, w)
+	late := lostStart(t, w, at)
+	w.holder().dead = true
+	clear(w.cutLinks)
+	for _, n := range w.nodes {
+		w.cutOneWay[[2]string{string(at.id), n.name}] = true // answers
+	}
+	runUntil(w, "a successor", func() bool { return w.holder() != nil })
+	s := w.holder().state
+	runUntil(w, "a hold of the successor is in flight", func() bool { return s.servers[at.id].failedCalls > 0 && s.servers[at.id].holdInFlight })
+	w.run(2 * linkDelay)
+	at.crash(w)
+	runUntil(w, "the successor sees the restart", func() bool { return s.servers[at.id].entry.IncarnationStart == at.born() })
+	w.run(100 * time.Millisecond)
+	_, err := at.start(w, late, "a late order")
+	assertFenced(t, err)
+}
+
 // A hold without an answer arrived after its server was forgotten and listed again.
 func TestLateHoldToAServerThatWasForgotten(t *testing.T) {
 	w := newWorldWithHolder(t, 1, 2)
