Fleet: a hold to an earlier incarnation holds back no hold to the next

Cause: a backend server had one hold under way at a time. If it started again while one was unanswered, the first call to the new incarnation, which has it refuse older tokens, waited for that hold's timeout: up to 0.95 s, in which late starts and holds are carried out there.

Change: once the token is raised, or the entry tells a holder that has not had a report of a restart, the next hold is sent at once. The outcome of the earlier one tells nothing of the new incarnation and is not looked at. Callers pay nothing: one more call for a restart under an ID.

Ruled out: counting holds by a number, since the token and the time of sending tell them apart.

--- a/internal/fleet/restart.go
+++ b/internal/fleet/restart.go
@@ -118,8 +118,7 @@
 	s.log.Info("token of a backend server raised", zap.String("server", string(id)), zap.Int64("born", v.incarnationStart),
 		zap.Int64("from", s.tokens[id]), zap.Int64("to", token))
 	v.token, s.tokens[id] = token, token
-	v.nextHoldAt = s.now
-	s.touch(v)
+	s.askNextIncarnation(v)
 }
 
 // endsToRecord is what is stored of the ends on a backend server. While its incarnation is not known, that
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -46,9 +46,12 @@
 	grantedAt time.Time
 	// callsArriveUntil is when all calls that ended without an answer have certainly arrived.
 	callsArriveUntil time.Time
-	holdInFlight     bool // a Hold is unanswered
-	nextHoldAt       time.Time
-	failedCalls      int // calls without a report since the newest report
+	holdInFlight     bool // a Hold to the present incarnation is unanswered
+	// restartListedAt is when its entry told of a restart before it had reported: a Hold that was sent earlier went to an
+	// earlier incarnation.
+	restartListedAt time.Time
+	nextHoldAt      time.Time
+	failedCalls     int // calls without a report since the newest report
 	// silentSince is when the first of these calls failed; disconnected is set if the newest of them
 	// ended because the other side closed or refused the connection, or is another incarnation.
 	silentSince  time.Time
@@ -136,6 +139,7 @@
 		s.log.Info("backend server drains", zap.String("server", string(e.ID)), zap.Duration("remaining", e.Remaining))
 		s.replan = true
 	}
+	before := v.entry.IncarnationStart
 	if e.Sequence != v.entry.Sequence || e.IncarnationStart != v.entry.IncarnationStart {
 		v.heartbeatAt = s.now
 	}
@@ -151,6 +155,10 @@
 	switch {
 	case !s.holdsTerm():
 	case v.incarnationStart == 0:
+		if before != 0 && e.IncarnationStart != 0 && before != e.IncarnationStart {
+			v.restartListedAt = s.now
+			s.askNextIncarnation(v)
+		}
 		s.observeUnreached(e.ID, v)
 	case e.IncarnationStart == 0 || e.IncarnationStart == v.incarnationStart || e.IncarnationStart == v.earlierIncarnation:
 	case e.IncarnationStart > v.incarnationStart || v.entryBefore == v.incarnationStart:
@@ -169,6 +177,13 @@
 	s.sendHold(id, v)
 }
 
+// askNextIncarnation lets the next Hold be sent at once: one that is unanswered went to an earlier incarnation. Until the
+// next one refuses older tokens, it carries out late calls.
+func (s *State) askNextIncarnation(v *server) {
+	v.holdInFlight, v.nextHoldAt = false, s.now
+	s.touch(v)
+}
+
 // sendHold requests a report. The leases of a backend server that does not answer are no
 // longer extended, so that it is certain when they end.
 func (s *State) sendHold(id model.BackendServerID, v *server) {
@@ -301,11 +316,11 @@
 	if v == nil {
 		return
 	}
-	v.holdInFlight = false
-	s.touch(v)
-	if e.Order.Token != v.token {
+	if e.Order.Token != v.token || e.Sent.Before(v.restartListedAt) {
 		return // asked of an earlier incarnation
 	}
+	v.holdInFlight = false
+	s.touch(v)
 	if e.Err != nil {
 		s.holdFailed(e, v)
 		return
