Dispatch: a request names the incarnation of the backend server that it is meant for

Callers saw: an order that a look-up had found not run, and whose caller was told so, ran when its call arrived late, after a restart of its backend server. The next incarnation did not know that the order was closed.

Cause: nothing in a call told the incarnations of a backend server apart.

Change: a request carries the incarnation that the server's newest answer, or its status, has told; another incarnation refuses it and tells its own. Backend servers that ignore the field serve as before. What is left: the first request of a VM that has had no answer from the server, and is not the one that reads its status, names none.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -69,6 +69,7 @@
 	Leaving     bool                `json:"leaving"`
 	Quarantined bool                `json:"quarantined"`
 	FreeSlots   int                 `json:"freeSlots"`
+	Incarnation string              `json:"incarnation,omitempty"` // of its latest report to this VM
 	LastSeen    time.Time           `json:"lastSeen"`
 }
 
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -168,6 +168,7 @@
 			Leaving:     v.leaving,
 			Quarantined: v.health.quarantined,
 			FreeSlots:   v.freeSlots,
+			Incarnation: v.incarnation,
 			LastSeen:    maxTime(v.lastSeen, v.holderSawLive),
 		}
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -55,6 +55,7 @@
 	idle             chan struct{}                // buffer of one; signals that the last open item was closed
 	wakeScheduled    bool                         // a call of startQueued is scheduled
 	suspects         map[string]chan struct{}     // by address; see suspectChannel
+	incarnations     map[string]string            // of backend servers as their newest answers tell, by address
 	leavingSince     map[string]time.Time         // by address, for backend servers that the view shows as leaving
 	successor        map[model.Incarnation]string // address of the VM that took over the tickets, by incarnation
 	withoutSuccessor map[model.Incarnation]bool   // tickets offered to other VMs, and certainly accepted by none
@@ -88,6 +89,7 @@
 		handOverEnded:    make(chan struct{}),
 		drainEnded:       make(chan struct{}),
 		suspects:         map[string]chan struct{}{},
+		incarnations:     map[string]string{},
 		successor:        map[model.Incarnation]string{},
 		withoutSuccessor: map[model.Incarnation]bool{},
 	}
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -157,6 +158,7 @@
 	x := d.newExchange(it, b, id)
 	res := x.run(ctx)
 	span.SetAttributes(attribute.String("exchange.end", strconv.Itoa(int(res.end))))
+	d.observeIncarnation(b.Address(), res.answer)
 	d.recordSend(b, it, sendReport(res, ctx.Err(), time.Since(started)))
 	return res
 }
@@ -172,6 +174,7 @@
 			Organisation: it.request.Organisation,
 			Caller:       it.request.Caller,
 			Body:         it.request.Body,
+			Incarnation:  d.incarnationAt(b.Address()),
 			Timeout:      time.Until(it.Deadline),
 		},
 		lookupDelay: max(d.scheduler.SlowThreshold(it.kind.Name, defaultSlowThreshold), minLookupDelay),
@@ -181,6 +184,29 @@
 	}
 }
 
+// incarnationAt returns the incarnation of the backend server at an address; empty if it is not known. One that has
+// passed is refused, and the refusal tells the present one. The caller holds d.mu.
+func (d *Dispatcher) incarnationAt(address string) string {
+	if known := d.incarnations[address]; known != "" {
+		return known
+	}
+	v := d.ports.View()
+	i := slices.IndexFunc(v.Backends, func(b BackendView) bool { return b.Server.Address == address })
+	if i < 0 {
+		return ""
+	}
+	return v.Backends[i].Incarnation
+}
+
+func (d *Dispatcher) observeIncarnation(address string, a ports.Answer) {
+	if a.Incarnation == "" {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.incarnations[address] = a.Incarnation
+}
+
 // checkResult reports a violation if the body of a result does not match its digest or
 // its outcome.
 func (d *Dispatcher) checkResult(r Request, res Result) {
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -104,6 +105,9 @@
 	startedAt   time.Time // of this incarnation; zero for the first
 }
 
+// incarnationText is how a server names its incarnation.
+func incarnationText(n int) string { return strconv.Itoa(n + 1) }
+
 // restart replaces the server by a new incarnation under the same ID, which remembers no request.
 func (s *fakeServer) restart() {
 	s.mu.Lock()
@@ -172,7 +176,12 @@
 		return x.answer, nil
 	}
 	incarnation := s.incarnation
-	x := &execution{answer: ports.Answer{Request: e.Request, State: ports.ExecutionRunning}}
+	if e.Incarnation != "" && e.Incarnation != incarnationText(incarnation) {
+		defer s.mu.Unlock()
+		s.refusals++
+		return ports.Answer{Request: e.Request, State: ports.ExecutionRefused, Refused: ports.RefusedOtherIncarnation, Incarnation: incarnationText(incarnation)}, nil
+	}
+	x := &execution{answer: ports.Answer{Request: e.Request, State: ports.ExecutionRunning, Incarnation: incarnationText(incarnation)}}
 	s.records[e.Request] = x
 	if refused := s.refuses(); refused != "" {
 		defer s.mu.Unlock()
@@ -284,7 +293,7 @@
 			records:     map[model.RequestID]*execution{},
 		}
 		server := model.BackendServer{ID: id, Address: address, AZ: "az", Region: "region", Slots: 8, Connections: 64}
-		cluster.view.Backends = append(cluster.view.Backends, BackendView{Server: server, Live: true, FreeSlots: 8})
+		cluster.view.Backends = append(cluster.view.Backends, BackendView{Server: server, Live: true, FreeSlots: 8, Incarnation: incarnationText(0)})
 	}
 	for i := range vms {
 		address := fmt.Sprintf("vm-%d", i)
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -62,3 +62,17 @@
 		calls.check(t, cluster)
 	})
 }
+
+// A VM that does not know of a restart yet learns the new incarnation from its refusal, and the request runs there.
+func TestRequestReachesARestartedServer(t *testing.T) {
+	withCluster(t, 1, 1, func(t *testing.T, cluster *testCluster) {
+		var calls callLog
+		s, m := cluster.servers["backend-0"], cluster.vms["vm-0"]
+		assert.Equal(t, calls.call(context.Background(), m, m.newOrder("1")).Outcome, model.OutcomeDone)
+		s.restart()
+		assert.Equal(t, calls.call(context.Background(), m, m.newOrder("2")).Outcome, model.OutcomeDone)
+		assert.Equal(t, calls.call(context.Background(), m, m.newOrder("3")).Outcome, model.OutcomeDone)
+		assert.Equal(t, s.refusals, 1)
+		calls.check(t, cluster)
+	})
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -41,6 +41,8 @@
 	Leaving     bool
 	Quarantined bool
 	FreeSlots   int
+	// Incarnation is that of the server's latest report. Empty if the server does not tell it.
+	Incarnation string
 }
 
 // PeerView is the state of another VM that routing uses.
--- a/internal/ports/backend.go
+++ b/internal/ports/backend.go
@@ -69,6 +69,8 @@
 	RefusedLeaving   Refusal = "leaving" // no new work is taken
 	RefusedNoTask    Refusal = "no such task"
 	RefusedNotActive Refusal = "not active" // the task ended or its lease expired
+	// RefusedOtherIncarnation answers a request that is meant for another incarnation of the server.
+	RefusedOtherIncarnation Refusal = "other incarnation"
 )
 
 // TaskResult answers one TaskCommand. An empty Refused means that it took effect.
@@ -113,6 +115,9 @@
 	Organisation model.OrganisationID `json:"organisation"`
 	Caller       model.CallerID       `json:"caller"`
 	Body         []byte               `json:"body"`
+	// Incarnation is the server's incarnation that the request is meant for; another one refuses it, since it
+	// does not know what became of the request before. Empty if it is not known.
+	Incarnation string `json:"incarnation,omitempty"`
 	// Timeout is how long the sender waits; after that the backend server may abort.
 	Timeout time.Duration `json:"timeout"`
 }
@@ -139,6 +144,8 @@
 	Error   string          `json:"error,omitempty"`
 	// FreeSlots is the number of free slots when the answer was written.
 	FreeSlots int `json:"freeSlots"`
+	// Incarnation is that of the server. Empty if the server does not tell it.
+	Incarnation string `json:"incarnation,omitempty"`
 }
 
 // Backend is the port to one backend server. Errors wrap ErrUnavailable if the
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -129,7 +129,7 @@
 		Leaving:     b.Leaving(),
 		FreeSlots:   b.slots - b.runningExecutions,
 		Token:       b.token,
-		Incarnation: strconv.FormatInt(b.startedAt.UnixNano(), 36),
+		Incarnation: b.incarnationText(),
 	}
 	for _, t := range b.tasks {
 		s.Tasks = append(s.Tasks, t.report(t.usage(now.Add(-defaultUsageLag))))
@@ -138,6 +138,9 @@
 	return s
 }
 
+// incarnationText differs after each restart.
+func (b *Backend) incarnationText() string { return strconv.FormatInt(b.startedAt.UnixNano(), 36) }
+
 // Handler serves the protocol of backend servers and the control API of the stand-in.
 func (b *Backend) Handler() http.Handler {
 	record := func() any { return b.Record() }
--- a/internal/standin/executions.go
+++ b/internal/standin/executions.go
@@ -26,7 +26,7 @@
 		x.record.Received++
 		return x, false, ""
 	}
-	refused = b.refuseExecution()
+	refused = b.refuseExecution(e)
 	b.offers = append(b.offers, Offer{Time: now, Request: e.Request, Refused: refused})
 	if refused != "" {
 		return nil, false, refused
@@ -49,7 +49,10 @@
 	return x, true, ""
 }
 
-func (b *Backend) refuseExecution() ports.Refusal {
+func (b *Backend) refuseExecution(e ports.Execution) ports.Refusal {
+	if e.Incarnation != "" && e.Incarnation != b.incarnationText() {
+		return ports.RefusedOtherIncarnation
+	}
 	if b.refusesWork() {
 		return ports.RefusedLeaving
 	}
@@ -125,6 +128,8 @@
 		Length:    len(x.body),
 		Error:     x.errorMessage,
 		FreeSlots: b.slots - b.runningExecutions,
+
+		Incarnation: b.incarnationText(),
 	}
 	if len(x.body) > 0 {
 		a.Digest = ports.Digest(x.body)
@@ -141,5 +146,7 @@
 		State:     ports.ExecutionRefused,
 		Refused:   refused,
 		FreeSlots: b.slots - b.runningExecutions,
+
+		Incarnation: b.incarnationText(),
 	}
 }
--- a/internal/vm/dispatch_view.go
+++ b/internal/vm/dispatch_view.go
@@ -77,6 +77,7 @@
 			Leaving:     b.Leaving,
 			Quarantined: b.Quarantined,
 			FreeSlots:   b.FreeSlots,
+			Incarnation: b.Incarnation,
 		})
 	}
 	slices.SortFunc(list, func(a, b dispatch.BackendView) int {
