Fleet: the log tells when a report ends the doubt about a start, and of orders that are not sent

With these two lines a log alone tells whether a run was known to be at work when an order for it came to nothing.

--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -466,6 +466,8 @@
 // still be in doubt.
 func (s *State) startExpired(v *server, r *run) {
 	s.metrics.StartsExpired.Inc(1)
+	s.log.Info("start order was not sent in time", zap.String("task", r.name), zap.Int64("run", r.number), zap.String("server", string(r.server)),
+		zap.Bool("in_doubt", r.startInDoubt), zap.Bool("listed", r.phase == runRunning))
 	if r.phase == runRunning {
 		return // a report has listed it since the order was decided
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -488,6 +488,10 @@
 		s.handleUnexpectedRun(v, row)
 		return nil
 	}
+	if r.startInDoubt {
+		s.log.Info("a report lists a run whose start was in doubt", zap.String("task", row.Task), zap.Int64("run", row.Run),
+			zap.String("server", string(v.entry.ID)), zap.Bool("order_under_way", r.inFlight), zap.Bool("stopping", r.stopping))
+	}
 	if r.phase != runRunning || r.listedSince == 0 {
 		r.listedSince = clock
 	}
