--- a/internal/standin/prepared/server.go
+++ b/internal/standin/prepared/server.go
@@ -44,6 +44,11 @@
 	FailAll bool // each run fails shortly after its start
 	// LateStarts lets each start order be carried out this long after it arrived, without an answer.
 	LateStarts time.Duration
+	// LateStartShare is the share of the start orders that are late; 0 means all of them.
+	LateStartShare float64
+	// RefusedStarts is the share of the start orders that are refused as by an unhealthy server, also of those for
+	// runs that are there.
+	RefusedStarts float64
 	// AcrossRestarts lets the late starts also reach the next incarnation that has the same ID.
 	AcrossRestarts bool
 	// LateHolds lets LateHoldShare of the calls to /hold be carried out half to all of this time after they
@@ -386,6 +391,14 @@
 	}
 	s.mu.Lock()
 	late, across, born, id := s.fault.LateStarts, s.fault.AcrossRestarts, s.born, s.id
+	if share := s.fault.LateStartShare; share > 0 && rand.Float64() >= share {
+		late = 0
+	}
+	if rand.Float64() < s.fault.RefusedStarts {
+		s.mu.Unlock()
+		reply(w, http.StatusServiceUnavailable, map[string]any{})
+		return
+	}
 	underWay := s.late
 	underWay[o.Task]++
 	s.mu.Unlock()
--- a/internal/standin/prepared/server_test.go
+++ b/internal/standin/prepared/server_test.go
@@ -53,3 +53,24 @@
 	s.born = s.born.Add(-100 * time.Second)
 	assert.Assert(t, s.clock() >= firstClock+98000 && s.clock() < firstClock+100000, "%d", s.clock())
 }
+
+// A start order that an unhealthy server refuses changes nothing, also if its run is there.
+func TestRefusedStart(t *testing.T) {
+	network := NewNetwork()
+	s := &Server{id: "i-1", LeaseMax: time.Minute, network: network, store: NewStore(network, nil), record: newRecord(), gangs: newGangs(network)}
+	s.reset()
+	start := func() int {
+		answer := httptest.NewRecorder()
+		body := fmt.Sprintf(`{"task":"ab.0.0.0","run":1,"spec":"{\"runMs\":60000}","deadlineMs":%d,"fenceToken":1}`, s.clock()+5000)
+		s.handleStart(answer, httptest.NewRequest("POST", "/run-start", strings.NewReader(body)))
+		return answer.Code
+	}
+	s.SetFault(ServerFault{RefusedStarts: 1})
+	assert.Equal(t, start(), 503)
+	assert.Equal(t, len(s.running), 0)
+	s.SetFault(ServerFault{})
+	assert.Equal(t, start(), 200)
+	s.SetFault(ServerFault{RefusedStarts: 1})
+	assert.Equal(t, start(), 503)
+	assert.Equal(t, len(s.running), 1)
+}
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -80,19 +80,45 @@
 }
 
 func startFleet(t *testing.T, zones, vmsPerZone, serversPerZone int) *fleetRun {
+	t.Helper()
+	f := prepareFleet(t, zones, vmsPerZone, serversPerZone)
+	f.startAll()
+	return f
+}
+
+// prepareFleet starts what the VMs need, and none of them.
+func prepareFleet(t *testing.T, zones, vmsPerZone, serversPerZone int) *fleetRun {
 	t.Helper()
 	d, err := prepared.NewDeployment(t.Context(), t.TempDir(), zones, vmsPerZone, serversPerZone)
 	assert.NilError(t, err)
 	f := &fleetRun{t: t, Deployment: d, longest: 10000}
 	for _, v := range d.VMs {
-		vm := &fleetVM{VM: v}
-		f.vms = append(f.vms, vm)
-		f.start(vm)
+		f.vms = append(f.vms, &fleetVM{VM: v})
+	}
+	return f
+}
+
+// startAll starts all VMs and waits until they are ready.
+func (f *fleetRun) startAll() {
+	f.t.Helper()
+	for _, v := range f.vms {
+		f.start(v)
 	}
 	for _, v := range f.vms {
 		f.awaitReady(v)
 	}
-	return f
+}
+
+// setAll replaces a line of the settings files of all VMs. It is in force from the next start of a VM on.
+func (f *fleetRun) setAll(old, changed string) {
+	f.t.Helper()
+	for _, v := range f.vms {
+		settings, err := os.ReadFile(v.SettingsPath)
+		assert.NilError(f.t, err)
+		replaced := bytes.Replace(settings, []byte(old+"\n"), []byte(changed+"\n"), 1)
+		assert.Assert(f.t, !bytes.Equal(replaced, settings), "%s has no %s", v.SettingsPath, old)
+		assert.NilError(f.t, os.WriteFile(v.SettingsPath, replaced, 0o600))
+	}
 }
 
 // start starts the VM's process.
