Fleet: an entry without a time of start tells a successor of no restart

Callers see: tasks of the whole deployment wait 15 s after each start without an answer, for good.

Cause: since a successor takes an entry whose former time of start is its present one for a restart under its ID. An entry of another writer, without a time of start, between two of a sound backend server gives the same picture, and the successor that does not reach that server stores the restart.

Change: the time of start with which a sequence began anew is kept by itself.

--- a/internal/fleet/restart.go
+++ b/internal/fleet/restart.go
@@ -137,7 +137,7 @@
 	stored := s.recordedEnds[id]
 	born := v.entry.IncarnationStart
 	older := born < stored.IncarnationStart && v.entryBefore != stored.IncarnationStart
-	startedAnew := born == stored.IncarnationStart && v.entryBefore == born
+	startedAnew := born == stored.IncarnationStart && v.sameStart == born
 	if stored.IncarnationStart == 0 || born == 0 || older || born == stored.IncarnationStart && stored.Reported && !startedAnew {
 		return
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -30,9 +30,10 @@
 	// incarnationStart is of the present incarnation, and earlierIncarnation of the one before, which entries may
 	// still name. The times need not rise: the time of day of the server's machine may have been set back.
 	incarnationStart, earlierIncarnation int64
-	// entryBefore is the incarnation that its entry named before the present one. It is the same time if the sequence
-	// of the entry began anew without a change of it.
+	// entryBefore is the incarnation that its entry named before the present one.
 	entryBefore int64
+	// sameStart is the newest time of start with which the sequence of its entry began anew: two incarnations have it.
+	sameStart int64
 	// entrySequence is the highest sequence of its entries of the present incarnation.
 	entrySequence int64
 	reportedAt    time.Time // when the newest report was received
@@ -153,7 +154,10 @@
 	v.entrySequence = max(v.entrySequence, e.Sequence)
 	if e.IncarnationStart != v.entry.IncarnationStart || startedAnew {
 		v.largest, v.entrySequence = job.Resources{}, e.Sequence
-		if v.entry.IncarnationStart != 0 {
+		switch {
+		case startedAnew:
+			v.sameStart = e.IncarnationStart
+		case v.entry.IncarnationStart != 0:
 			v.entryBefore = v.entry.IncarnationStart
 		}
 	}
--- a/internal/fleet/set_back_test.go
+++ b/internal/fleet/set_back_test.go
@@ -132,3 +132,22 @@
 	w.run(5 * time.Second)
 	assert.Equal(t, at.highestToken, token)
 }
+
+// An entry of another writer, without the time of start, between two of a sound backend server. A successor that does not
+// reach the server took that for a restart under its ID, so that tasks waited for late starts on the whole deployment.
+func TestSuccessorTakesNoEntryWithoutATimeOfStartForARestart(t *testing.T) {
+	w := newWorldWithHolder(t, 3, 2)
+	at := w.servers["s00"]
+	w.run(5 * time.Second)
+	strange := at.entry(w)
+	strange.IncarnationStart, strange.Sequence = 0, 0
+	for _, n := range w.nodes {
+		w.deliver(n, ServersListed{Servers: []ServerEntry{strange, w.servers["s01"].entry(w)}, AsOf: w.now})
+	}
+	w.run(nonHolderServersPause + time.Second)
+	w.holder().dead = true
+	cutOff(w, at)
+	runUntil(w, "a successor", func() bool { return w.holder() != nil })
+	w.run(time.Second)
+	assert.Assert(t, !w.holder().state.restartsSeen)
+}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -279,7 +279,7 @@
 			delete(s.servers, id)
 			continue
 		}
-		s.servers[id] = &server{entry: v.entry, largest: v.largest, listed: true, listedAt: v.listedAt, entryBefore: v.entryBefore, entrySequence: v.entrySequence, runs: make(map[string]*run)}
+		s.servers[id] = &server{entry: v.entry, largest: v.largest, listed: true, listedAt: v.listedAt, entryBefore: v.entryBefore, sameStart: v.sameStart, entrySequence: v.entrySequence, runs: make(map[string]*run)}
 	}
 	s.advice = make(map[string]*advice)
 	s.losses, s.crashed = nil, make(map[model.BackendServerID]bool)
