Fleet: an entry without a clock tells of no restart

Callers see: a sound backend server gets no order until its token is raised, its tasks are blamed for a loss, and tasks of the whole deployment wait 15 s after each start without an answer, for good.

Cause: since an entry with an old sequence and the known time of start is that of another incarnation if its clock is lower. A clock that is missing (an entry may come from another writer) was read as 0.

Change: an entry without a clock tells nothing, as one without a sequence.

Evidence: TestEntryWithoutAClockTellsOfNoRestart fails before (token raised from 1 to 4) and passes after, with the tests named Entry and SameTimeOfStart.

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -182,9 +182,10 @@
 }
 
 // sequenceBeganAnew reports whether an entry is of another incarnation that tells the same time of start. An entry
-// without a sequence tells nothing.
+// without a sequence or a clock tells nothing.
 func (v *server) sequenceBeganAnew(e ServerEntry) bool {
-	return e.IncarnationStart != 0 && e.IncarnationStart == v.entry.IncarnationStart && e.Sequence != 0 && e.Sequence < v.entrySequence
+	complete := e.IncarnationStart != 0 && e.Sequence != 0 && e.Clock != 0
+	return complete && e.IncarnationStart == v.entry.IncarnationStart && e.Sequence < v.entrySequence
 }
 
 // clockIsLower reports whether an entry that was written after the one before was listed has a lower clock than the
--- a/internal/fleet/set_back_test.go
+++ b/internal/fleet/set_back_test.go
@@ -151,3 +151,15 @@
 	w.run(time.Second)
 	assert.Assert(t, !w.holder().state.restartsSeen)
 }
+
+// An entry of another writer that lacks the clock and has an old sequence tells of no restart.
+func TestEntryWithoutAClockTellsOfNoRestart(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 1)
+	_, at := runningTask(t, w, 60, 5*time.Second)
+	token := at.highestToken
+	e := at.entry(w)
+	e.Sequence, e.Clock = 1, 0
+	w.deliver(w.holder(), ServersListed{Servers: []ServerEntry{e}, AsOf: w.now})
+	w.run(5 * time.Second)
+	assert.Equal(t, at.highestToken, token)
+}
