Fleet: an entry proves nothing of a start that it may be older than

Callers would see TWICE: a start without an answer begins its run in the next incarnation of a silent backend server, beside the task elsewhere.

Cause: a change of the entry that is read 2 s after the newest call counted as written after that call. It was written after the list before, which is older where the entries could not be read for a while (the store refuses or delays these reads): the entry may be one of before the call. The class is that of: knowledge is believed for more than it tells.

Change: the change counts from the time of the list before. Callers pay nothing while lists are read each 0.4 s.

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -64,6 +64,8 @@
 	silentSince  time.Time
 	disconnected bool
 	heartbeatAt  time.Time // when its entry was last seen to have changed
+	// writtenAfter is when the list before that was read: the entry was written later.
+	writtenAfter time.Time
 
 	appliedEnd      int64 // ends up to this number are applied
 	recordedEnd     int64 // ends up to this number are stored
@@ -79,13 +81,14 @@
 	if !s.role.active {
 		return // read before this VM gave up its role
 	}
+	before := s.serversAsOf
 	if l.AsOf.After(s.serversAsOf) {
 		s.serversAsOf = l.AsOf
 	}
 	present := make(map[model.BackendServerID]bool, len(l.Servers))
 	for _, e := range l.Servers {
 		present[e.ID] = true
-		s.serverListed(e)
+		s.serverListed(e, before)
 	}
 	for id, v := range s.servers {
 		if v.listed && !present[id] {
@@ -135,7 +138,8 @@
 	return v
 }
 
-func (s *State) serverListed(e ServerEntry) {
+// serverListed applies an entry; listBefore is when the list before was read.
+func (s *State) serverListed(e ServerEntry, listBefore time.Time) {
 	v := s.servers[e.ID]
 	if v == nil {
 		v = s.addServer(e.ID)
@@ -148,7 +152,7 @@
 	}
 	before := v.entry.IncarnationStart
 	if e.Sequence != v.entry.Sequence || e.IncarnationStart != v.entry.IncarnationStart {
-		v.heartbeatAt = s.now
+		v.heartbeatAt, v.writtenAfter = s.now, listBefore
 	}
 	startedAnew := v.sequenceBeganAnew(e)
 	v.entrySequence = max(v.entrySequence, e.Sequence)
@@ -339,7 +343,7 @@
 		return true
 	case !r.reached:
 		return false
-	case v.listed && v.entry.IncarnationStart == v.incarnationStart && v.heartbeatAt.Sub(v.grantedAt) > aliveAfter:
+	case v.listed && v.entry.IncarnationStart == v.incarnationStart && v.writtenAfter.Sub(v.grantedAt) > aliveAfter:
 		return false
 	default:
 		return s.now.Before(v.grantedAt.Add(s.longestLease() + clockSlack))
