Fleet: an earlier run stays known when the next one on its server is given up

Callers would see TWICE: two runs of one task on two backend servers.

Cause: since a report of an earlier run has that run stopped and holds the start of the newer run on the same server back, but only the newer run knows of it. If the newer run is given up meanwhile (its start is refused for want of room, which the earlier run takes, or expires, or it ends), the task is placed elsewhere at once, beside the earlier run.

Change: when the newer run is removed while reports list the earlier one, that becomes a run which is not expected and is being stopped, as on any other server, so that the task waits for its end.

--- a/internal/fleet/earlier_run_test.go
+++ b/internal/fleet/earlier_run_test.go
@@ -40,3 +40,20 @@
 	w.run(3 * time.Second) // the stand-in finds two runs at once
 	assert.Equal(t, at.runs[name].order.Run, w.holder().state.servers[at.id].runs[name].number)
 }
+
+// The start of the newer run is refused while the earlier run, which a report has told of, is still at work.
+func TestEarlierRunIsKnownWhenTheNextOneIsGivenUp(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 2)
+	at, other := idle(t, w)
+	name, _ := runningTask(t, w, 60, 2*time.Second)
+	giveUpRun(w, name, at)
+	w.orderDelay = time.Second
+	w.stopTime = 20 * time.Second
+	at.refusesStarts = RefusedNoCapacity
+	v := w.holder().state.servers[at.id]
+	runUntil(w, "a report tells of the earlier run", func() bool { return v.runs[name] != nil && v.runs[name].earlier != 0 })
+	other.unlisted = false
+	w.orderDelay = 0
+	w.run(30 * time.Second) // the oracle finds two runs at once
+	assert.Equal(t, len(w.oracle.running[name]), 1, "the task is not at work")
+}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -48,8 +48,8 @@
 	stoppingSince time.Time
 	orphan        bool // not the task's current run
 	lossRecorded  bool // the loss of its backend server is recorded with its task
-	// earlierWorks is set while reports list an earlier run of the task on the same backend server.
-	earlierWorks bool
+	// earlier is the number of an earlier run of the task while reports list that on the same backend server; else 0.
+	earlier int64
 	// reached is set if a start order may have reached the backend server.
 	reached bool
 
@@ -250,7 +250,7 @@
 		return listTooOld
 	case !s.mayAct():
 		return termUnconfirmed
-	case r.earlierWorks || !r.orphan && s.earlierRunIsThere(r):
+	case r.earlier != 0 || !r.orphan && s.earlierRunIsThere(r):
 		return earlierRunWorks
 	default:
 		return noObstacle
@@ -391,6 +391,7 @@
 	s.touch(v)
 	s.replan = true
 	s.keepAbandoned(v, r)
+	s.keepEarlier(v, r)
 	if !r.current() {
 		return
 	}
@@ -572,6 +573,7 @@
 	if r != nil && r.number == e.Run {
 		s.removeRun(v, r)
 		s.keepAbandoned(v, r)
+		s.keepEarlier(v, r)
 	}
 	if err != nil {
 		s.log.Error("an end report has an invalid task name", zap.String("server", string(v.entry.ID)), zap.Error(err))
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -482,7 +482,7 @@
 	}
 	for _, name := range eventloop.SortedKeys(v.runs) {
 		if r := v.runs[name]; r != nil && !running[name] {
-			r.earlierWorks = false
+			r.earlier = 0
 			s.handleMissingRun(v, r, e.Sent)
 		}
 	}
@@ -504,7 +504,7 @@
 		s.markRunning(r, s.workDone(r, row.Percent), clock)
 		r.lossRecorded = false
 	}
-	r.startInDoubt, r.earlierWorks, r.reportedAt, r.reportedClock = false, false, s.now, clock
+	r.startInDoubt, r.earlier, r.reportedAt, r.reportedClock = false, 0, s.now, clock
 	if r.progress.Observe(row.Percent, serverTime(clock)) {
 		rated = r
 	}
@@ -544,18 +544,31 @@
 	t := &g.Tasks[index]
 	s.log.Warn("a backend server runs what is not expected there", zap.String("task", row.Task), zap.Int64("run", row.Run), zap.String("server", string(v.entry.ID)),
 		zap.Int64("born", v.incarnationStart), zap.Int64("newest_run", t.Run), zap.String("placed_on", string(t.Server)), zap.Int("percent", row.Percent))
-	r := &run{group: g, index: index, name: row.Task, number: row.Run, server: v.entry.ID, phase: runRunning, orphan: true, startedAt: s.now, progressAt: s.now}
+	s.addOrphan(v, g, index, row.Run)
+}
+
+// addOrphan adds a run that is known to be at work and is not its task's current one, and has it stopped.
+func (s *State) addOrphan(v *server, g *job.Group, index int, number int64) {
+	name := g.Key().TaskName(index)
+	r := &run{group: g, index: index, name: name, number: number, server: v.entry.ID, phase: runRunning, orphan: true, startedAt: s.now, progressAt: s.now}
 	v.putRun(r)
-	s.orphans[row.Task]++
+	s.orphans[name]++
 	s.requestStop(r, stopUnexpected, "not expected there")
 }
 
+// keepEarlier keeps the task of a removed run from being placed while reports list an earlier run of it on the backend server.
+func (s *State) keepEarlier(v *server, r *run) {
+	if r.earlier != 0 && v.runs[r.name] == nil {
+		s.addOrphan(v, r.group, r.index, r.earlier)
+	}
+}
+
 // stopEarlierRun orders the stop of a run that works, or worked when the report was made, on the backend server of a
 // newer run whose start is ordered already. The stop does not concern the newer run.
 func (s *State) stopEarlierRun(v *server, newer *run, row RunReport) {
 	s.log.Warn("a backend server runs an earlier run beside the one that is expected there", zap.String("task", row.Task), zap.Int64("run", row.Run),
 		zap.Int64("expected", newer.number), zap.String("server", string(v.entry.ID)), zap.Int("percent", row.Percent))
-	newer.earlierWorks = true
+	newer.earlier = row.Run
 	s.emit(OrderStop{Stop{Server: v.entry.ID, Address: v.entry.Address, Task: row.Task, Run: row.Run, Token: v.token}})
 }
 
