Dispatch: the soak has colliding request IDs, mixed faults and VMs that linger after a drain

The ledger now counts the executions of a request by all that it consists of, since others may have its ID; for requests with an ID of their own the check is as before.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -356,6 +357,21 @@
 	return n
 }
 
+// executionsOf counts how often the servers executed a request. Others may have its ID.
+func (cluster *testCluster) executionsOf(r Request) int {
+	n := 0
+	for _, s := range cluster.servers {
+		s.mu.Lock()
+		for _, e := range s.executed {
+			if CallerRequestID(e.Request) == r.ID && e.Kind == r.Kind && e.Organisation == r.Organisation && e.Caller == r.Caller && bytes.Equal(e.Body, r.Body) {
+				n++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return n
+}
+
 // kill stops a VM abruptly: it sends and answers nothing any more.
 func (cluster *testCluster) kill(m *vm) {
 	cluster.mu.Lock()
--- a/internal/dispatch/ledger_test.go
+++ b/internal/dispatch/ledger_test.go
@@ -43,7 +43,7 @@
 	settledAs := map[string]model.Outcome{}
 	for _, x := range l.results {
 		id, res := x.request.ID, x.result
-		runs := cluster.executions(id)
+		runs := cluster.executionsOf(x.request)
 		if x.request.Ticket != "" && runs > 1 {
 			t.Errorf("request %s has a ticket and ran %d times, want at most once", id, runs)
 		}
--- a/internal/dispatch/soak_test.go
+++ b/internal/dispatch/soak_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
 // findings collects the failures of a randomised run, so that rapid can shrink the run.
@@ -33,6 +35,7 @@
 	Late  bool // the fault hits the second of the two kinds of call: look-up or hand-over
 	Fault wireFault
 	Count int
+	Then  wireFault     // of the call after the Count calls with Fault
 	Wait  time.Duration // before the next step
 }
 
@@ -43,7 +46,7 @@
 
 var (
 	stepNames = []string{
-		"order", "order", "order", "order", "retry", "retry", "quote", "quote",
+		"order", "order", "order", "order", "retry", "retry", "quote", "quote", "same ID", "same ID",
 		"server fault", "server fault", "server fault", "peer fault", "peer fault",
 		"freeze", "kill", "drain", "drain", "leave", "fail", "slow", "heal",
 	}
@@ -64,6 +67,7 @@
 		Late:  pick(t, 3, "late") == 0,
 		Fault: wireFault(1 + pick(t, int(wireFaultCount)-1, "fault")),
 		Count: 1 + pick(t, 5, "count"),
+		Then:  wireFault(pick(t, int(wireFaultCount), "then")),
 		Wait:  stepWaits[pick(t, len(stepWaits), "wait")] * time.Millisecond,
 	}
 }
@@ -101,6 +105,11 @@
 	case "quote":
 		r.serial++
 		r.startCall(r.vm(s.VM), newQuote(fmt.Sprint("quote-", r.serial)))
+	case "same ID": // of an earlier quote, by another caller
+		r.serial++
+		q := newQuote(fmt.Sprint("quote-", r.serial-1-s.Other%r.serial))
+		q.Caller = model.CallerID(fmt.Sprint("clerk-", r.serial))
+		r.startCall(r.vm(s.VM), q)
 	case "server fault":
 		r.faultServer(s)
 	case "peer fault":
@@ -139,7 +148,7 @@
 	if s.Late {
 		call = "hand-over"
 	}
-	fail := failCalls(call, slices.Repeat([]wireFault{s.Fault}, s.Count)...)
+	fail := failCalls(call, append(slices.Repeat([]wireFault{s.Fault}, s.Count), s.Then)...)
 	r.cluster.mu.Lock()
 	defer r.cluster.mu.Unlock()
 	r.cluster.peerFault = func(call, _, _ string) wireFault { return fail(call) }
@@ -160,6 +169,9 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
 		_ = m.Drain(ctx)
+		if s.Late {
+			<-ctx.Done() // until then it serves callers on open connections
+		}
 		r.cluster.kill(m)
 	}()
 }
