--- a/scripts/regressions.sh
+++ b/scripts/regressions.sh
@@ -21,6 +21,7 @@
 internal/fleet|TestRandomFaults|5359|a start that was given up arrived after a restart
 internal/fleet|TestRandomFaults|25428|failed ends were counted twice after a backend server was listed again
 internal/fleet|TestRandomFaults|995|a stray run that did not answer its stop let its task run elsewhere
+internal/fleet|TestRandomRestartsWithTheSameTimeOfStart|631|a restart with the time of start of before was not noticed, and tasks that were done ran again
 SEEDS
 rm -f /tmp/regression.$$
 exit $failed
