Fleet: the first restart under an ID stops runs beside starts that may arrive there

Cause: a task waits for its starts without an answer only once a backend server has been seen to start again under its ID.

Change: when a restart under an ID is seen, and a call to the new incarnation fails (or calls failed before), the runs elsewhere of tasks whose starts may still arrive there are stopped. The tasks then wait like all others of the deployment. A successor knows these starts by arrival/TASK.

Cost: nothing where backend servers get new IDs, nor for one that answers its next call. Else, once a deployment, at most 15 s of the work of these tasks.

Ruled out: an uncounted start, a lost or short time of arrival, a restart that nothing tells of (the log has start_may_arrive=true arrives_within=8.284s restarts_seen=false, and the entry told of the restart 41 ms after the placement).

--- a/internal/fleet/arrival_test.go
+++ b/internal/fleet/arrival_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 )
@@ -248,3 +249,84 @@
 	assert.NilError(t, err)
 	assertRunsOnceMore(t, w, late)
 }
+
+// timeToStop is enough to store a record and to stop a run elsewhere.
+const timeToStop = 300 * time.Millisecond
+
+// TestRandomFirstRestarts has starts of a task or a gang lost on a backend server that starts again under its ID, the first
+// one of the deployment, beside cuts and lost holders. They arrive there once a holder has seen the restart, has called the new
+// incarnation, and has had the time to stop runs elsewhere.
+func TestRandomFirstRestarts(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		c := &machine{world: newWorld(t, uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")), 3, 4), t: t}
+		c.oracle.mayGiveUp, c.oracle.lateAfterDone = true, true
+		at := c.servers["s00"]
+		late, sentAt := c.loseStarts(at)
+		// chance returns one of the steps of 50 ms that follow, or none.
+		chance := func(name string) int { return c.draw(name, 560) - 240 }
+		restart, heal, kill, cut := c.draw("restart", 280), chance("heal"), chance("kill"), chance("cut")
+		arrive, seenAt := restart+c.draw("arrive", 280), time.Time{}
+		for i := range 320 {
+			switch i {
+			case restart:
+				at.crash(c.world)
+			case heal:
+				clear(c.cutLinks)
+			case cut:
+				cutOff(c.world, at)
+			case kill:
+				if h := c.holder(); h != nil {
+					h.dead = true
+					c.addNode()
+				}
+			}
+			if i < restart || !c.restartSeen(at) {
+				seenAt = c.now
+			}
+			if i >= arrive && c.now.Sub(seenAt) >= timeToStop && c.now.Sub(sentAt) < maxDeliveryDelay {
+				c.carryOutLate(sentAt, func() {
+					for _, o := range late {
+						_, _ = at.start(c.world, o.Start, "a late order")
+					}
+				})
+				late = nil
+			}
+			c.run(tickInterval)
+		}
+		c.endFaults()
+		c.run(settleTime)
+		c.oracle.checkAllEnded()
+	})
+}
+
+// restartSeen reports whether the holder has seen the present incarnation of a backend server and has called it.
+func (c *machine) restartSeen(at *fakeServer) bool {
+	h := c.holder()
+	if h == nil || h.state.servers[at.id] == nil {
+		return false
+	}
+	v := h.state.servers[at.id]
+	return v.entry.IncarnationStart == at.born() && (v.hasReported || v.failedCalls > 0)
+}
+
+// loseStarts submits a job of which one backend server is to start all tasks, and returns the orders, which do not arrive.
+func (c *machine) loseStarts(at *fakeServer) (lost []startOrder, sentAt time.Time) {
+	for _, s := range c.servers {
+		s.unlisted = s != at
+	}
+	c.run(10 * time.Second)
+	j := newJob(1+c.draw("count", 3), oneAccelerator, 20+c.draw("seconds", 30))
+	j.Steps[0].Gang = j.Steps[0].Count > 1 && c.draw("gang", 2) == 0
+	c.submit(j)
+	runUntil(c.world, "the placements", func() bool {
+		h := c.holder()
+		return h != nil && h.state.servers[at.id] != nil && len(h.state.servers[at.id].runs) > 0
+	})
+	cutOff(c.world, at) // not ordered yet
+	runUntil(c.world, "the start orders", func() bool { return len(c.startOrders) == j.Steps[0].Count })
+	for _, s := range c.servers {
+		s.unlisted = false
+	}
+	return c.startOrders, c.now
+}
--- a/internal/fleet/restart.go
+++ b/internal/fleet/restart.go
@@ -60,6 +60,36 @@
 		}
 	}
 	s.expectAbandoned(v)
+	s.stopBesideLateStarts(id, v)
+}
+
+// stopBesideLateStarts stops the runs elsewhere of tasks of which a start order may arrive on a backend server that has
+// started again, while the holder does not reach it to have it refuse the order. They were placed before a restart under
+// an ID was seen; later on, tasks wait for such orders (arrival.go).
+func (s *State) stopBesideLateStarts(id model.BackendServerID, v *server) {
+	if !v.startedAgain || v.hasReported || v.failedCalls == 0 {
+		return
+	}
+	tasks := make(map[string]bool)
+	for name, a := range s.arrivals {
+		if a.server == id && s.now.Before(a.until) {
+			tasks[name] = true
+		}
+	}
+	for name, r := range v.runs {
+		if r.orphan && !r.unansweredAt.IsZero() && s.now.Sub(r.unansweredAt) < maxDeliveryDelay {
+			tasks[name] = true
+		}
+	}
+	for _, name := range eventloop.SortedKeys(tasks) {
+		g, index, err := s.groupOf(name)
+		if err != nil || g == nil {
+			continue
+		}
+		if r := s.currentRun(g, index); r != nil && r.server != id {
+			s.requestStop(r, stopInDoubt, "a start of an earlier run may arrive on a backend server that has started again")
+		}
+	}
 }
 
 // expectAbandoned keeps the tasks of abandoned runs from being placed until a report of the new incarnation
@@ -141,6 +171,7 @@
 	}
 	if born != stored.IncarnationStart {
 		s.observeRestartUnderID(v)
+		s.stopBesideLateStarts(id, v)
 	}
 	arrived := s.term.takenAt.Add(holderAuthority + longestCall + maxDeliveryDelay)
 	if !s.now.Before(arrived) || !arrived.After(v.callsArriveUntil) {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -404,6 +404,7 @@
 	}
 	v.disconnected = errors.Is(e.Err, ErrDisconnected) || isRefused && refused.Reason == RefusedOtherIncarnation
 	v.nextHoldAt = s.now.Add(holdRetry)
+	s.stopBesideLateStarts(e.Order.Server, v)
 	if v.failedCalls == 1 {
 		v.silentSince = s.now
 		s.addLoss(s.newLoss(v))
