Control: a report from before a hold proves nothing of the held task

Callers see: a job of several tasks is given up and tried again after a delay, although all its servers were willing.

Cause: a status report that does not list a held task counted as proof that its backend server has forgotten it, if the report was asked for after the hold was queued. The hold may reach the server after that: its batch waits for the one before, or is slower on its connection. The report then arrives after the hold's answer. No second run came of it, since a start is queued with the last hold's answer.

Change: the report must have been asked for after the last answer about the task.

--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -65,13 +65,15 @@
 	loseAnswers        map[[2]string]bool // links on which calls take effect but their answers are lost
 	dropCalls          map[[2]string]bool // links on which calls are lost and get no answer
 	lateCalls          map[[2]string]lateness
-	failingJobs        map[model.JobID]bool  // jobs that fail wherever they run
-	onAction           func(*testVM, Action) // called before each action is executed
-	vmList             []ports.VMEntry       // the platform's VM list
-	listStale          bool                  // the VM list is not updated
-	observedViolations []string              // invariant violations seen from the fakes
-	reportedViolations []invariant.Violation // violations reported by the VMs
-	firstDump          string                // state of the VM that reported first
+	commandDelay       map[model.BackendServerID]time.Duration // how long commands to a server are under way
+	reportDelay        time.Duration                           // how long status reports are
+	failingJobs        map[model.JobID]bool                    // jobs that fail wherever they run
+	onAction           func(*testVM, Action)                   // called before each action is executed
+	vmList             []ports.VMEntry                         // the platform's VM list
+	listStale          bool                                    // the VM list is not updated
+	observedViolations []string                                // invariant violations seen from the fakes
+	reportedViolations []invariant.Violation                   // violations reported by the VMs
+	firstDump          string                                  // state of the VM that reported first
 	ids                int
 	partialSince       map[model.AttemptID]time.Time
 	runtimes           map[model.JobID]time.Duration
@@ -118,6 +120,7 @@
 		loseAnswers:  make(map[[2]string]bool),
 		dropCalls:    make(map[[2]string]bool),
 		lateCalls:    make(map[[2]string]lateness),
+		commandDelay: make(map[model.BackendServerID]time.Duration),
 		partialSince: make(map[model.AttemptID]time.Time),
 		runtimes:     make(map[model.JobID]time.Duration),
 		peerCalls:    make(map[ReplyID]peerCall),
@@ -383,7 +386,7 @@
 		return
 	}
 	dropped := c.dropCalls[link(n.name, a.Address)]
-	c.after(linkDelay, func() {
+	c.after(linkDelay+c.commandDelay[a.Server], func() {
 		if dropped || f.dead || n.dead {
 			answered.Err = errors.Join(errLost, ports.ErrInDoubt)
 			c.after(a.Timeout, func() { c.deliver(n, answered) })
@@ -416,7 +419,7 @@
 	}
 	c.after(linkDelay, func() {
 		answered.Status = f.status(c.now)
-		c.after(linkDelay, func() { c.deliver(n, answered) })
+		c.after(linkDelay+c.reportDelay, func() { c.deliver(n, answered) })
 	})
 }
 
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -122,6 +122,7 @@
 		return nil, nil
 	}
 	s.changedGangs[g.job.ID] = true
+	m.answered = s.now
 	if m.pending == c.Verb {
 		m.pending = ""
 	}
--- a/internal/control/gang.go
+++ b/internal/control/gang.go
@@ -63,6 +63,7 @@
 	forgotten    bool            // started, but its backend server no longer knows it
 	pending      ports.Verb      // latest command, while it has no answer
 	sent         time.Time       // when the latest command was queued
+	answered     time.Time       // when a command last was answered or failed
 	// expiresBy is the time after which the task certainly does not run, even if commands
 	// without an answer took effect.
 	expiresBy time.Time
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -231,7 +231,7 @@
 	for _, task := range eventloop.SortedKeys(s.taskIndex[id]) {
 		ref := s.taskIndex[id][task]
 		m := ref.member
-		if !listed[task] && m.state.Active() && m.pending == "" && e.Sent.After(m.sent) {
+		if !listed[task] && m.state.Active() && m.pending == "" && e.Sent.After(m.sent) && e.Sent.After(m.answered) {
 			s.memberForgotten(ref.gang, m)
 		}
 	}
--- a/internal/control/random_test.go
+++ b/internal/control/random_test.go
@@ -127,6 +127,20 @@
 	}
 }
 
+// toggleLeaving has a backend server announce that it leaves, or that it stays after all.
+func (m *machine) toggleLeaving(*rapid.T) {
+	if m.oneIn(2) {
+		f := m.randomServer()
+		f.leaving = !f.leaving
+	}
+}
+
+// changeDelays changes how long commands to a backend server, and all status reports, are under way.
+func (m *machine) changeDelays(*rapid.T) {
+	m.commandDelay[m.randomServer().info.ID] = time.Duration(rapid.IntRange(0, 450).Draw(m.t, "command")) * time.Millisecond
+	m.reportDelay = time.Duration(rapid.IntRange(0, 400).Draw(m.t, "report")) * time.Millisecond
+}
+
 func (m *machine) drainVM(*rapid.T) {
 	if m.oneIn(5) {
 		m.deliver(m.randomVM(), DrainRequested{Reply: 3})
@@ -152,6 +166,9 @@
 	clear(m.cut)
 	clear(m.loseAnswers)
 	clear(m.dropCalls)
+	clear(m.lateCalls)
+	clear(m.commandDelay)
+	m.reportDelay = 0
 	m.log.down, m.log.loseAnswers, m.log.delay = false, false, 0
 	m.addVM()
 	for _, n := range m.vms {
@@ -160,7 +177,7 @@
 		}
 	}
 	for _, f := range m.servers {
-		f.failAll = false
+		f.failAll, f.leaving = false, false
 	}
 }
 
@@ -193,6 +210,8 @@
 			"die":    m.killServer,
 			"break":  m.toggleServerFailure,
 			"drain":  m.drainVM,
+			"leave":  m.toggleLeaving,
+			"slow":   m.changeDelays,
 			"pass":   m.passTime,
 			"":       m.check,
 		})
--- a/internal/control/restart_test.go
+++ b/internal/control/restart_test.go
@@ -340,6 +340,8 @@
 			"mute":    m.toggleLinkFault,
 			"log":     m.changeLogFault,
 			"late":    m.toggleLateCalls,
+			"leave":   m.toggleLeaving,
+			"slow":    m.changeDelays,
 			"restart": m.restartServer,
 			"kill":    m.killVM,
 			"drain":   m.drainVM,
