Control: a server that is no longer configured may refuse a hold

Callers see: the VM that holds the term ends with a panic when a backend server that leaves is taken out of the configuration while a hold is on its way to it.

Cause: the refusal marks the server as leaving, without looking whether it is still known.

Evidence: TestServerThatIsNoLongerConfiguredMayRefuseAHold fails before (nil pointer) and passes after.

--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -76,8 +76,8 @@
 	switch verb {
 	case ports.VerbHold:
 		m.state = ports.TaskStopped
-		if r.Refused == ports.RefusedLeaving {
-			s.setLeaving(s.servers[m.server], true)
+		if v := s.servers[m.server]; v != nil && r.Refused == ports.RefusedLeaving {
+			s.setLeaving(v, true)
 		}
 		s.stopGang(g, ending{result: replica.ResultRetry, reason: ReasonHoldRefused})
 	case ports.VerbStart, ports.VerbRenew:
--- a/internal/control/refused_test.go
+++ b/internal/control/refused_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -40,3 +41,31 @@
 		assert.Equal(t, task.State, ports.TaskStopped)
 	}
 }
+
+// A backend server refused a hold as leaving after it was taken out of the configuration, and the holder ended with a panic.
+func TestServerThatIsNoLongerConfiguredMayRefuseAHold(t *testing.T) {
+	c := newRunningCluster(t, 2, 2)
+	c.onAction = func(_ *testVM, a Action) {
+		command, ok := a.(Command)
+		if !ok || len(command.Batch.Commands) == 0 || command.Batch.Commands[0].Verb != ports.VerbHold {
+			return
+		}
+		c.onAction = nil
+		c.servers[command.Server].leaving = true
+		c.after(0, func() {
+			next := *c.config
+			next.BackendServers = maps.Clone(c.config.BackendServers)
+			delete(next.BackendServers, command.Server)
+			*c.config = next
+			for _, n := range c.vms {
+				n.state.syncedConfig = nil
+				c.deliver(n, Ticked{})
+			}
+		})
+	}
+	id := c.submit(c.nonHolder(), oneTask, false, time.Second)
+	c.run(20 * time.Second)
+	assert.Assert(t, c.onAction == nil)
+	assert.Equal(t, c.stateOf(c.holder(), id), JobDone)
+	c.assertNoViolations()
+}
