--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -76,8 +76,8 @@
 	switch verb {
 	case ports.VerbHold:
 		m.state = ports.TaskStopped
-		if r.Refused == ports.RefusedLeaving {
-			s.setLeaving(s.servers[m.server], true)
+		if v := s.servers[m.server]; v != nil && r.Refused == ports.RefusedLeaving {
+			s.setLeaving(v, true)
 		}
 		s.stopGang(g, ending{result: replica.ResultRetry, reason: ReasonHoldRefused})
 	case ports.VerbStart, ports.VerbRenew:
@@ -231,7 +231,7 @@
 	for _, task := range eventloop.SortedKeys(s.taskIndex[id]) {
 		ref := s.taskIndex[id][task]
 		m := ref.member
-		if !listed[task] && m.state.Active() && m.pending == "" && e.Sent.After(m.sent) {
+		if !listed[task] && m.state.Active() && m.pending == "" && e.Sent.After(m.sent) && e.Sent.After(m.answered) {
 			s.memberForgotten(ref.gang, m)
 		}
 	}
