Control: random faults keep the meaning of their seeds

The actions that added to TestRandomFaults gave of scripts/regressions.sh another play. They are in a test of their own now, with all others beside them.

--- a/internal/control/random_test.go
+++ b/internal/control/random_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -196,10 +197,23 @@
 }
 
 func TestRandomFaults(t *testing.T) {
+	playRandomFaults(t, func(*machine) map[string]func(*rapid.T) { return nil })
+}
+
+// The same beside slow commands and reports, and servers that leave or stay after all.
+func TestRandomFaultsBesideSlowCalls(t *testing.T) {
+	playRandomFaults(t, func(m *machine) map[string]func(*rapid.T) {
+		return map[string]func(*rapid.T){"leave": m.toggleLeaving, "slow": m.changeDelays}
+	})
+}
+
+// playRandomFaults plays random faults, further ones among them, until all jobs have ended.
+func playRandomFaults(t *testing.T, further func(*machine) map[string]func(*rapid.T)) {
+	t.Helper()
 	total, steps := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := &machine{cluster: newCluster(t, 3, 4), t: t}
-		t.Repeat(map[string]func(*rapid.T){
+		actions := map[string]func(*rapid.T){
 			"submit": m.submitJob,
 			"cancel": m.cancelJob,
 			"kill":   m.killVM,
@@ -210,11 +224,11 @@
 			"die":    m.killServer,
 			"break":  m.toggleServerFailure,
 			"drain":  m.drainVM,
-			"leave":  m.toggleLeaving,
-			"slow":   m.changeDelays,
 			"pass":   m.passTime,
 			"":       m.check,
-		})
+		}
+		maps.Copy(actions, further(m))
+		t.Repeat(actions)
 		m.endFaults()
 		m.run(10 * time.Second)
 		m.runUntil(10*time.Minute, func() bool {
