Fleet: random plays and a test with stops that are not carried out and late reports

TestRandomStartsThatAreNotCarriedOut had neither stops that are refused, nor servers that refuse all orders, nor reports that arrive after the answers to later orders, nor stops for other reasons than a start in doubt. It has them now, and stops take up to 0.3 s.

--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -121,6 +121,7 @@
 	hangs           bool
 	refuses         Refusal     // every order is refused for this reason, if any
 	refusesStarts   Refusal     // the same for start orders only
+	refusesStops    Refusal     // the same for stop orders only
 	label           string      // besides those that all have
 	slowdown        int         // factor for the duration of new runs; 0 means 1
 	failsJob        model.JobID // the tasks of this job fail here
@@ -291,6 +292,9 @@
 	if s.refuses != "" {
 		return 0, &RefusedError{Reason: s.refuses, Clock: s.clock(w)}
 	}
+	if s.refusesStops != "" && !w.carryingOutLate {
+		return 0, &RefusedError{Reason: s.refusesStops, Clock: s.clock(w)}
+	}
 	if s.fenced(o.Token) {
 		return 0, &RefusedError{Reason: RefusedFenced, Clock: s.clock(w)}
 	}
--- a/internal/fleet/repeated_start_test.go
+++ b/internal/fleet/repeated_start_test.go
@@ -68,15 +68,31 @@
 	o.at(time.Duration(500+o.draw("slow", 4000))*time.Millisecond, func() { o.answerDelay = 0 })
 }
 
+// refuseOrders has a backend server refuse all stops, or all orders: none of them proves anything of a run.
+func (o *overload) refuseOrders(*rapid.T) {
+	s := o.server()
+	refused := []*Refusal{&s.refusesStops, &s.refuses}[o.draw("refused", 2)]
+	*refused = []Refusal{RefusedUnhealthy, RefusedOtherIncarnation}[o.draw("why", 2)]
+	o.at(time.Duration(200+o.draw("length", 3000))*time.Millisecond, func() { *refused = "" })
+}
+
+// reportSlowly lets reports arrive after the answers to orders that were sent later.
+func (o *overload) reportSlowly(*rapid.T) {
+	o.reportDelay = callTimeout
+	o.at(time.Duration(500+o.draw("slow", 4000))*time.Millisecond, func() { o.reportDelay = 0 })
+}
+
 // TestRandomStartsThatAreNotCarriedOut checks that no task runs twice beside start orders without an answer, repeats
-// that are not sent or refused, and lost holders.
+// that are not sent or refused, stops that are refused or get no answer, late reports and lost holders.
 func TestRandomStartsThatAreNotCarriedOut(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		o := &overload{&machine{world: newWorld(t, uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")), 3, 6), t: t}}
+		o.stopTime = 300 * time.Millisecond
 		o.run(4 * time.Second)
 		t.Repeat(map[string]func(*rapid.T){
-			"submit": o.submitJob, "submit2": o.submitJob, "submit3": o.submitJob, "expire": o.changeExpireShare, "refuse": o.refuseStarts, "refuse2": o.refuseStarts,
+			"submit": o.submitJob, "submit2": o.submitJob, "submit3": o.submitJob, "cancel": o.cancelJob, "server": o.changeServer,
+			"orders": o.refuseOrders, "reports": o.reportSlowly, "expire": o.changeExpireShare, "refuse": o.refuseStarts, "refuse2": o.refuseStarts,
 			"slow": o.answerSlowly, "slow2": o.answerSlowly, "late": o.changeLateShare, "freeze": o.freezeVM, "kill": o.killVM,
 			"pass": o.passTime, "pass2": o.passTime, "pass3": o.passTime,
 		})
@@ -87,3 +103,42 @@
 		o.oracle.checkAllEnded()
 	})
 }
+
+// A stop that is refused or gets no answer proves nothing of the start before it, which may still arrive: reports
+// without the run are no reason to start the task elsewhere.
+func TestStopThatIsNotCarriedOutProvesNothingOfAStart(t *testing.T) {
+	for name, err := range map[string]error{
+		"unhealthy":         &RefusedError{Reason: RefusedUnhealthy},
+		"other incarnation": &RefusedError{Reason: RefusedOtherIncarnation},
+		"malformed":         &RefusedError{Reason: RefusedMalformed},
+		"not sent":          ErrNoEffect,
+		"no answer":         ErrInDoubt,
+	} {
+		t.Run(name, func(t *testing.T) {
+			const arrivesAfter = 2 * time.Second
+			w := newWorldWithHolder(t, 1, 2)
+			w.orderDelay = arrivesAfter
+			id := w.submit(newJob(1, oneAccelerator, 4)).ID
+			for len(w.startOrders) == 0 {
+				w.run(time.Millisecond)
+			}
+			first := w.startOrders[0]
+			w.orderDelay = 0
+			s := w.servers[first.Server]
+			s.draining, s.refusesStops = true, RefusedUnhealthy
+			w.run(orderTimeout)
+			w.deliver(w.holder(), StartAnswered{Order: first.Start, Err: ErrInDoubt})
+			r := w.holder().state.servers[first.Server].runs[first.Task]
+			for !r.stopping || !r.inFlight {
+				w.run(time.Millisecond)
+			}
+			w.deliver(w.holder(), StopAnswered{Order: Stop{Server: first.Server, Task: first.Task, Run: first.Run, Token: first.Token}, Err: err})
+			w.run(first.at.Add(arrivesAfter + 100*time.Millisecond).Sub(w.now))
+			assert.Equal(t, w.oracle.startsOf[first.Task], 1, "started elsewhere before its start arrived")
+			assert.Equal(t, len(s.runs), 1)
+			s.refusesStops = ""
+			w.run(15 * time.Second)
+			assert.Equal(t, w.status(id), job.StatusDone)
+		})
+	}
+}
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -63,6 +63,8 @@
 	lateShare float64 // share of orders that are delivered seconds late
 	// answerDelay is how long answers to starts and stops are under way at most.
 	answerDelay time.Duration
+	// reportDelay is the same for reports.
+	reportDelay time.Duration
 	// stopTime is how long a backend server takes to stop a run at most.
 	stopTime time.Duration
 	// lateAcrossRestarts lets late orders reach the next incarnation of a backend server too; see
@@ -459,6 +461,9 @@
 		delay := linkDelay
 		if h, ok := answer.(HoldAnswered); ok && len(h.Report.Ended) == 0 {
 			delay += h.Order.Wait / 4
+			if w.reportDelay > 0 {
+				delay += time.Duration(w.rng.Int64N(int64(w.reportDelay)))
+			}
 		} else if !ok && w.answerDelay > 0 {
 			if delay += time.Duration(w.rng.Int64N(int64(w.answerDelay))); delay > callTimeout {
 				w.at(callTimeout, func() { w.deliver(n, lost) })
