Fleet: an answer with a clock from before the call tells of a restart

Callers see: a task runs twice at the same time after a backend server has started again under its ID within 2.5 s of its earlier start.

Cause: the clock of a new incarnation starts anew, but a reading that is lower than the newest by less than 2.5 s was taken for an answer that others had overtaken. The answer of the new incarnation to a start was believed as one of the known incarnation, and the next hold went to it. If the server was then silent, the holder counted its lease by the earlier clock, up to 2.2 s too short, and started the task elsewhere beside its run.

Change: start and stop orders carry the newest reading that the holder had when it gave them. The clock of one incarnation only rises, so that a lower one in the answer proves a restart. For readings that came in after the order the allowance for overtaking stays.

Ruled out: a longer lease for young servers, which would make every lost one wait 2.5 s more.

Evidence: TestAnswerOfTheNextIncarnationDoesNotCountOnTheEarlierClock fails before (the oracle finds the task on two servers) and passes after.

--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -104,6 +104,8 @@
 	// SendBefore, on the boot-time clock, is when the knowledge that the order rests on gets too
 	// old. The order is not sent from then on, whatever it has waited for.
 	SendBefore time.Time
+	// ServerClock is the newest reading of the backend server's clock when the order was given.
+	ServerClock int64
 	// DecidedAt is when the run was placed, and ListedAsOf the time up to which the entries of
 	// backend servers were known when the order was given.
 	DecidedAt, ListedAsOf time.Time
@@ -116,6 +118,8 @@
 	Task    string
 	Run     int64
 	Token   int64
+	// ServerClock is the newest reading of the backend server's clock when the order was given.
+	ServerClock int64
 }
 
 // Hold extends the lease of all runs on a backend server and requests a report.
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -302,19 +302,20 @@
 	r.inFlight, r.startInFlight = true, true
 	s.startsUnderWay++
 	s.emit(OrderStart{Start{
-		Server:     r.server,
-		Address:    v.entry.Address,
-		Task:       r.name,
-		Run:        r.number,
-		Payload:    r.group.State.Job.Payload,
-		Deadline:   s.extendLease(v, span),
-		Token:      v.token,
-		Checkpoint: t.Checkpoint,
-		Ticket:     s.ticketFor(r),
-		Priority:   r.group.State.Job.Priority,
-		SendBefore: minTime(s.startLimit(r.group.State.Job.ID), s.now.Add(firstLeaseDuration/2)),
-		DecidedAt:  r.placedAt,
-		ListedAsOf: s.serversAsOf,
+		Server:      r.server,
+		Address:     v.entry.Address,
+		Task:        r.name,
+		Run:         r.number,
+		Payload:     r.group.State.Job.Payload,
+		Deadline:    s.extendLease(v, span),
+		Token:       v.token,
+		Checkpoint:  t.Checkpoint,
+		Ticket:      s.ticketFor(r),
+		Priority:    r.group.State.Job.Priority,
+		SendBefore:  minTime(s.startLimit(r.group.State.Job.ID), s.now.Add(firstLeaseDuration/2)),
+		ServerClock: v.clock,
+		DecidedAt:   r.placedAt,
+		ListedAsOf:  s.serversAsOf,
 	}})
 	if !v.holdInFlight {
 		v.nextHoldAt = s.now
@@ -334,7 +335,7 @@
 
 func (s *State) orderStop(v *server, r *run) {
 	r.inFlight = true
-	s.emit(OrderStop{Stop{Server: r.server, Address: v.entry.Address, Task: r.name, Run: r.number, Token: v.token}})
+	s.emit(OrderStop{Stop{Server: r.server, Address: v.entry.Address, Task: r.name, Run: r.number, Token: v.token, ServerClock: v.clock}})
 }
 
 // requestStop has a run stopped, together with the other members of its gang.
@@ -429,7 +430,7 @@
 	var refused *RefusedError
 	switch {
 	case e.Err == nil:
-		s.observeClock(v, e.Clock)
+		s.observeClock(v, e.Clock, e.Order.ServerClock)
 		mayHaveRun := r.startInDoubt // since an earlier order
 		r.startInDoubt = false
 		if r.phase == runOrdered {
@@ -440,7 +441,7 @@
 		}
 	case errors.As(e.Err, &refused):
 		if refused.Reason != RefusedOtherIncarnation {
-			s.observeClock(v, refused.Clock)
+			s.observeClock(v, refused.Clock, e.Order.ServerClock)
 		}
 		if v.token != 0 {
 			s.startRefused(v, r, refused)
@@ -525,7 +526,7 @@
 	case e.Err == nil:
 		r.answeredAt = s.now
 		r.stopConfirmed = true
-		s.observeClock(v, e.Clock)
+		s.observeClock(v, e.Clock, e.Order.ServerClock)
 		v.nextHoldAt = s.now
 	case errors.As(e.Err, &refused):
 		r.answeredAt = s.now
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -221,13 +221,13 @@
 	return s.term.takenAt.Add(holderAuthority + s.longestLease())
 }
 
-// observeClock stores a reading of the backend server's clock if it is the newest. One that is much lower
-// tells that the clock has started anew.
-func (s *State) observeClock(v *server, clock int64) {
+// observeClock stores a reading of the backend server's clock if it is the newest. One that is lower than a reading
+// from before the call tells that the clock has started anew, as does one that is much lower than the newest.
+func (s *State) observeClock(v *server, clock, beforeCall int64) {
 	switch {
 	case clock > v.clock:
 		v.clock, v.clockAt = clock, s.now
-	case clock != 0 && clock < v.clock-clockOvertaking.Milliseconds():
+	case clock != 0 && clock < max(beforeCall, v.clock-clockOvertaking.Milliseconds()):
 		s.log.Warn("clock of a backend server has started anew", zap.String("server", string(v.entry.ID)), zap.Int64("from", v.clock), zap.Int64("to", clock))
 		lost := s.newLoss(v).untilRestart(s.now)
 		s.recordCrash(v, lost, true) // observeAlive takes it back if the incarnation is the same after all
@@ -325,7 +325,7 @@
 	}
 	v.incarnationStart = e.Report.IncarnationStart
 	s.observeAlive(v)
-	if s.observeClock(v, e.Report.Clock); v.token == 0 {
+	if s.observeClock(v, e.Report.Clock, 0); v.token == 0 {
 		return
 	}
 	v.acknowledgedEnd = max(v.acknowledgedEnd, e.Order.AcknowledgedEnd)
