Fleet soaks: clients that stay, versions that differ, a store that moves, memory

Cause: versions of the configuration in the soaks differed in their number only, SIGHUP never came with changed settings, no client kept to one VM and its connection until the process was gone, and nothing looked at the memory of the processes.

Change: each version has a key and a route of its own, and time-outs change. In OverlappingFaults a client at each VM sends one call after the other over its connection, half of them with a key of one version, and some submissions in two parts; a success with a key that was revoked more than revokeMs before fails the run. The store moves to another address, which the settings name. At the end each VM must have the newest version and call the store there. Runs with low limits also get unfinished large bodies; no process may use more than memoryMb.

--- a/internal/standin/prepared/deployment.go
+++ b/internal/standin/prepared/deployment.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -37,6 +40,11 @@
 	SettingsPath string
 	peerAddress  string
 	relays       map[string]*Relay // by the zone of the VM that calls
+
+	storeMu      sync.Mutex
+	storeAddress string
+	closeStore   func()        // ends the serving of the store at storeAddress
+	storeCalls   *atomic.Int64 // at storeAddress
 }
 
 // Deployment is a small deployment on loopback. Its VMs run as processes that the caller starts with
@@ -50,15 +58,25 @@
 	VMs     []*VM
 	Servers []*Server
 
+	ctx     context.Context // ends the deployment
 	dir     string
 	mu      sync.Mutex
 	version int
+	extra   Extra
+	dropped []Extra // oldest first
+}
+
+// Extra is what only one version of the configuration holds: a further key of the tenant, and a further route.
+type Extra struct {
+	Key, Queue string
+	// DroppedAt is when the store had acknowledged the next version; zero while this one is in force.
+	DroppedAt time.Time
 }
 
 // NewDeployment starts the store and the backend servers and writes the settings files of the VMs into
 // dir. All of it ends with ctx.
 func NewDeployment(ctx context.Context, dir string, zones, vmsPerZone, serversPerZone int) (*Deployment, error) {
-	d := &Deployment{Network: NewNetwork(), Record: newRecord(), dir: dir, version: 1}
+	d := &Deployment{Network: NewNetwork(), Record: newRecord(), ctx: ctx, dir: dir, version: 1}
 	d.Store, d.Gangs = NewStore(d.Network, d.rewrite), newGangs(d.Network)
 	for z := range zones {
 		d.Zones = append(d.Zones, fmt.Sprintf("zone-%c", 'a'+z))
@@ -83,15 +101,17 @@
 	return d, d.Configure()
 }
 
-// Configure puts the next version of the configuration into force. Versions differ in their number only.
+// Configure puts the next version of the configuration into force. Each version has a key and a route that no other one has, and
+// time-outs change.
 func (d *Deployment) Configure() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.version += 2
+	next := Extra{Key: fmt.Sprintf("k3y%016d", d.version), Queue: fmt.Sprintf("extra%d", d.version)}
 	var routes []any
-	for priority, name := range Queues {
+	for priority, name := range append(slices.Clone(Queues), next.Queue) {
 		routes = append(routes, map[string]any{
-			"name": name, "host": Host, "pathPrefix": "/" + name + "/", "type": "non_idempotent", "timeoutMs": 3000, "targetLatencyMs": 1200,
+			"name": name, "host": Host, "pathPrefix": "/" + name + "/", "type": "non_idempotent", "timeoutMs": 3000 + 500*(d.version%3), "targetLatencyMs": 1200,
 			"priority": priority, "service": ServiceName, "attempts": Attempts, "stretch": 3.0, "public": false,
 		})
 	}
@@ -99,15 +119,27 @@
 		"version": d.version, "routes": routes,
 		"services": []any{map[string]any{"name": ServiceName, "healthPath": "/healthz", "maxConns": 64, "protocol": "h1", "tls": false, "enforcesCapacity": true}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  []any{map[string]any{"name": "tenant-a", "apiKeys": []string{Key}, "priority": 1, "guaranteed": map[string]int{"gpu": accelerators}}},
+		"tenants":  []any{map[string]any{"name": "tenant-a", "apiKeys": []string{Key, next.Key}, "priority": 1, "guaranteed": map[string]int{"gpu": accelerators}}},
 	})
 	if err != nil {
 		return err
 	}
 	d.Store.Put("op", "config", config)
+	if d.extra.Key != "" {
+		d.extra.DroppedAt = time.Now()
+		d.dropped = append(d.dropped, d.extra)
+	}
+	d.extra = next
 	return nil
 }
 
+// Extras returns what only the version in force has, and what only earlier ones had, oldest first.
+func (d *Deployment) Extras() (present Extra, dropped []Extra) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.extra, slices.Clone(d.dropped)
+}
+
 const (
 	lowestPort, highestPort = 12000, 31000 // below those that the kernel gives to outgoing connections
 	portAttempts            = 1000
@@ -170,24 +202,71 @@
 			return nil, err
 		}
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	if _, err := d.serveStore(v); err != nil {
 		return nil, err
 	}
-	h := &http.Server{Handler: d.Store.Handler(node, zone), ConnContext: noteOpened}
-	go func() { _ = h.Serve(l) }() // ends when ctx ends
-	context.AfterFunc(ctx, func() { _ = h.Close() })
 	lines := []string{
 		"node=" + node, "role=scheduler", "machineClass=front", "serves=front", "ip=127.0.0.1", "zone=" + zone, "region=" + zone,
 		"listen.front=" + v.Front, "listen.ready=" + v.Ready, fmt.Sprintf("portRange=%d,%d", first, first+1), "bootstrap=true",
 		"limits.cpuShare=0.4", "limits.cores=1", "limits.memoryMb=284", "limits.maxFds=4100", "limits.linkMbps=1000.0",
-		"heartbeatMs=1500", "orders=rpc", "platform.address=" + l.Addr().String(), "platform.form=log",
+		"heartbeatMs=1500", "orders=rpc", storeSetting + v.storeAddress, "platform.form=log",
 		"bounds.drainMs=2500", "bounds.graceS=6", "bounds.revokeMs=5000", fmt.Sprintf("bounds.holdMaxMs=%d", leaseMax.Milliseconds()),
 		"bounds.stopTimeoutMs=200", fmt.Sprintf("bounds.gangTimeoutMs=%d", gangTimeout.Milliseconds()), "bounds.cancel_ms=3000", "bounds.status_s=120", "bounds.fencing=true",
 	}
 	return v, os.WriteFile(v.SettingsPath, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
 }
 
+const storeSetting = "platform.address="
+
+// serveStore serves the store to a VM at a new address. What it returns ends the serving at the previous one.
+func (d *Deployment) serveStore(v *VM) (closePrevious func(), err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	calls, handler := new(atomic.Int64), d.Store.Handler(v.Node, v.Zone)
+	h := &http.Server{ConnContext: noteOpened, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		handler.ServeHTTP(w, r)
+	})}
+	go func() { _ = h.Serve(l) }() // ends when it is closed
+	stop := context.AfterFunc(d.ctx, func() { _ = h.Close() })
+	closePrevious, v.storeCalls = v.closeStore, calls
+	v.storeAddress, v.closeStore = l.Addr().String(), func() {
+		stop()
+		_ = h.Close()
+	}
+	return closePrevious, nil
+}
+
+// MoveStore serves the store to a VM at another address, which its settings file names then. The previous address serves until the
+// returned function is called.
+func (d *Deployment) MoveStore(v *VM) (closePrevious func(), err error) {
+	v.storeMu.Lock()
+	defer v.storeMu.Unlock()
+	old := v.storeAddress
+	if closePrevious, err = d.serveStore(v); err != nil {
+		return nil, err
+	}
+	settings, err := os.ReadFile(v.SettingsPath)
+	if err != nil {
+		return nil, err
+	}
+	changed := strings.Replace(string(settings), storeSetting+old+"\n", storeSetting+v.storeAddress+"\n", 1)
+	if changed == string(settings) {
+		return nil, fmt.Errorf("%s does not name the store's address", v.SettingsPath)
+	}
+	next := v.SettingsPath + ".next"
+	return closePrevious, errors.Join(os.WriteFile(next, []byte(changed), 0o600), os.Rename(next, v.SettingsPath))
+}
+
+// StoreCalls counts the VM's calls at the store's present address.
+func (v *VM) StoreCalls() int64 {
+	v.storeMu.Lock()
+	defer v.storeMu.Unlock()
+	return v.storeCalls.Load()
+}
+
 // rewrite gives readers in each zone the addresses of their side of the network.
 func (d *Deployment) rewrite(topic, key string, value []byte, zone string) []byte {
 	var m map[string]any
--- a/test/e2e/fleet_faults_test.go
+++ b/test/e2e/fleet_faults_test.go
@@ -197,6 +197,7 @@
 					f.t.Error(err)
 				}
 			},
+			func(f *fleetRun, rng *rand.Rand) { f.moveStore(anyVM(f, rng), rng) },
 		}
 		const series = 2
 		for i := range series {
@@ -212,9 +213,13 @@
 		for range series {
 			<-done
 		}
+		calmSince := time.Now()
 		stop()
 		clients.Wait()
 		f.checkJobs()
+		if _, dropped := f.Extras(); len(dropped) > 0 {
+			f.checkConfiguration(calmSince)
+		}
 		for _, text := range f.unended {
 			t.Error(text)
 		}
--- a/test/e2e/fleet_limits_test.go
+++ b/test/e2e/fleet_limits_test.go
@@ -6,16 +6,20 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
-	"gotest.tools/v3/assert"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/standin/prepared"
 )
 
 const (
 	limitedDescriptors = 192 // of each process
 	limitedMemoryMB    = 24
+	memoryMB           = 284 // of a VM
 	settingsMemory     = "limits.memoryMb=284"
+	largestBody        = 256 << 10 // bytes; maxBodyBytes of a Deployment
 )
 
 // limitsSeed lets the processes of some runs have low limits, up to which the clients go.
@@ -25,18 +29,11 @@
 func (f *fleetRun) limit() {
 	f.t.Helper()
 	f.descriptors = limitedDescriptors
+	f.setAll(settingsMemory, fmt.Sprintf("limits.memoryMb=%d", limitedMemoryMB))
 	for _, v := range f.vms {
-		settings, err := os.ReadFile(v.SettingsPath)
-		assert.NilError(f.t, err)
-		lower := bytes.Replace(settings, []byte(settingsMemory), fmt.Appendf(nil, "limits.memoryMb=%d", limitedMemoryMB), 1)
-		assert.Assert(f.t, !bytes.Equal(lower, settings), "%s has no %s", v.SettingsPath, settingsMemory)
-		assert.NilError(f.t, os.WriteFile(v.SettingsPath, lower, 0o600))
 		v.process.kill()
-		f.start(v)
-	}
-	for _, v := range f.vms {
-		f.awaitReady(v)
 	}
+	f.startAll()
 }
 
 // limitDescriptors bounds the descriptors of a process that runs.
@@ -50,8 +47,9 @@
 	}
 }
 
-// holdConnections opens connections to a VM until it has no descriptors left, and keeps them open for a while.
-func (f *fleetRun) holdConnections(v *fleetVM, lasts time.Duration) {
+// holdConnections opens connections to a VM until it has no descriptors left, sends the same over each of them, and keeps them
+// open for a while.
+func (f *fleetRun) holdConnections(v *fleetVM, lasts time.Duration, text []byte) {
 	until := time.Now().Add(lasts)
 	var open []net.Conn
 	for range f.descriptors {
@@ -60,6 +58,8 @@
 			break // the process has ended, or its queue of connections is full
 		}
 		open = append(open, c)
+		_ = c.SetDeadline(until)
+		go func() { _, _ = c.Write(text) }() // it may stop in the middle
 	}
 	time.Sleep(time.Until(until))
 	for _, c := range open {
@@ -67,11 +67,37 @@
 	}
 }
 
-// limitFaults take the descriptors of VMs.
+// unfinishedBody is a submission of the largest size without its last byte.
+func unfinishedBody() []byte {
+	head := fmt.Appendf(nil, "POST /%s/%016x HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
+		prepared.Queues[0], 1, prepared.Host, prepared.Key, largestBody)
+	return append(head, bytes.Repeat([]byte{' '}, largestBody-1)...)
+}
+
+// peakMemory is the largest amount of memory that a process that runs has had, in MB; 0 if it has ended.
+func peakMemory(p *process) (mb int) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(status)) {
+		if kb, found := strings.CutPrefix(line, "VmHWM:"); found {
+			if _, err := fmt.Sscan(kb, &mb); err != nil {
+				return 0
+			}
+		}
+	}
+	return mb >> 10
+}
+
+// limitFaults take the descriptors and the memory of VMs.
 var limitFaults = []fault{
-	func(f *fleetRun, rng *rand.Rand) { f.holdConnections(anyVM(f, rng), between(rng, 500, 8000)) },
-	func(f *fleetRun, rng *rand.Rand) { f.holdConnections(f.holder(), between(rng, 500, 8000)) },
+	func(f *fleetRun, rng *rand.Rand) { f.holdConnections(anyVM(f, rng), between(rng, 500, 8000), nil) },
+	func(f *fleetRun, rng *rand.Rand) { f.holdConnections(f.holder(), between(rng, 500, 8000), nil) },
+	func(f *fleetRun, rng *rand.Rand) {
+		f.holdConnections(f.holder(), between(rng, 500, 4000), unfinishedBody())
+	},
 	func(f *fleetRun, rng *rand.Rand) {
-		together(f.vmsOf(f.Zones[rng.IntN(len(f.Zones))]), rng, func(v *fleetVM, rng *rand.Rand) { f.holdConnections(v, between(rng, 500, 5000)) })
+		together(f.vmsOf(f.Zones[rng.IntN(len(f.Zones))]), rng, func(v *fleetVM, rng *rand.Rand) { f.holdConnections(v, between(rng, 500, 5000), nil) })
 	},
 }
--- a/test/e2e/fleet_overlap_test.go
+++ b/test/e2e/fleet_overlap_test.go
@@ -96,6 +96,8 @@
 			time.Sleep(between(rng, 1, 500))
 		}
 	},
+	func(f *fleetRun, rng *rand.Rand) { f.moveStore(anyVM(f, rng), rng) },
+	func(f *fleetRun, rng *rand.Rand) { f.moveStore(f.holder(), rng) },
 }
 
 // linkFaults cut the holder off from the store, or zones from each other.
@@ -247,6 +249,7 @@
 		defer f.keepLogs(t.Name())
 		ctx, stop := context.WithCancel(t.Context())
 		clients := f.load(ctx, 10, seed)
+		staying := f.stay(ctx, seed)
 		time.Sleep(2 * time.Second)
 		disrupted, calm := context.WithTimeout(ctx, overlapTime)
 		defer calm()
@@ -279,9 +282,12 @@
 		for _, s := range f.Servers {
 			s.SetFault(prepared.ServerFault{})
 		}
+		calmSince := time.Now()
 		stop()
 		clients.Wait()
+		staying.Wait()
 		t.Logf("%d restarts of backend servers, %d spared, late starts: %v", f.restarts.Load(), f.spared.Load(), f.Record.LateStarts())
 		f.checkJobs()
+		f.checkConfiguration(calmSince)
 	})
 }
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -242,15 +242,20 @@
 	return r
 }
 
-// submit hands a job in as the platform's clients do.
-func (c *fleetClient) submit(r request) *clientJob {
+// job returns a new job and the body that submits it.
+func (r request) job(rng *rand.Rand) (*clientJob, []byte) {
 	content := prepared.Spec{RunMs: r.runMs}
 	if r.gang {
 		content.Gang = r.tasks
 	}
 	spec, _ := json.Marshal(content) // plain values
-	j := &clientJob{queue: r.queue, id: fmt.Sprintf("%016x", c.rng.Uint64()), tasks: r.tasks}
-	body := fmt.Appendf(nil, `{"spec":%q,"steps":[{"count":%d,"cpu":1000,"memMb":256,"gpu":1,"estRuntimeMs":%d,"gang":%t}]}`, spec, r.tasks, r.runMs, r.gang)
+	j := &clientJob{queue: r.queue, id: fmt.Sprintf("%016x", rng.Uint64()), tasks: r.tasks}
+	return j, fmt.Appendf(nil, `{"spec":%q,"steps":[{"count":%d,"cpu":1000,"memMb":256,"gpu":1,"estRuntimeMs":%d,"gang":%t}]}`, spec, r.tasks, r.runMs, r.gang)
+}
+
+// submit hands a job in as the platform's clients do.
+func (c *fleetClient) submit(r request) *clientJob {
+	j, body := r.job(c.rng)
 	for range clientAttempts {
 		status, _ := c.call(c.vm(), http.MethodPost, "/"+r.queue+"/"+j.id, body)
 		switch status {
@@ -394,15 +399,20 @@
 	f.t.Errorf("job %s is failed without cause", j.id)
 }
 
-// checkProcesses checks that no process has ended by itself.
+// checkProcesses checks that no process has ended by itself, and that none has used more memory than a VM has.
 func (f *fleetRun) checkProcesses() {
 	f.t.Helper()
+	most := 0
 	for _, v := range f.vms {
 		v.mu.Lock()
 		p := v.process
 		v.mu.Unlock()
 		assert.Check(f.t, p.running(), "%s has ended by itself: %v", p.name, p.command.ProcessState)
+		peak := peakMemory(p)
+		assert.Check(f.t, peak <= memoryMB, "%s has used %d MB", p.name, peak)
+		most = max(most, peak)
 	}
+	f.t.Logf("at most %d MB of memory used by one of the last processes", most)
 }
 
 // maxLosses is how many backend servers a random run may lose: after several losses a sound task may be
