--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -373,6 +373,7 @@
 	}
 	if v.failedCalls > 0 {
 		s.log.Info("backend server answers again", zap.String("server", string(e.Order.Server)), zap.Int("failed_calls", v.failedCalls),
+			zap.Int64("clock", e.Report.Clock), zap.Int64("deadline", v.deadline), zap.Duration("asked_before", s.now.Sub(e.Sent)),
 			zap.Bool("restarted", v.incarnationStart != 0 && e.Report.IncarnationStart != v.incarnationStart), zap.Int("runs", len(v.runs)))
 	}
 	lost := s.newLoss(v)
