--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -142,10 +142,11 @@
 func TestSettledTicketEndsTheDoubtAboutAnID(t *testing.T) {
 	withCluster(t, 1, 1, func(t *testing.T, cluster *testCluster) {
 		m := cluster.vms["vm-0"]
-		cluster.servers["backend-0"].faults = func(string) wireFault { return wireSilent }
+		s := cluster.servers["backend-0"]
+		s.setFaults(func(string) wireFault { return wireSilent })
 		r := m.newOrder("1")
 		assert.Equal(t, m.Do(context.Background(), r).Outcome, model.OutcomeUnknown)
-		cluster.servers["backend-0"].faults = nil
+		s.setFaults(nil)
 		time.Sleep(2 * resolveAfterDeadline)
 		assert.Equal(t, m.Do(context.Background(), r).Outcome, model.OutcomeNotRun)
 		found, ok := m.Lookup(context.Background(), r.ID, "")
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -119,6 +119,13 @@
 	s.busySlots = 0
 }
 
+// setFaults changes the faults of a server that is in use.
+func (s *fakeServer) setFaults(f func(call string) wireFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
 func (s *fakeServer) fault(call string) wireFault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
