--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -268,6 +268,7 @@
 		Due: s.dueAt(g), Remaining: st.Job.CriticalPath(), Avoid: s.avoidedNow(g.Key()), TasksPerServer: make(map[model.BackendServerID]int),
 	}
 	p.Objective = p.Due.Add(st.Job.Objective())
+	p.Kind, p.Runtime = st.Job.Kind(g.Index), step.EstimatedRuntime
 	for i := range g.Tasks {
 		if g.Tasks[i].Phase == job.Waiting && !s.mayStillRun(g, i) {
 			p.Tasks = append(p.Tasks, i)
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -117,6 +117,12 @@
 	Interval    time.Duration `json:"interval,omitempty"`
 }
 
+// Kind names work that behaves alike: that of one queue and image.
+type Kind string
+
+// Kind returns the kind of work of a step.
+func (j *Job) Kind(step int) Kind { return Kind(j.Queue + "/" + j.Steps[step].Image) }
+
 // OccurrenceCount returns how many times the steps run.
 func (j *Job) OccurrenceCount() int { return max(j.Occurrences, 1) }
 
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -188,10 +188,8 @@
 	return o.server.index < other.server.index
 }
 
-// nextTask returns the cost of one more task on a server; ok is false when none fits. The
-// cost is the room that is left, so that empty backend servers stay free for tasks that
-// need a whole one; for an isolated task, the work that a crash would lose. If tasks are stopped to
-// make room, the cost is the work that is lost by that.
+// nextTask returns the cost of one more task on a server; ok is false when none fits. If tasks are
+// stopped to make room, the cost is the work that is lost by that.
 func (d *round) nextTask(t *trialUsage, srv *serverState) (option, bool) {
 	used := t.tasks[srv.index]
 	if limit := t.pending.Step.MaxPerServer; limit > 0 && t.pending.TasksPerServer[srv.ID]+used >= limit {
@@ -205,10 +203,7 @@
 	if !need.FitsIn(left) {
 		return option{}, false
 	}
-	cost := left.Sub(need).CoreWeight()
-	if t.pending.Isolate {
-		cost = srv.UnsavedWork
-	}
+	cost := d.placementCost(t.pending, srv, left.Sub(need))
 	if t.supply == reclaimable {
 		cost = d.preemptionCost(t.pending, srv, used+1) - t.costs[srv.index]
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -39,6 +39,8 @@
 	Isolated bool
 	// UnsavedWork is the work that is lost if the backend server crashes, in core-seconds.
 	UnsavedWork float64
+	// Pace is how fast tasks run here: 1 on an ordinary backend server, 0 if it is not known.
+	Pace float64
 }
 
 // ExpectedEnd is a task that is expected to end and release its resources after a time.
@@ -63,6 +65,9 @@
 	Due, Objective time.Time
 	// Remaining is the estimated time to the end of the occurrence once the tasks run.
 	Remaining time.Duration
+	// Kind is the kind of work, and Runtime what one task takes on an ordinary backend server.
+	Kind    job.Kind
+	Runtime time.Duration
 	// TasksPerServer counts the step's tasks on each backend server.
 	TasksPerServer map[model.BackendServerID]int
 	// Rack is where the step's other tasks run, for a step that should stay on one rack.
@@ -119,4 +124,16 @@
 type Plan struct {
 	Placements []Placement
 	Evictions  []Eviction
+	// Unplaced are the steps of which some tasks found no place, in the order of the round.
+	Unplaced []Unplaced
 }
+
+// Unplaced is a step that waits on, and why.
+type Unplaced struct {
+	Key    job.GroupKey
+	Tasks  int // that found no place
+	Reason Reason
+}
+
+// Reason is why a step finds no place.
+type Reason string
