Preemption: what ends by itself in time is waited for, and a victim's past counts

Cause: urgent steps stopped tasks at once, also where room became free within their slack; what was stopped started again in the next room and was stopped again. The loss of a gang was counted once per member.

Change: a step waits for expected ends while they come within half of the time that it has left (the bound of the guarantee, the slack to the objective, or once late that to its last use); what ends before a stop would win its room is not stopped. Stops are counted with the task and stored with it once there are any (records of tasks that were never stopped stay as they were); nothing is stopped more than twice for steps without a guarantee, and work that was stopped before counts as often again. The stops of a placement are pruned over all of its servers and whole gangs.

--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -117,6 +117,9 @@
 
 func (s *State) snapshot() sched.Snapshot {
 	snap := sched.Snapshot{Now: s.now}
+	if s.bounds.ReclaimBound > 0 {
+		snap.StopTime = s.bounds.StopTimeout + stopReportDelay + restartDelay
+	}
 	for _, id := range eventloop.SortedKeys(s.servers) {
 		if v := s.servers[id]; s.usable(v) {
 			snap.Servers = append(snap.Servers, s.serverView(v))
@@ -208,6 +211,9 @@
 // stopReportDelay is the time for the delivery of a stop order and the report of the end.
 const stopReportDelay = 400 * time.Millisecond
 
+// restartDelay is the time for storing a placement and delivering its start order.
+const restartDelay = 300 * time.Millisecond
+
 // openJobs lists the jobs that may still need placements, the oldest first.
 func (s *State) openJobs() []*job.State {
 	var open []*job.State
@@ -268,6 +274,9 @@
 		Due: s.dueAt(g), Remaining: st.Job.CriticalPath(), Avoid: s.avoidedNow(g.Key()), TasksPerServer: make(map[model.BackendServerID]int),
 	}
 	p.Objective = p.Due.Add(st.Job.Objective())
+	if covered && s.bounds.ReclaimBound > 0 {
+		p.StartBy = p.Due.Add(s.bounds.ReclaimBound)
+	}
 	p.Kind, p.Runtime = st.Job.Kind(g.Index), step.EstimatedRuntime
 	for i := range g.Tasks {
 		if g.Tasks[i].Phase == job.Waiting && !s.mayStillRun(g, i) {
@@ -356,6 +365,7 @@
 			list = append(list, sched.PreemptibleTask{
 				Key: r.group.Key(), Index: r.index, Server: r.server, Need: r.step().Reserved(), Gang: r.step().Gang,
 				Urgent: r.group.State.Job.Priority == 0, UnsavedWork: s.unsavedWork(r),
+				Stops: r.group.Tasks[r.index].Stops, EndsAfter: s.timeToEnd(r),
 			})
 		}
 		slices.SortFunc(list[first:], comparePreemptible)
@@ -417,6 +427,7 @@
 	g := s.jobs.Job(e.Key.Job).Group(e.Key.Occurrence, e.Key.Step)
 	if r := s.currentRun(g, e.Index); r != nil {
 		s.metrics.Preempted.Inc(1)
+		g.CountStop(e.Index)
 		s.requestStop(r, stopPreempted, "makes room for "+e.For.String())
 	}
 }
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -18,6 +18,9 @@
 	// DrainBound is how long after a backend server has announced that it leaves a task may still
 	// be started there.
 	DrainBound time.Duration
+	// ReclaimBound is how long after its acceptance a job that a guarantee covers may take until all tasks of its first
+	// step have begun; 0 if it is not known.
+	ReclaimBound time.Duration
 }
 
 // Timings of the loop.
--- a/internal/job/chunk.go
+++ b/internal/job/chunk.go
@@ -18,8 +18,30 @@
 // ChunkTasks is the number of tasks in one progress record: a change of one task rewrites so many.
 const ChunkTasks = 16
 
-// packedTask is a Task as an array without field names.
+// packedTask is a Task as an array without field names. That of a task that was never stopped to make room ends before
+// Stops, as releases without Stops store and read all tasks.
 type packedTask struct {
+	Phase      Phase
+	Run        int64
+	Server     model.BackendServerID
+	Failures   int
+	Checkpoint string
+	Crashes    []packedCrash
+	Stops      int
+}
+
+// packedFields and packedStopped are packedTask without and with Stops.
+type packedFields struct {
+	_          struct{} `cbor:",toarray"`
+	Phase      Phase
+	Run        int64
+	Server     model.BackendServerID
+	Failures   int
+	Checkpoint string
+	Crashes    []packedCrash
+}
+
+type packedStopped struct {
 	_          struct{} `cbor:",toarray"`
 	Phase      Phase
 	Run        int64
@@ -27,6 +49,34 @@
 	Failures   int
 	Checkpoint string
 	Crashes    []packedCrash
+	Stops      int
+}
+
+// arrayOfSeven is the first byte of an array of seven elements in CBOR.
+const arrayOfSeven = 0x87
+
+// MarshalCBOR implements cbor.Marshaler.
+func (p packedTask) MarshalCBOR() ([]byte, error) {
+	if p.Stops == 0 {
+		return cbor.Marshal(packedFields{Phase: p.Phase, Run: p.Run, Server: p.Server, Failures: p.Failures, Checkpoint: p.Checkpoint, Crashes: p.Crashes})
+	}
+	return cbor.Marshal(packedStopped{
+		Phase: p.Phase, Run: p.Run, Server: p.Server, Failures: p.Failures, Checkpoint: p.Checkpoint, Crashes: p.Crashes, Stops: p.Stops,
+	})
+}
+
+// UnmarshalCBOR implements cbor.Unmarshaler.
+func (p *packedTask) UnmarshalCBOR(data []byte) error {
+	if len(data) > 0 && data[0] == arrayOfSeven {
+		var t packedStopped
+		err := chunkDecoding.Unmarshal(data, &t)
+		*p = packedTask{Phase: t.Phase, Run: t.Run, Server: t.Server, Failures: t.Failures, Checkpoint: t.Checkpoint, Crashes: t.Crashes, Stops: t.Stops}
+		return err
+	}
+	var t packedFields
+	err := chunkDecoding.Unmarshal(data, &t)
+	*p = packedTask{Phase: t.Phase, Run: t.Run, Server: t.Server, Failures: t.Failures, Checkpoint: t.Checkpoint, Crashes: t.Crashes}
+	return err
 }
 
 type packedCrash struct {
@@ -94,7 +144,7 @@
 	tasks := g.Tasks[first:min(first+ChunkTasks, len(g.Tasks))]
 	m := packedChunk{Count: len(g.Tasks), Tasks: make([]packedTask, len(tasks))}
 	for i, t := range tasks {
-		m.Tasks[i] = packedTask{Phase: t.Phase, Run: t.Run, Server: t.Server, Failures: t.Failures, Checkpoint: t.Checkpoint}
+		m.Tasks[i] = packedTask{Phase: t.Phase, Run: t.Run, Server: t.Server, Failures: t.Failures, Checkpoint: t.Checkpoint, Stops: t.Stops}
 		for _, c := range t.Crashes {
 			m.Tasks[i].Crashes = append(m.Tasks[i].Crashes, packedCrash{Server: c.Server, IncarnationStart: c.IncarnationStart, Blame: c.Blame})
 		}
@@ -133,7 +183,7 @@
 		return nil, fmt.Errorf("record %s: %d tasks from %d on, of %d", r.Key, len(m.Tasks), first, m.Count)
 	}
 	for i, packed := range m.Tasks {
-		p.tasks[i] = Task{Phase: packed.Phase, Run: packed.Run, Server: packed.Server, Failures: packed.Failures, Checkpoint: packed.Checkpoint}
+		p.tasks[i] = Task{Phase: packed.Phase, Run: packed.Run, Server: packed.Server, Failures: packed.Failures, Checkpoint: packed.Checkpoint, Stops: packed.Stops}
 		for _, c := range packed.Crashes {
 			p.tasks[i].Crashes = append(p.tasks[i].Crashes, Crash{Server: c.Server, IncarnationStart: c.IncarnationStart, Blame: c.Blame})
 		}
@@ -147,8 +197,8 @@
 
 // check returns an error for a state that no holder stores.
 func (t *Task) check() error {
-	if t.Phase < Waiting || t.Phase > Done || t.Run < 0 || t.Failures < 0 {
-		return fmt.Errorf("phase %d, run %d, %d failures", t.Phase, t.Run, t.Failures)
+	if t.Phase < Waiting || t.Phase > Done || t.Run < 0 || t.Failures < 0 || t.Stops < 0 {
+		return fmt.Errorf("phase %d, run %d, %d failures, %d stops", t.Phase, t.Run, t.Failures, t.Stops)
 	}
 	return nil
 }
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -31,6 +31,8 @@
 	Checkpoint string `json:"c,omitempty"`
 	// Crashes are the losses of backend servers with a run of the task.
 	Crashes []Crash `json:"x,omitempty"`
+	// Stops is how often a run of the task, or of its gang, was stopped to make room.
+	Stops int `json:"e,omitempty"`
 }
 
 // GroupKey identifies a step of one occurrence of a job.
@@ -101,6 +103,18 @@
 	return GroupKey{Job: g.State.Job.ID, Occurrence: g.Occurrence, Step: g.Index}
 }
 
+// CountStop notes that the newest run of a task, or of its gang, is stopped to make room. The caller has the tasks
+// stored when the run has ended.
+func (g *Group) CountStop(index int) {
+	if !g.Step().Gang {
+		g.Tasks[index].Stops++
+		return
+	}
+	for i := range g.Tasks {
+		g.Tasks[i].Stops++
+	}
+}
+
 // Done reports whether every task has ended successfully.
 func (g *Group) Done() bool {
 	for i := range g.Tasks {
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -32,6 +32,9 @@
 	return now.Add(p.Remaining).Sub(p.Due) > allowed
 }
 
+// late reports whether the occurrence will miss its objective.
+func (p *PendingStep) late(now time.Time) bool { return now.Add(p.Remaining).After(p.Objective) }
+
 // Order sorts pending steps by class, priority and age. Equal ones are sorted by key, so
 // that a round depends only on its snapshot.
 func Order(pending []PendingStep, now time.Time) {
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -8,28 +8,41 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 )
 
-// addPreemptible adds the running tasks that may be stopped to their servers, the
-// cheapest first.
+// maxStops is how often a task or gang may be stopped to make room for steps without a guarantee. It answers bursts
+// of urgent work over a full cluster: what was stopped starts again in the next room, where it would be in the way
+// of the next urgent step.
+const maxStops = 2
+
+// addPreemptible adds the running tasks that may be stopped to their servers, those first that lose the least work
+// for the room that they release.
 func (d *round) addPreemptible(tasks []PreemptibleTask) {
 	for i := range tasks {
 		task := &tasks[i]
 		if task.Gang {
-			d.gangCost[task.Key] += task.UnsavedWork
+			d.gangCost[task.Key] += task.UnsavedWork * float64(1+task.Stops)
 		}
 		if srv := d.byID[task.Server]; srv != nil {
 			srv.preemptible = append(srv.preemptible, task)
-			srv.addReclaimable(task.Need, task.Urgent)
+			srv.addReclaimable(task.Need, task.guaranteedOnly())
 		}
 	}
 	for _, srv := range d.servers {
-		slices.SortStableFunc(srv.preemptible, func(a, b *PreemptibleTask) int { return cmp.Compare(d.stopCost(a), d.stopCost(b)) })
+		slices.SortStableFunc(srv.preemptible, func(a, b *PreemptibleTask) int {
+			return cmp.Compare(d.stopCost(a)*roomOf(b), d.stopCost(b)*roomOf(a))
+		})
 	}
 }
 
+// roomOf is the room that a task releases, in cores; at least a thousandth.
+func roomOf(task *PreemptibleTask) float64 { return max(task.Need.CoreWeight(), 0.001) }
+
+// guaranteedOnly reports whether the task may be stopped only for a step that a guarantee covers.
+func (task *PreemptibleTask) guaranteedOnly() bool { return task.Urgent || task.Stops >= maxStops }
+
 // addReclaimable adds what a preemptible task would release if it were stopped.
-func (srv *serverState) addReclaimable(need job.Resources, urgent bool) {
+func (srv *serverState) addReclaimable(need job.Resources, guaranteedOnly bool) {
 	srv.reclaimableByGuaranteed = srv.reclaimableByGuaranteed.Add(need)
-	if !urgent {
+	if !guaranteedOnly {
 		srv.reclaimableByUrgent = srv.reclaimableByUrgent.Add(need)
 	}
 }
@@ -37,7 +50,16 @@
 // release marks the resources of a task that is being stopped as being released.
 func (srv *serverState) release(task *PreemptibleTask) {
 	srv.releasing = srv.releasing.Add(task.Need)
-	srv.addReclaimable(job.Resources{}.Sub(task.Need), task.Urgent)
+	srv.addReclaimable(job.Resources{}.Sub(task.Need), task.guaranteedOnly())
+	nearest := -1
+	for i, end := range srv.ends {
+		if end.Need == task.Need && (nearest < 0 || (end.After-task.EndsAfter).Abs() < (srv.ends[nearest].After-task.EndsAfter).Abs()) {
+			nearest = i
+		}
+	}
+	if nearest >= 0 { // it is not to be counted twice
+		srv.ends = slices.Delete(slices.Clone(srv.ends), nearest, nearest+1)
+	}
 }
 
 // mayPreempt reports whether tasks may be stopped for the pending step. An expired urgent
@@ -49,15 +71,96 @@
 
 // mayPreemptTask reports whether the step, if it may preempt at all, may have the task
 // stopped.
-func (p *PendingStep) mayPreemptTask(task *PreemptibleTask) bool { return p.Guaranteed || !task.Urgent }
+func (p *PendingStep) mayPreemptTask(task *PreemptibleTask) bool {
+	return p.Guaranteed || !task.guaranteedOnly()
+}
 
 // stopCost returns the unsaved work that is lost when a task is stopped, including that
-// of its gang.
+// of its gang. What was stopped before counts as often again: it is late already.
 func (d *round) stopCost(task *PreemptibleTask) float64 {
 	if task.Gang {
 		return d.gangCost[task.Key]
 	}
-	return task.UnsavedWork
+	return task.UnsavedWork * float64(1+task.Stops)
+}
+
+// mayWait is how long the step may wait for room that becomes free by itself, before tasks are stopped for it: half
+// of the time until stops would come too late, since ends come later than expected and orders are lost. A guaranteed
+// step has time until the bound of its guarantee, and each step until its objective or, if it is late already, until
+// its end would be of no more use.
+func (d *round) mayWait(p *PendingStep) time.Duration {
+	if d.stopTime == 0 || p.Guaranteed && p.StartBy.IsZero() {
+		return 0
+	}
+	endBy := p.Objective
+	if p.late(d.now) {
+		endBy = p.Due.Add(p.Objective.Sub(p.Due) * lateFactor)
+	}
+	left := endBy.Sub(d.now) - p.Remaining
+	if p.Guaranteed {
+		left = min(left, p.StartBy.Sub(d.now))
+	}
+	return max((left-d.stopTime)/2, 0)
+}
+
+// waitForEnds reserves room for a pending step that becomes free by itself while the step may wait for it, and
+// reports whether there is enough.
+func (d *round) waitForEnds(p *PendingStep, far bool) bool {
+	limit := d.mayWait(p)
+	if limit <= 0 {
+		return false
+	}
+	for _, within := range []time.Duration{min(d.stopTime, limit), limit} {
+		if a := d.fitInTime(p, freeSoon, far, within); len(a.servers) == len(p.Tasks) {
+			d.reserve(p, a)
+			return true
+		}
+		if within == limit {
+			break
+		}
+	}
+	return false
+}
+
+// fitInTime is fit with what tasks release that end by themselves within a time.
+func (d *round) fitInTime(p *PendingStep, s supply, far bool, within time.Duration) assignment {
+	key, comparable := d.fitKeyOf(p, s, far)
+	key.evictions = len(d.plan.Evictions)
+	if failed, known := d.neverInTime[key]; comparable && known && within <= failed {
+		return assignment{}
+	}
+	d.countEnds(within, 1)
+	a := d.search(p, s, far)
+	d.countEnds(within, -1)
+	if comparable && len(a.servers) == 0 {
+		d.neverInTime[key] = within
+	}
+	return a
+}
+
+// countEnds adds to what is being released, or with sign -1 takes from it, what tasks release that end by themselves
+// within a time. To stop these would win nothing, so they are not reclaimable meanwhile.
+func (d *round) countEnds(within time.Duration, sign int) {
+	if within <= 0 {
+		return
+	}
+	d.counted = within
+	if sign < 0 {
+		d.counted = 0
+	}
+	for _, srv := range d.servers {
+		for _, end := range srv.ends {
+			if end.After > within {
+				break // they are sorted
+			}
+			srv.releasing = srv.releasing.Add(end.Need.Times(sign))
+		}
+		for _, task := range srv.preemptible {
+			if task.EndsAfter <= within {
+				srv.addReclaimable(task.Need.Times(-sign), task.guaranteedOnly())
+			}
+		}
+	}
 }
 
 // preempt stops running tasks to make room for the pending step and reports whether all
@@ -66,26 +169,34 @@
 //
 // It serves organisations that reclaim guaranteed accelerators which others have
 // borrowed, and urgent steps. The victims are the tasks that lose the least unsaved work.
-// No task is stopped whose resources are not needed. Nothing is stopped for an urgent
+// No task is stopped whose resources are not needed, or that ends by itself before its room
+// could be used. Nothing is stopped for an urgent
 // step without a guarantee if more work would be lost than maxLossFactor allows. Later
 // rounds use the same fit to place the step in the room that becomes free, so that they
 // choose no further victims for it.
 func (d *round) preempt(p *PendingStep, far bool) bool {
-	a := d.fit(p, reclaimable, far)
+	within := min(d.mayWait(p), d.stopTime)
+	var a assignment
+	if within > 0 {
+		a = d.fitInTime(p, reclaimable, far, within)
+	} else {
+		a = d.fit(p, reclaimable, far)
+	}
 	if len(a.servers) < len(p.Tasks) && (p.Step.Gang || len(a.servers) == 0) {
 		return false
 	}
-	if !p.Guaranteed && a.cost > maxLossFactor*p.estimatedWork() {
-		return false
+	d.countEnds(within, 1)
+	stops := d.stopsFor(p, a)
+	d.countEnds(within, -1)
+	lost := 0.0
+	for _, stop := range stops {
+		lost += d.stopCost(stop.task)
 	}
-	count := make(map[*serverState]int)
-	for _, srv := range a.servers {
-		count[srv]++
+	if !p.Guaranteed && lost > maxLossFactor*p.estimatedWork() {
+		return false
 	}
-	for _, srv := range d.servers {
-		if n := count[srv]; n > 0 {
-			d.evict(srv, d.victims(p, srv, n), p.Key)
-		}
+	for _, stop := range stops {
+		d.evict(stop.server, stop.task, p.Key)
 	}
 	d.reserve(p, a)
 	return len(a.servers) == len(p.Tasks)
@@ -125,7 +236,7 @@
 		if need.FitsIn(free) {
 			break
 		}
-		if !p.mayPreemptTask(task) {
+		if !p.mayPreemptTask(task) || d.counted > 0 && task.EndsAfter <= d.counted {
 			continue
 		}
 		chosen = append(chosen, task)
@@ -141,18 +252,88 @@
 	return chosen
 }
 
-// evict adds the stops of the victims on a server to the plan. A gang ends as a whole, so
-// the resources of its other members are released as well.
-func (d *round) evict(srv *serverState, victims []*PreemptibleTask, by job.GroupKey) {
-	for _, task := range victims {
-		d.plan.Evictions = append(d.plan.Evictions, Eviction{Key: task.Key, Index: task.Index, For: by})
-		if task.Gang {
-			d.releaseGang(task.Key)
+// stop is the stop of a task on a server, and of its gang everywhere.
+type stop struct {
+	server *serverState
+	task   *PreemptibleTask
+}
+
+// stopsFor returns the stops that make room for an assignment: the victims on each server, a gang only once, without
+// those that are not needed since others are stopped, the most expensive ones dropped first.
+func (d *round) stopsFor(p *PendingStep, a assignment) []stop {
+	count := make(map[*serverState]int)
+	for _, srv := range a.servers {
+		count[srv]++
+	}
+	var stops []stop
+	gangs := make(map[job.GroupKey]bool)
+	for _, srv := range d.servers {
+		if count[srv] == 0 {
 			continue
 		}
-		srv.release(task)
-		srv.preemptible = slices.DeleteFunc(srv.preemptible, func(other *PreemptibleTask) bool { return other == task })
+		for _, task := range d.victims(p, srv, count[srv]) {
+			if !task.Gang || !gangs[task.Key] {
+				stops = append(stops, stop{srv, task})
+			}
+			gangs[task.Key] = gangs[task.Key] || task.Gang
+		}
+	}
+	if len(gangs) == 0 {
+		return stops // each frees room on its own server, where all are needed
+	}
+	lacks := make(map[*serverState]job.Resources) // what the stops must free at least
+	freed := make(map[*serverState]job.Resources)
+	for srv, n := range count {
+		lacks[srv] = p.Step.Reserved().Times(n).Sub(srv.available(p, freeSoon))
+		freed[srv] = srv.freedBy(stops)
+	}
+	slices.SortStableFunc(stops, func(a, b stop) int { return cmp.Compare(d.stopCost(b.task), d.stopCost(a.task)) })
+	for i := 0; i < len(stops); {
+		needed := false
+		for srv := range count {
+			needed = needed || !lacks[srv].FitsIn(freed[srv].Sub(srv.freedBy(stops[i:i+1])))
+		}
+		if needed {
+			i++
+			continue
+		}
+		for srv := range count {
+			freed[srv] = freed[srv].Sub(srv.freedBy(stops[i : i+1]))
+		}
+		stops = slices.Delete(stops, i, i+1)
+	}
+	return stops
+}
+
+// freedBy returns what stops release on a server.
+func (srv *serverState) freedBy(stops []stop) job.Resources {
+	var sum job.Resources
+	for _, s := range stops {
+		if !s.task.Gang {
+			if s.server == srv {
+				sum = sum.Add(s.task.Need)
+			}
+			continue
+		}
+		for _, task := range srv.preemptible {
+			if task.Key == s.task.Key {
+				sum = sum.Add(task.Need)
+			}
+		}
+	}
+	return sum
+}
+
+// evict adds the stop of a task on a server to the plan. A gang ends as a whole, so
+// the resources of its other members are released as well.
+func (d *round) evict(srv *serverState, task *PreemptibleTask, by job.GroupKey) {
+	d.plan.Evictions = append(d.plan.Evictions, Eviction{Key: task.Key, Index: task.Index, For: by})
+	if task.Gang {
+		d.releaseGang(task.Key)
+		return
 	}
+	srv.release(task)
+	srv.preemptible = slices.DeleteFunc(srv.preemptible, func(other *PreemptibleTask) bool { return other == task })
 }
 
 func (d *round) releaseGang(key job.GroupKey) {
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -19,6 +19,11 @@
 	capacity    map[string]float64       // of each service, in cores
 	earmarked   map[string]float64       // what is earmarked of it for waiting gangs, in cores
 	plan        Plan
+	stopTime    time.Duration
+	// counted is for how long from now expected ends count as being released; 0 if they do not. neverInTime holds
+	// the longest such time for which steps with a key found no room.
+	counted     time.Duration
+	neverInTime map[fitKey]time.Duration
 
 	racks          int // number of racks
 	candidateLists map[candidateKey]candidateList
@@ -41,10 +46,12 @@
 func newRound(s Snapshot) *round {
 	d := &round{
 		now:         s.Now,
+		stopTime:    s.StopTime,
 		byID:        make(map[model.BackendServerID]*serverState, len(s.Servers)),
 		gangCost:    make(map[job.GroupKey]float64),
 		unplaceable: make(map[fitKey]bool),
 		capacity:    make(map[string]float64),
+		neverInTime: make(map[fitKey]time.Duration),
 		earmarked:   make(map[string]float64),
 
 		candidateLists: make(map[candidateKey]candidateList),
@@ -105,14 +112,14 @@
 	}
 }
 
-// reserveOrPreempt reserves room that is free or being released for a pending step, or
-// else stops tasks for it. It returns false when the step would not fit even then.
+// reserveOrPreempt reserves room for a pending step that is free, being released or becomes free by itself in time,
+// or else stops tasks for it. It returns false when the step would not fit even then.
 func (d *round) reserveOrPreempt(p *PendingStep, far bool) bool {
 	if soon := d.fit(p, freeSoon, far); len(soon.servers) == len(p.Tasks) {
 		d.reserve(p, soon)
 		return true
 	}
-	return d.preempt(p, far)
+	return d.waitForEnds(p, far) || d.preempt(p, far)
 }
 
 // countTasksPerServer returns how many of the step's tasks are on each backend server, including
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -80,6 +80,8 @@
 	Isolate bool
 	// Advised holds the only backend servers that may run the step; nil means all.
 	Advised map[model.BackendServerID]bool
+	// StartBy is until when all tasks must have begun by the bound of the guarantee; zero if it is not known.
+	StartBy time.Time
 }
 
 // PreemptibleTask is a running task that no guarantee covers; it may be stopped to make room.
@@ -93,6 +95,10 @@
 	Urgent bool
 	// UnsavedWork is the work that is lost when the task is stopped, in core-seconds.
 	UnsavedWork float64
+	// Stops is how often the task, or its gang, was stopped before to make room.
+	Stops int
+	// EndsAfter is when the task is expected to end by itself; 0 if that is not known.
+	EndsAfter time.Duration
 }
 
 // Snapshot is the input of a round.
@@ -101,6 +107,9 @@
 	Servers     []Server
 	Pending     []PendingStep
 	Preemptible []PreemptibleTask
+	// StopTime is how long it takes until another task has begun in the room of a task that is stopped. If it is 0,
+	// no step waits for room that becomes free by itself.
+	StopTime time.Duration
 }
 
 // Placement starts a task on a backend server.
