Order: what can still be in time goes first, organisations take turns, and late work stays near

Cause: by age alone all that waits becomes late together; late steps went to other racks at once, where they take farFactor times the room.

Change: within a class and a priority in which something has waited for more than 0.5 s, steps that can still end by their objectives go before late ones, and organisations take turns by what they have against their shares. A step goes far only if that ends it earlier than waiting for room near (bounds.farFactor), but for guaranteed ones, whose bound is on the start. A step that has waited longer than starvedAfter goes before all that no guarantee covers. Guaranteed steps first try to do without stopping urgent tasks. internal/placement: the time waited is kept over evictions, so that a gang that urgent ones evict just before it counts as starved starts again soon.

--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -156,7 +156,7 @@
 	}
 	if j := s.replica.Job(job.ID); j != nil {
 		c.Submitted = j.AcceptedAt
-		c.Queued = j.QueuedAt
+		c.Queued, c.Waited = j.QueuedAt, j.Waited
 		c.Avoid = s.serversToAvoid(j)
 	}
 	return c
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -118,8 +118,9 @@
 func (s *State) snapshot() sched.Snapshot {
 	snap := sched.Snapshot{Now: s.now}
 	if s.bounds.ReclaimBound > 0 {
-		snap.StopTime = s.bounds.StopTimeout + stopReportDelay + restartDelay
+		snap.StopTime = s.bounds.StopTimeout + restartDelay
 	}
+	snap.FarFactor = s.bounds.FarFactor
 	for _, id := range eventloop.SortedKeys(s.servers) {
 		if v := s.servers[id]; s.usable(v) {
 			snap.Servers = append(snap.Servers, s.serverView(v))
@@ -127,17 +128,46 @@
 	}
 	open := s.openJobs()
 	covered := s.jobsCoveredByGuarantees(open)
+	loads, shares := s.organisationLoads()
 	for _, st := range open {
 		if s.cancellationsKnown(st.Job.ID) {
 			s.addPendingSteps(&snap, st, covered[st])
 		}
 	}
+	for i := range snap.Pending {
+		p := &snap.Pending[i]
+		p.OrganisationShare = shares[p.Organisation]
+		p.OrganisationLoad = loads[p.Organisation] / max(p.OrganisationShare, 1)
+	}
 	if slices.ContainsFunc(snap.Pending, func(p sched.PendingStep) bool { return p.Guaranteed || p.Urgent }) {
 		snap.Preemptible = s.preemptibleRuns(covered)
 	}
 	return snap
 }
 
+// organisationLoads returns what the runs of each organisation take, in cores, and its share of the room as a multiple
+// of an equal one: 1 and what it is guaranteed, as a multiple of the mean of all.
+func (s *State) organisationLoads() (loads, shares map[model.OrganisationID]float64) {
+	loads = make(map[model.OrganisationID]float64)
+	for _, v := range s.servers {
+		for _, r := range v.runs {
+			loads[r.group.State.Job.Organisation] += r.step().Reserved().CoreWeight()
+		}
+	}
+	guaranteed := 0
+	for _, o := range s.config.Organisations {
+		guaranteed += o.Guaranteed
+	}
+	shares = make(map[model.OrganisationID]float64, len(s.config.Organisations))
+	for id, o := range s.config.Organisations {
+		shares[id] = 1
+		if guaranteed > 0 {
+			shares[id] += float64(o.Guaranteed*len(s.config.Organisations)) / float64(guaranteed)
+		}
+	}
+	return loads, shares
+}
+
 // usable reports whether a backend server may take new tasks.
 func (s *State) usable(v *server) bool {
 	return v.listed && v.hasReported && v.failedCalls == 0 && !v.entry.Draining && v.clock != 0 && v.health.usable(s.now)
@@ -211,7 +241,7 @@
 // stopReportDelay is the time for the delivery of a stop order and the report of the end.
 const stopReportDelay = 400 * time.Millisecond
 
-// restartDelay is the time for storing a placement and delivering its start order.
+// restartDelay is the time for the report of a stop, for storing a placement and for delivering its start order.
 const restartDelay = 300 * time.Millisecond
 
 // openJobs lists the jobs that may still need placements, the oldest first.
@@ -277,6 +307,7 @@
 	if covered && s.bounds.ReclaimBound > 0 {
 		p.StartBy = p.Due.Add(s.bounds.ReclaimBound)
 	}
+	p.Organisation = st.Job.Organisation
 	p.Kind, p.Runtime = st.Job.Kind(g.Index), step.EstimatedRuntime
 	for i := range g.Tasks {
 		if g.Tasks[i].Phase == job.Waiting && !s.mayStillRun(g, i) {
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -21,6 +21,9 @@
 	// ReclaimBound is how long after its acceptance a job that a guarantee covers may take until all tasks of its first
 	// step have begun; 0 if it is not known.
 	ReclaimBound time.Duration
+	// FarFactor is how many times as long tasks take on other racks than the one that they run best on; 0 if it is not
+	// known.
+	FarFactor float64
 }
 
 // Timings of the loop.
--- a/internal/placement/borrowed.go
+++ b/internal/placement/borrowed.go
@@ -81,14 +81,14 @@
 }
 
 // preemptByClass evicts less urgent borrowed gangs for an urgent gang. It does not evict
-// gangs that started StarvedAfter or more after their submission, so that many urgent
+// gangs that started StarvedAfter or more after their submission, or waited so long in all, so that many urgent
 // gangs cannot starve them and no gang is stopped for urgent ones again and again.
 func (d *decision) preemptByClass(g Gang) bool {
 	if d.noPreemptibleCell[g.Shape] {
 		return false
 	}
 	mayEvict := func(gang *PlacedGang) bool {
-		return gang.Class > g.Class && gang.Started.Sub(gang.Submitted) < d.options.StarvedAfter
+		return gang.Class > g.Class && max(gang.Started.Sub(gang.Submitted), gang.Waited) < d.options.StarvedAfter
 	}
 	room := d.withoutReserved(d.roomAfterEvictions(mayEvict))
 	c, victims, ok := d.cellWithFewestEvictions(g, room, mayEvict)
@@ -172,7 +172,7 @@
 		return false
 	}
 	candidates[0].addTo(d.reserved, g.Shape.Accelerators, 1)
-	d.reservationDue = g.waitingSince().Add(d.options.EvictAfter)
+	d.reservationDue = g.waitReaches(d.options.EvictAfter)
 	d.addWaiting(g, WaitReserved)
 	return true
 }
@@ -182,7 +182,7 @@
 func (d *decision) waitingFor(queue []Gang, wait time.Duration) []int {
 	var positions []int
 	for i := range queue {
-		if d.zone.Now.Sub(queue[i].waitingSince()) >= wait {
+		if !queue[i].waitReaches(wait).After(d.zone.Now) {
 			positions = append(positions, i)
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -26,6 +26,8 @@
 	// Queued is when a stopped gang went back to the queue; zero for a gang that has
 	// never run.
 	Queued time.Time
+	// Waited is how long the gang waited before each start so far, in all. Neither evictions nor failures reset it.
+	Waited time.Duration
 	// DeclaredRuntime is a hint and may be far off.
 	DeclaredRuntime time.Duration
 	// Avoid lists servers on which earlier attempts failed.
@@ -40,6 +42,11 @@
 	return g.Submitted
 }
 
+// waitReaches returns when a waiting gang will have waited for the time, counting all of its waits.
+func (g *Gang) waitReaches(wait time.Duration) time.Time {
+	return g.waitingSince().Add(wait - g.Waited)
+}
+
 // Member is one task of a placed gang. Members on one server are separate entries.
 type Member struct {
 	Server       model.BackendServerID
--- a/internal/placement/replay/replay.go
+++ b/internal/placement/replay/replay.go
@@ -61,6 +61,11 @@
 			waiting = append(waiting, g)
 			continue
 		}
+		waitedSince := g.Submitted
+		if g.Queued.After(waitedSince) {
+			waitedSince = g.Queued
+		}
+		g.Waited += s.Zone.Now.Sub(waitedSince)
 		placed = append(placed, placement.PlacedGang{
 			Gang:     g,
 			Members:  start.Members,
--- a/internal/replica/job.go
+++ b/internal/replica/job.go
@@ -44,6 +44,8 @@
 	AcceptedAt     time.Time         `json:"acceptedAt"`
 	// QueuedAt is when the last attempt ended without ending the job; zero before.
 	QueuedAt time.Time `json:"queuedAt,omitzero"`
+	// Waited is how long the job waited before each attempt so far, in all.
+	Waited time.Duration `json:"waited,omitzero"`
 	// HomeRevision is the offset of the entry that set the home availability zone.
 	HomeRevision  int64                   `json:"homeRevision"`
 	Attempt       Attempt                 `json:"attempt"`
@@ -134,7 +136,7 @@
 	return accepted()
 }
 
-func (s *State) applyAttempt(_ journal.LocatedEntry, a journal.AttemptClaimed) journal.Decision {
+func (s *State) applyAttempt(l journal.LocatedEntry, a journal.AttemptClaimed) journal.Decision {
 	j := s.jobs[a.Job]
 	if j == nil || j.Ended() || j.Cancelled {
 		return conflict(0, "no such pending job")
@@ -146,6 +148,11 @@
 	if j.Attempt.Open || a.Number != j.Attempt.Number+1 {
 		return conflict(j.AcceptedOffset, "another attempt was claimed")
 	}
+	queuedAt := j.AcceptedAt
+	if j.QueuedAt.After(queuedAt) {
+		queuedAt = j.QueuedAt
+	}
+	j.Waited += max(l.Time.Sub(queuedAt), 0)
 	j.Attempt = Attempt{
 		ID:           a.Attempt,
 		Number:       a.Number,
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -1,65 +1,153 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
 // lateFactor bounds how long after its due time an occurrence may end and still be of use,
 // as a multiple of the time from Due to Objective.
 const lateFactor = 3
 
-// orderClass returns the step's class in the order of a round; lower classes go first.
-//
-// The classes matter when more work arrives within seconds than fits. Guaranteed steps
-// go first because others must make room for them. Expired steps go last so that they do
-// not delay steps that can still end in useful time.
+// starvedAfterFirst is the bound on the wait of a step of priority 0 that others may pass; each further priority has
+// twice the bound of the one before. It is far beyond the last use of the work, so that only what would never be
+// started reaches it.
+const (
+	starvedAfterFirst = 2 * time.Minute
+	starvedPriorities = 4 // further priorities have the bound of the last
+)
+
+// starvedAfter is how long a step of a priority waits before it goes before all steps that no guarantee covers. It
+// then waits only for the steps that have waited longer, and for running tasks to end.
+func starvedAfter(priority int) time.Duration {
+	return starvedAfterFirst << min(max(priority, 0), starvedPriorities)
+}
+
+// contendedAfter is how long a step of one class and priority waits before their order by age gives way: a round
+// places what fits, so what still waits after several rounds competes for too little room.
+const contendedAfter = 500 * time.Millisecond
+
+// The classes of a round's order; lower ones go first.
+const (
+	classGuaranteed = iota // others must make room for them
+	classStarved           // have waited longer than starvedAfter
+	classUseful
+	classExpired // must not delay steps that can still end in useful time
+)
+
+// orderClass returns the step's class in the order of a round. The classes matter when more work arrives within
+// seconds than fits.
 func (p *PendingStep) orderClass(now time.Time) int {
 	switch {
 	case p.Guaranteed:
-		return 0
+		return classGuaranteed
+	case p.starved(now):
+		return classStarved
 	case p.expired(now):
-		return 2
+		return classExpired
 	default:
-		return 1
+		return classUseful
 	}
 }
 
-// expired reports whether the occurrence will end too late to be of use.
+// starved reports whether the step has waited longer than starvedAfter.
+func (p *PendingStep) starved(now time.Time) bool { return now.Sub(p.Due) > starvedAfter(p.Priority) }
+
+// expired reports whether the occurrence will end too late to be of use. What has starved is started nevertheless.
 func (p *PendingStep) expired(now time.Time) bool {
 	allowed := p.Objective.Sub(p.Due) * lateFactor
-	return now.Add(p.Remaining).Sub(p.Due) > allowed
+	return now.Add(p.Remaining).Sub(p.Due) > allowed && !p.starved(now)
 }
 
 // late reports whether the occurrence will miss its objective.
 func (p *PendingStep) late(now time.Time) bool { return now.Add(p.Remaining).After(p.Objective) }
 
-// Order sorts pending steps by class, priority and age. Equal ones are sorted by key, so
-// that a round depends only on its snapshot.
+// Order sorts pending steps by class, priority and age; starved ones by age alone. Equal ones are sorted by key, so
+// that a round depends only on its snapshot. Where steps of one class and priority compete, those that can
+// still be in time go first, and organisations take turns.
 func Order(pending []PendingStep, now time.Time) {
 	slices.SortFunc(pending, func(a, b PendingStep) int {
-		if d := a.orderClass(now) - b.orderClass(now); d != 0 {
+		class := a.orderClass(now)
+		if d := class - b.orderClass(now); d != 0 {
 			return d
 		}
-		if d := a.Priority - b.Priority; d != 0 {
+		if d := a.Priority - b.Priority; d != 0 && class != classStarved {
 			return d
 		}
-		if d := a.Due.Compare(b.Due); d != 0 {
-			return d
+		return compareAge(&a, &b)
+	})
+	for first := 0; first < len(pending); {
+		last := first
+		contended := false
+		class, priority := pending[first].orderClass(now), pending[first].Priority
+		for ; last < len(pending) && pending[last].orderClass(now) == class && pending[last].Priority == priority; last++ {
+			contended = contended || now.Sub(pending[last].Due) > contendedAfter
 		}
-		if d := strings.Compare(string(a.Key.Job), string(b.Key.Job)); d != 0 {
-			return d
+		if class == classUseful && contended {
+			orderCompeting(pending[first:last], now)
 		}
-		if d := a.Key.Occurrence - b.Key.Occurrence; d != 0 {
-			return d
+		first = last
+	}
+}
+
+func compareAge(a, b *PendingStep) int {
+	isolateLast := 0
+	if a.Isolate != b.Isolate {
+		isolateLast = -1
+		if a.Isolate {
+			isolateLast = 1
 		}
-		if d := a.Key.Step - b.Key.Step; d != 0 || a.Isolate == b.Isolate {
-			return d
+	}
+	return cmp.Or(
+		a.Due.Compare(b.Due), strings.Compare(string(a.Key.Job), string(b.Key.Job)), a.Key.Occurrence-b.Key.Occurrence,
+		a.Key.Step-b.Key.Step, isolateLast,
+	)
+}
+
+// orderCompeting orders steps of one class and priority that compete for too little room. Those that can still end by
+// their objectives go first: by age, all that waits becomes late together. Among these, and among the late ones,
+// organisations take turns: each step goes as if its organisation had to bring its share of the room level with the
+// others first. Those of one organisation keep their order by age, except that late ones do not go before others.
+func orderCompeting(steps []PendingStep, now time.Time) {
+	turns := make([]turn, len(steps))
+	loads := make(map[model.OrganisationID]float64)
+	for _, late := range []bool{false, true} {
+		for i := range steps {
+			p := &steps[i]
+			if p.late(now) != late {
+				continue
+			}
+			load, known := loads[p.Organisation]
+			if !known {
+				load = p.OrganisationLoad
+			}
+			turns[i] = turn{late: late, load: load, position: i}
+			loads[p.Organisation] = load + float64(len(p.Tasks))*p.Step.Reserved().CoreWeight()/max(p.OrganisationShare, 1)
 		}
-		if a.Isolate {
-			return 1
+	}
+	slices.SortFunc(turns, func(a, b turn) int {
+		if a.late != b.late {
+			if a.late {
+				return 1
+			}
+			return -1
 		}
-		return -1
+		return cmp.Or(cmp.Compare(a.load, b.load), a.position-b.position)
 	})
+	sorted := make([]PendingStep, len(steps))
+	for i, t := range turns {
+		sorted[i] = steps[t.position]
+	}
+	copy(steps, sorted)
+}
+
+// turn is a step's turn among competing ones: load is the share of the room that its organisation has by then.
+type turn struct {
+	late     bool
+	load     float64
+	position int // by age
 }
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -171,18 +171,36 @@
 // borrowed, and urgent steps. The victims are the tasks that lose the least unsaved work.
 // No task is stopped whose resources are not needed, or that ends by itself before its room
 // could be used. Nothing is stopped for an urgent
-// step without a guarantee if more work would be lost than maxLossFactor allows. Later
+// step without a guarantee if more work would be lost than maxLossFactor allows. For a guaranteed
+// step the same is tried first: others that are urgent too miss their objectives if they are stopped. Later
 // rounds use the same fit to place the step in the room that becomes free, so that they
 // choose no further victims for it.
 func (d *round) preempt(p *PendingStep, far bool) bool {
 	within := min(d.mayWait(p), d.stopTime)
+	if p.Guaranteed && d.stopTime > 0 {
+		likeUrgent := *p
+		likeUrgent.Guaranteed, likeUrgent.Urgent = false, true
+		if d.stopFor(&likeUrgent, far, within, len(p.Tasks)) {
+			return true
+		}
+	}
+	atLeast := 1
+	if p.Step.Gang {
+		atLeast = len(p.Tasks)
+	}
+	return d.stopFor(p, far, within, atLeast)
+}
+
+// stopFor is preempt for one way to choose victims. It stops nothing unless as many tasks of the step fit then as
+// atLeast. What ends by itself within a time counts as being released.
+func (d *round) stopFor(p *PendingStep, far bool, within time.Duration, atLeast int) bool {
 	var a assignment
 	if within > 0 {
 		a = d.fitInTime(p, reclaimable, far, within)
 	} else {
 		a = d.fit(p, reclaimable, far)
 	}
-	if len(a.servers) < len(p.Tasks) && (p.Step.Gang || len(a.servers) == 0) {
+	if len(a.servers) < atLeast {
 		return false
 	}
 	d.countEnds(within, 1)
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -20,6 +20,7 @@
 	earmarked   map[string]float64       // what is earmarked of it for waiting gangs, in cores
 	plan        Plan
 	stopTime    time.Duration
+	farFactor   float64
 	// counted is for how long from now expected ends count as being released; 0 if they do not. neverInTime holds
 	// the longest such time for which steps with a key found no room.
 	counted     time.Duration
@@ -47,6 +48,7 @@
 	d := &round{
 		now:         s.Now,
 		stopTime:    s.StopTime,
+		farFactor:   s.FarFactor,
 		byID:        make(map[model.BackendServerID]*serverState, len(s.Servers)),
 		gangCost:    make(map[job.GroupKey]float64),
 		unplaceable: make(map[fitKey]bool),
@@ -81,7 +83,7 @@
 // it room that is being released, or stops other tasks. For a gang that still does not fit,
 // it earmarks the room where the gang can start first.
 func (d *round) schedule(p *PendingStep) {
-	a := d.fit(p, freeNow, !d.mayPreempt(p) && d.mayGoFar(p))
+	a := d.fit(p, freeNow, !d.mayPreempt(p) && d.shouldGoFar(p))
 	d.place(p, a)
 	if len(a.servers) == len(p.Tasks) {
 		return
@@ -96,7 +98,7 @@
 	if d.reserveOrPreempt(&rest, false) {
 		return
 	}
-	if !d.mayGoFar(p) {
+	if !d.shouldGoFar(&rest) {
 		d.earmarkRoom(&rest)
 		return
 	}
@@ -112,6 +114,24 @@
 	}
 }
 
+// shouldGoFar reports whether a step should use other racks than the one that it runs best on if it finds no room
+// there: only if its tasks are expected to end earlier, since they take several times as long. A guaranteed step does
+// so in any case, since the bound of its guarantee is on its start.
+//
+// It answers more work than fits: most steps are late then, and those that go far take the room of several others.
+func (d *round) shouldGoFar(p *PendingStep) bool {
+	if !d.mayGoFar(p) || p.Guaranteed || d.farFactor == 0 {
+		return d.mayGoFar(p)
+	}
+	eligible, near := d.candidates(p)
+	if len(near) == len(eligible) && !p.Step.SameRack || !d.fitsNearWhenEmpty(p, near) {
+		return true
+	}
+	slots := d.earliestSlots(p)
+	gain := time.Duration((d.farFactor - 1) * float64(p.Step.EstimatedRuntime))
+	return slots == nil || slots[len(slots)-1].after > gain
+}
+
 // reserveOrPreempt reserves room for a pending step that is free, being released or becomes free by itself in time,
 // or else stops tasks for it. It returns false when the step would not fit even then.
 func (d *round) reserveOrPreempt(p *PendingStep, far bool) bool {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -82,6 +82,11 @@
 	Advised map[model.BackendServerID]bool
 	// StartBy is until when all tasks must have begun by the bound of the guarantee; zero if it is not known.
 	StartBy time.Time
+	// Organisation is that of the job. OrganisationLoad is the room that its running tasks take, in cores divided by
+	// OrganisationShare, which is its share of the room as a multiple of an equal one; 0 counts as 1.
+	Organisation      model.OrganisationID
+	OrganisationLoad  float64
+	OrganisationShare float64
 }
 
 // PreemptibleTask is a running task that no guarantee covers; it may be stopped to make room.
@@ -110,6 +115,9 @@
 	// StopTime is how long it takes until another task has begun in the room of a task that is stopped. If it is 0,
 	// no step waits for room that becomes free by itself.
 	StopTime time.Duration
+	// FarFactor is how many times as long tasks take on other racks than the one that they run best on; 0 if it is not
+	// known.
+	FarFactor float64
 }
 
 // Placement starts a task on a backend server.
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -106,7 +106,7 @@
 		},
 		Bounds: fleet.Bounds{
 			LeaseMax: s.LeaseMax, StopTimeout: s.StopTimeout, FinalStateRetention: s.FinalStateRetention,
-			CancelBound: s.CancelBound, DrainBound: s.DrainBound, ReclaimBound: s.ReclaimBound,
+			CancelBound: s.CancelBound, DrainBound: s.DrainBound, ReclaimBound: s.ReclaimBound, FarFactor: s.FarFactor,
 		},
 		Store:     store,
 		Servers:   platform.NewServers(),
