--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -242,7 +242,7 @@
 const stopReportDelay = 400 * time.Millisecond
 
 // restartDelay is the time for the report of a stop, for storing a placement and for delivering its start order.
-const restartDelay = 300 * time.Millisecond
+const restartDelay = 100 * time.Millisecond
 
 // openJobs lists the jobs that may still need placements, the oldest first.
 func (s *State) openJobs() []*job.State {
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,26 +14,47 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
-// load replays a load in virtual time: steps arrive, rounds place their tasks, and tasks end
-// after the step's estimated runtime. Nothing is preempted.
+// load replays a load in virtual time: steps arrive, rounds place their tasks and stop others, and tasks end after the
+// step's estimated runtime, times the load's drawn deviation. What is stopped starts anew.
 type load struct {
 	cluster
 	waiting []PendingStep
 	running []runningTask
+	steps   map[job.GroupKey]*PendingStep
 	placed  map[job.GroupKey]time.Time // when the last task of a step was placed
+	ended   map[job.GroupKey]time.Time // when the last task of a step ended
+	done    map[job.GroupKey]int
+	stops   map[taskKey]int
+	lost    float64 // core-seconds of work of stopped tasks
+	random  *rand.Rand
+	// deviation is how far a task's runtime may be off its estimate, as a share of it.
+	deviation float64
+}
+
+type taskKey struct {
+	group job.GroupKey
+	index int
 }
 
 type runningTask struct {
-	need   job.Resources
-	server int
-	ends   time.Time
+	taskKey
+	need                 job.Resources
+	server               int
+	began, ends, expects time.Time
+	stopped              bool
 }
 
-// roundInterval is the time between two rounds of a load.
-const roundInterval = 100 * time.Millisecond
+// roundInterval is the time between two rounds of a load, stopTakes that until a stopped task has ended.
+const (
+	roundInterval = 100 * time.Millisecond
+	stopTakes     = 300 * time.Millisecond
+)
 
 func newLoad(servers, perRack int) *load {
-	l := &load{cluster: *newCluster(servers), placed: make(map[job.GroupKey]time.Time)}
+	l := &load{
+		cluster: *newCluster(servers), placed: make(map[job.GroupKey]time.Time), steps: make(map[job.GroupKey]*PendingStep),
+		ended: make(map[job.GroupKey]time.Time), done: make(map[job.GroupKey]int), stops: make(map[taskKey]int), random: rand.New(rand.NewPCG(1, 2)),
+	}
 	for i := range l.Servers {
 		l.Servers[i].Rack = model.RackID(fmt.Sprintf("r%d", i/perRack))
 	}
@@ -41,13 +64,19 @@
 // submit adds a step that is due now and whose objective is three times its estimated
 // runtime.
 func (l *load) submit(name string, priority int, step job.Step) job.GroupKey {
+	return l.submitFor("", name, priority, 3, step)
+}
+
+// submitFor adds a step of an organisation that is due now. Its objective is a multiple of its estimated runtime.
+func (l *load) submitFor(organisation model.OrganisationID, name string, priority int, stretch float64, step job.Step) job.GroupKey {
 	p := PendingStep{
-		Key: groupKey(name), Service: "desk", Step: &step, Priority: priority, Due: l.Now,
-		Objective: l.Now.Add(3 * step.EstimatedRuntime), Remaining: step.EstimatedRuntime,
+		Key: groupKey(name), Service: "desk", Step: &step, Priority: priority, Due: l.Now, Organisation: organisation,
+		Objective: l.Now.Add(time.Duration(stretch * float64(step.EstimatedRuntime))), Remaining: step.EstimatedRuntime,
 	}
 	for i := range step.Count {
 		p.Tasks = append(p.Tasks, i)
 	}
+	l.steps[p.Key] = &p
 	l.waiting = append(l.waiting, p)
 	return p.Key
 }
@@ -55,35 +84,120 @@
 // round ends the tasks that are due and runs a scheduling round.
 func (l *load) round() {
 	l.Now = l.Now.Add(roundInterval)
+	for _, r := range l.running {
+		if r.ends.After(l.Now) {
+			continue
+		}
+		if r.stopped {
+			l.wait(r.taskKey)
+			continue
+		}
+		l.done[r.group]++
+		l.ended[r.group] = l.Now
+	}
 	l.running = slices.DeleteFunc(l.running, func(r runningTask) bool { return !r.ends.After(l.Now) })
-	for _, p := range Decide(l.snapshot()).Placements {
+	plan := Decide(l.snapshot())
+	for _, p := range plan.Placements {
 		l.start(p)
 	}
+	for _, e := range plan.Evictions {
+		for i := range l.running {
+			if r := &l.running[i]; r.group == e.Key && (r.index == e.Index || l.steps[e.Key].Step.Gang) {
+				l.stops[r.taskKey]++
+				l.lost += r.need.CoreWeight() * l.Now.Sub(r.began).Seconds()
+				r.stopped, r.ends = true, l.Now.Add(stopTakes)
+			}
+		}
+	}
 	l.waiting = slices.DeleteFunc(l.waiting, func(p PendingStep) bool { return len(p.Tasks) == 0 })
 }
 
+// wait makes a stopped task wait again; a gang once all of its tasks have ended.
+func (l *load) wait(t taskKey) {
+	i := slices.IndexFunc(l.waiting, func(w PendingStep) bool { return w.Key == t.group })
+	if i < 0 {
+		i = len(l.waiting)
+		w := *l.steps[t.group]
+		w.Tasks = nil
+		l.waiting = append(l.waiting, w)
+	}
+	l.waiting[i].Tasks = append(slices.Clone(l.waiting[i].Tasks), t.index)
+}
+
 func (l *load) start(p Placement) {
 	i := slices.IndexFunc(l.waiting, func(w PendingStep) bool { return w.Key == p.Key })
 	w := &l.waiting[i]
-	w.Tasks = slices.DeleteFunc(w.Tasks, func(index int) bool { return index == p.Index })
+	w.Tasks = slices.DeleteFunc(slices.Clone(w.Tasks), func(index int) bool { return index == p.Index })
 	server := slices.IndexFunc(l.Servers, func(v Server) bool { return v.ID == p.Server })
-	l.running = append(l.running, runningTask{need: w.Step.Reserved(), server: server, ends: l.Now.Add(w.Step.EstimatedRuntime)})
+	expects := l.Now.Add(w.Step.EstimatedRuntime)
+	l.running = append(l.running, runningTask{
+		taskKey: taskKey{p.Key, p.Index}, need: w.Step.Reserved(), server: server, began: l.Now, expects: expects,
+		ends: expects.Add(time.Duration(l.deviation * (2*l.random.Float64() - 1) * float64(w.Step.EstimatedRuntime))),
+	})
 	l.placed[p.Key] = l.Now
 }
 
 func (l *load) snapshot() Snapshot {
-	s := Snapshot{Now: l.Now, Servers: slices.Clone(l.Servers), Pending: slices.Clone(l.waiting)}
+	s := Snapshot{Now: l.Now, Servers: slices.Clone(l.Servers), StopTime: stopTakes}
+	loads := make(map[model.OrganisationID]float64)
 	for i := range s.Servers {
 		s.Servers[i].Free, s.Servers[i].Ends = s.Servers[i].Capacity, nil
 	}
 	for _, r := range l.running {
-		v := &s.Servers[r.server]
+		v, step := &s.Servers[r.server], l.steps[r.group]
 		v.Free = v.Free.Sub(r.need)
-		v.Ends = append(v.Ends, ExpectedEnd{Need: r.need, After: r.ends.Sub(l.Now)})
+		loads[step.Organisation] += r.need.CoreWeight()
+		if r.stopped {
+			v.Releasing = v.Releasing.Add(r.need)
+			continue
+		}
+		after := max(r.expects.Sub(l.Now), 0)
+		if worked := l.Now.Sub(r.began); worked > r.ends.Sub(r.began)/10 { // its progress tells
+			after = r.ends.Sub(l.Now)
+		}
+		v.Ends = append(v.Ends, ExpectedEnd{Need: r.need, After: after})
+		s.Preemptible = append(s.Preemptible, PreemptibleTask{
+			Key: r.group, Index: r.index, Server: v.ID, Need: r.need, Gang: step.Step.Gang, Urgent: step.Urgent,
+			UnsavedWork: r.need.CoreWeight() * l.Now.Sub(r.began).Seconds(), Stops: l.stops[r.taskKey], EndsAfter: after,
+		})
+	}
+	for _, w := range l.waiting {
+		if w.Step.Gang && len(w.Tasks) < w.Step.Count {
+			continue // others are being stopped
+		}
+		w.OrganisationLoad = loads[w.Organisation]
+		s.Pending = append(s.Pending, w)
 	}
 	return s
 }
 
+// giveUp drops the older half of the waiting steps with a prefix.
+func (l *load) giveUp(prefix string) {
+	dropped := 0
+	l.waiting = slices.DeleteFunc(l.waiting, func(w PendingStep) bool {
+		drop := strings.HasPrefix(string(w.Key.Job), prefix) && dropped < 30
+		if drop {
+			dropped++
+		}
+		return drop
+	})
+}
+
+// inTime returns the share of the steps with a prefix that ended by their objectives, of those that had to end by now.
+func (l *load) inTime(prefix string) (share float64) {
+	met, all := 0, 0
+	for key, p := range l.steps {
+		if !strings.HasPrefix(string(key.Job), prefix) || p.Objective.After(l.Now) {
+			continue
+		}
+		all++
+		if ended, some := l.ended[key]; some && l.done[key] == p.Step.Count && !ended.After(p.Objective) {
+			met++
+		}
+	}
+	return float64(met) / float64(all)
+}
+
 // A gang waits for room that smaller tasks of a lower priority use, which arrive faster than
 // they end. They must not take each part of the room as it becomes free, or the gang starves
 // (incident SHORT). Once the tasks ahead of it have ended, it still meets its objective.
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -66,6 +66,31 @@
 // late reports whether the occurrence will miss its objective.
 func (p *PendingStep) late(now time.Time) bool { return now.Add(p.Remaining).After(p.Objective) }
 
+// estimateError is how far estimates are usually off, as a share.
+const estimateError = 0.25
+
+// prospect returns how likely it is that the occurrence still meets its objective if its tasks start now: it will,
+// it may unless the estimate is too low, or it will not. What just meets its objective by the estimate misses it as
+// often as not, so that more work than fits would all be started at that time and become late.
+func (p *PendingStep) prospect(now time.Time) prospect {
+	switch margin := time.Duration(estimateError * float64(p.Remaining)); {
+	case p.late(now):
+		return missesObjective
+	case now.Add(p.Remaining + margin).After(p.Objective):
+		return mayMeetObjective
+	default:
+		return meetsObjective
+	}
+}
+
+type prospect int
+
+const (
+	meetsObjective prospect = iota
+	mayMeetObjective
+	missesObjective
+)
+
 // Order sorts pending steps by class, priority and age; starved ones by age alone. Equal ones are sorted by key, so
 // that a round depends only on its snapshot. Where steps of one class and priority compete, those that can
 // still be in time go first, and organisations take turns.
@@ -108,35 +133,29 @@
 	)
 }
 
-// orderCompeting orders steps of one class and priority that compete for too little room. Those that can still end by
-// their objectives go first: by age, all that waits becomes late together. Among these, and among the late ones,
+// orderCompeting orders steps of one class and priority that compete for too little room. Those go first that will
+// meet their objectives, then those that may: by age alone, all that waits becomes late together. Among equals,
 // organisations take turns: each step goes as if its organisation had to bring its share of the room level with the
-// others first. Those of one organisation keep their order by age, except that late ones do not go before others.
+// others first. Equal ones of one organisation keep their order by age.
 func orderCompeting(steps []PendingStep, now time.Time) {
 	turns := make([]turn, len(steps))
 	loads := make(map[model.OrganisationID]float64)
-	for _, late := range []bool{false, true} {
+	for prospect := meetsObjective; prospect <= missesObjective; prospect++ {
 		for i := range steps {
 			p := &steps[i]
-			if p.late(now) != late {
+			if p.prospect(now) != prospect {
 				continue
 			}
 			load, known := loads[p.Organisation]
 			if !known {
 				load = p.OrganisationLoad
 			}
-			turns[i] = turn{late: late, load: load, position: i}
+			turns[i] = turn{prospect: prospect, load: load, position: i}
 			loads[p.Organisation] = load + float64(len(p.Tasks))*p.Step.Reserved().CoreWeight()/max(p.OrganisationShare, 1)
 		}
 	}
 	slices.SortFunc(turns, func(a, b turn) int {
-		if a.late != b.late {
-			if a.late {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(a.load, b.load), a.position-b.position)
+		return cmp.Or(cmp.Compare(a.prospect, b.prospect), cmp.Compare(a.load, b.load), a.position-b.position)
 	})
 	sorted := make([]PendingStep, len(steps))
 	for i, t := range turns {
@@ -147,7 +166,7 @@
 
 // turn is a step's turn among competing ones: load is the share of the room that its organisation has by then.
 type turn struct {
-	late     bool
+	prospect prospect
 	load     float64
 	position int // by age
 }
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -11,7 +11,7 @@
 // maxStops is how often a task or gang may be stopped to make room for steps without a guarantee. It answers bursts
 // of urgent work over a full cluster: what was stopped starts again in the next room, where it would be in the way
 // of the next urgent step.
-const maxStops = 2
+const maxStops = 3
 
 // addPreemptible adds the running tasks that may be stopped to their servers, those first that lose the least work
 // for the room that they release.
@@ -84,23 +84,24 @@
 	return task.UnsavedWork * float64(1+task.Stops)
 }
 
-// mayWait is how long the step may wait for room that becomes free by itself, before tasks are stopped for it: half
-// of the time until stops would come too late, since ends come later than expected and orders are lost. A guaranteed
-// step has time until the bound of its guarantee, and each step until its objective or, if it is late already, until
-// its end would be of no more use.
+// mayWait is how long the step may wait for room that becomes free by itself, before tasks are stopped for it. One that
+// can still meet its objective waits no longer than it takes to stop tasks, so that waiting costs its caller nothing.
+// One that is late already may use half of the time until its end would be of no more use. Neither uses more than half
+// of the time that is left to the objective or to the bound of the guarantee, since ends come later than expected.
 func (d *round) mayWait(p *PendingStep) time.Duration {
 	if d.stopTime == 0 || p.Guaranteed && p.StartBy.IsZero() {
 		return 0
 	}
-	endBy := p.Objective
+	longest, endBy := d.stopTime, p.Objective
 	if p.late(d.now) {
 		endBy = p.Due.Add(p.Objective.Sub(p.Due) * lateFactor)
+		longest = endBy.Sub(p.Due)
 	}
-	left := endBy.Sub(d.now) - p.Remaining
+	left := endBy.Sub(d.now) - time.Duration((1+estimateError)*float64(p.Remaining))
 	if p.Guaranteed {
 		left = min(left, p.StartBy.Sub(d.now))
 	}
-	return max((left-d.stopTime)/2, 0)
+	return max(min((left-d.stopTime)/2, longest), 0)
 }
 
 // waitForEnds reserves room for a pending step that becomes free by itself while the step may wait for it, and
@@ -110,27 +111,26 @@
 	if limit <= 0 {
 		return false
 	}
-	for _, within := range []time.Duration{min(d.stopTime, limit), limit} {
-		if a := d.fitInTime(p, freeSoon, far, within); len(a.servers) == len(p.Tasks) {
+	for part := range waitParts { // the earliest room, so that later rounds choose the same
+		if a := d.fitInTime(p, far, limit*time.Duration(part+1)/waitParts); len(a.servers) == len(p.Tasks) {
 			d.reserve(p, a)
 			return true
 		}
-		if within == limit {
-			break
-		}
 	}
 	return false
 }
 
-// fitInTime is fit with what tasks release that end by themselves within a time.
-func (d *round) fitInTime(p *PendingStep, s supply, far bool, within time.Duration) assignment {
-	key, comparable := d.fitKeyOf(p, s, far)
-	key.evictions = len(d.plan.Evictions)
+// waitParts is into how many parts the time is divided in which room may become free.
+const waitParts = 4
+
+// fitInTime is fit with what is being released, and what tasks release that end by themselves within a time.
+func (d *round) fitInTime(p *PendingStep, far bool, within time.Duration) assignment {
+	key, comparable := d.fitKeyOf(p, freeSoon, far)
 	if failed, known := d.neverInTime[key]; comparable && known && within <= failed {
 		return assignment{}
 	}
 	d.countEnds(within, 1)
-	a := d.search(p, s, far)
+	a := d.search(p, freeSoon, far)
 	d.countEnds(within, -1)
 	if comparable && len(a.servers) == 0 {
 		d.neverInTime[key] = within
@@ -139,15 +139,8 @@
 }
 
 // countEnds adds to what is being released, or with sign -1 takes from it, what tasks release that end by themselves
-// within a time. To stop these would win nothing, so they are not reclaimable meanwhile.
+// within a time.
 func (d *round) countEnds(within time.Duration, sign int) {
-	if within <= 0 {
-		return
-	}
-	d.counted = within
-	if sign < 0 {
-		d.counted = 0
-	}
 	for _, srv := range d.servers {
 		for _, end := range srv.ends {
 			if end.After > within {
@@ -155,11 +148,6 @@
 			}
 			srv.releasing = srv.releasing.Add(end.Need.Times(sign))
 		}
-		for _, task := range srv.preemptible {
-			if task.EndsAfter <= within {
-				srv.addReclaimable(task.Need.Times(-sign), task.guaranteedOnly())
-			}
-		}
 	}
 }
 
@@ -169,18 +157,16 @@
 //
 // It serves organisations that reclaim guaranteed accelerators which others have
 // borrowed, and urgent steps. The victims are the tasks that lose the least unsaved work.
-// No task is stopped whose resources are not needed, or that ends by itself before its room
-// could be used. Nothing is stopped for an urgent
+// No task is stopped whose resources are not needed. Nothing is stopped for an urgent
 // step without a guarantee if more work would be lost than maxLossFactor allows. For a guaranteed
 // step the same is tried first: others that are urgent too miss their objectives if they are stopped. Later
 // rounds use the same fit to place the step in the room that becomes free, so that they
 // choose no further victims for it.
 func (d *round) preempt(p *PendingStep, far bool) bool {
-	within := min(d.mayWait(p), d.stopTime)
 	if p.Guaranteed && d.stopTime > 0 {
 		likeUrgent := *p
 		likeUrgent.Guaranteed, likeUrgent.Urgent = false, true
-		if d.stopFor(&likeUrgent, far, within, len(p.Tasks)) {
+		if d.stopFor(&likeUrgent, far, len(p.Tasks)) {
 			return true
 		}
 	}
@@ -188,24 +174,17 @@
 	if p.Step.Gang {
 		atLeast = len(p.Tasks)
 	}
-	return d.stopFor(p, far, within, atLeast)
+	return d.stopFor(p, far, atLeast)
 }
 
 // stopFor is preempt for one way to choose victims. It stops nothing unless as many tasks of the step fit then as
-// atLeast. What ends by itself within a time counts as being released.
-func (d *round) stopFor(p *PendingStep, far bool, within time.Duration, atLeast int) bool {
-	var a assignment
-	if within > 0 {
-		a = d.fitInTime(p, reclaimable, far, within)
-	} else {
-		a = d.fit(p, reclaimable, far)
-	}
+// atLeast.
+func (d *round) stopFor(p *PendingStep, far bool, atLeast int) bool {
+	a := d.fit(p, reclaimable, far)
 	if len(a.servers) < atLeast {
 		return false
 	}
-	d.countEnds(within, 1)
 	stops := d.stopsFor(p, a)
-	d.countEnds(within, -1)
 	lost := 0.0
 	for _, stop := range stops {
 		lost += d.stopCost(stop.task)
@@ -254,7 +233,7 @@
 		if need.FitsIn(free) {
 			break
 		}
-		if !p.mayPreemptTask(task) || d.counted > 0 && task.EndsAfter <= d.counted {
+		if !p.mayPreemptTask(task) {
 			continue
 		}
 		chosen = append(chosen, task)
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -21,9 +21,7 @@
 	plan        Plan
 	stopTime    time.Duration
 	farFactor   float64
-	// counted is for how long from now expected ends count as being released; 0 if they do not. neverInTime holds
-	// the longest such time for which steps with a key found no room.
-	counted     time.Duration
+	// neverInTime holds the longest time within which no room becomes free by itself for the steps with a key.
 	neverInTime map[fitKey]time.Duration
 
 	racks          int // number of racks
