--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -126,6 +126,7 @@
 			snap.Servers = append(snap.Servers, s.serverView(v))
 		}
 	}
+	snap.UrgentRoom = s.urgentRoom(snap.Servers)
 	open := s.openJobs()
 	covered := s.jobsCoveredByGuarantees(open)
 	loads, shares := s.organisationLoads()
@@ -145,6 +146,32 @@
 	return snap
 }
 
+// keepRoomFor is how long after a run was stopped to make room such room is kept.
+const keepRoomFor = 10 * time.Second
+
+// urgentRoom returns the room that urgent work of each service used lately, if runs were stopped lately to make room.
+// A new holder starts with what is used then.
+func (s *State) urgentRoom(servers []sched.Server) map[string]job.Resources {
+	used := make(map[string]job.Resources)
+	for i := range servers {
+		used[servers[i].Service] = used[servers[i].Service].Add(servers[i].UrgentUse)
+	}
+	if s.urgentUse == nil {
+		s.urgentUse = make(map[string]*sched.UsedLately)
+	}
+	keep := s.bounds.ReclaimBound > 0 && !s.madeRoomAt.IsZero() && s.now.Sub(s.madeRoomAt) < keepRoomFor
+	room := make(map[string]job.Resources)
+	for service, r := range used {
+		if s.urgentUse[service] == nil {
+			s.urgentUse[service] = new(sched.UsedLately)
+		}
+		if s.urgentUse[service].Observe(s.now, r); keep {
+			room[service] = s.urgentUse[service].Mean()
+		}
+	}
+	return room
+}
+
 // organisationLoads returns what the runs of each organisation take, in cores, and its share of the room as a multiple
 // of an equal one: 1 and what it is guaranteed, as a multiple of the mean of all.
 func (s *State) organisationLoads() (loads, shares map[model.OrganisationID]float64) {
@@ -182,7 +209,7 @@
 	return sched.Server{
 		ID: v.entry.ID, Service: v.entry.Service, Rack: v.entry.Rack, Labels: v.entry.Labels,
 		Capacity: v.entry.Capacity, Free: v.entry.Capacity.Sub(l.used), Releasing: l.releasing, Ends: l.ends, Suspect: v.health.suspect(), Failing: v.health.failing(s.now),
-		Unproven: l.unproven, Isolated: l.isolated, UnsavedWork: l.unsavedWork,
+		Unproven: l.unproven, Isolated: l.isolated, UnsavedWork: l.unsavedWork, UrgentUse: l.urgent,
 	}
 }
 
@@ -197,6 +224,7 @@
 	ends               []sched.ExpectedEnd
 	unproven, isolated bool
 	unsavedWork        float64
+	urgent             job.Resources // what urgent tasks use that are not being stopped
 }
 
 func (s *State) loadOf(v *server) *load {
@@ -208,6 +236,9 @@
 			l.unproven, l.isolated = true, l.isolated || r.group.Tasks[r.index].Suspected()
 		}
 		l.unsavedWork += s.unsavedWork(r)
+		if r.group.State.Job.Priority == 0 && !r.stopping {
+			l.urgent = l.urgent.Add(need)
+		}
 		switch {
 		case s.releasesSoon(r):
 			l.releasing = l.releasing.Add(need)
@@ -459,6 +490,7 @@
 	if r := s.currentRun(g, e.Index); r != nil {
 		s.metrics.Preempted.Inc(1)
 		g.CountStop(e.Index)
+		s.madeRoomAt = s.now
 		s.requestStop(r, stopPreempted, "makes room for "+e.For.String())
 	}
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -8,6 +8,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/sched"
 	"github.com/eelgrassreach/eelgrassreach/internal/straggler"
 )
 
@@ -128,6 +129,10 @@
 	// backlog collects the next backlog report, by priority.
 	backlog           map[int]*priorityBacklog
 	backlogReportedAt time.Time
+	// urgentUse is the room that urgent work of each service used lately, madeRoomAt when a run was last stopped to
+	// make room.
+	urgentUse  map[string]*sched.UsedLately
+	madeRoomAt time.Time
 	// startsUnderWay are the start orders of this term without an answer yet.
 	startsUnderWay int
 	replan         bool
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -27,6 +27,9 @@
 	stops   map[taskKey]int
 	lost    float64 // core-seconds of work of stopped tasks
 	random  *rand.Rand
+	// urgentRoom is what urgent tasks used lately; it is kept for them if keep is set.
+	urgentRoom UsedLately
+	keep       bool
 	// deviation is how far a task's runtime may be off its estimate, as a share of it.
 	deviation float64
 }
@@ -139,6 +142,7 @@
 
 func (l *load) snapshot() Snapshot {
 	s := Snapshot{Now: l.Now, Servers: slices.Clone(l.Servers), StopTime: stopTakes}
+	var urgent job.Resources
 	loads := make(map[model.OrganisationID]float64)
 	for i := range s.Servers {
 		s.Servers[i].Free, s.Servers[i].Ends = s.Servers[i].Capacity, nil
@@ -147,6 +151,9 @@
 		v, step := &s.Servers[r.server], l.steps[r.group]
 		v.Free = v.Free.Sub(r.need)
 		loads[step.Organisation] += r.need.CoreWeight()
+		if step.Urgent {
+			v.UrgentUse, urgent = v.UrgentUse.Add(r.need), urgent.Add(r.need)
+		}
 		if r.stopped {
 			v.Releasing = v.Releasing.Add(r.need)
 			continue
@@ -161,6 +168,9 @@
 			UnsavedWork: r.need.CoreWeight() * l.Now.Sub(r.began).Seconds(), Stops: l.stops[r.taskKey], EndsAfter: after,
 		})
 	}
+	if l.urgentRoom.Observe(l.Now, urgent); l.keep {
+		s.UrgentRoom = map[string]job.Resources{"desk": l.urgentRoom.Mean()}
+	}
 	for _, w := range l.waiting {
 		if w.Step.Gang && len(w.Tasks) < w.Step.Count {
 			continue // others are being stopped
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	confirm := job.Step{Count: 5, Need: job.Resources{MilliCPU: 4000, MemoryMB: 4000, Accelerators: 4}, Gang: true, SameRack: true, EstimatedRuntime: 2500 * time.Millisecond}
 	l := newLoad(36, 12)
 	l.deviation = 0.3
+	l.keep = os.Getenv("KEEP") != ""
 	gangs := 0
 	for i := range 400 {
 		if i%10 == 0 && len(l.waiting) < 4 {
@@ -32,6 +34,13 @@
 		l.round()
 	}
 	most, sum := 0, 0
+	rosters := 0
+	for k, n := range l.done {
+		if l.steps[k].Priority == 2 {
+			rosters += n
+		}
+	}
+	t.Logf("roster tasks done %d", rosters)
 	for _, n := range l.stops {
 		most, sum = max(most, n), sum+n
 	}
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -36,7 +36,12 @@
 func Decide(s Snapshot) Plan {
 	d := newRound(s)
 	Order(s.Pending, s.Now)
+	kept := false
 	for i := range s.Pending {
+		if p := &s.Pending[i]; !kept && !p.Guaranteed && !p.Urgent && !p.starved(s.Now) {
+			d.keepRoom(s.UrgentRoom)
+			kept = true
+		}
 		d.schedule(&s.Pending[i])
 	}
 	return d.plan
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -41,6 +41,8 @@
 	UnsavedWork float64
 	// Pace is how fast tasks run here: 1 on an ordinary backend server, 0 if it is not known.
 	Pace float64
+	// UrgentUse is what urgent tasks use here.
+	UrgentUse job.Resources
 }
 
 // ExpectedEnd is a task that is expected to end and release its resources after a time.
@@ -118,6 +120,9 @@
 	// FarFactor is how many times as long tasks take on other racks than the one that they run best on; 0 if it is not
 	// known.
 	FarFactor float64
+	// UrgentRoom is the room that urgent work of each service used lately, on average. It holds only services where
+	// tasks have been stopped lately to make room.
+	UrgentRoom map[string]job.Resources
 }
 
 // Placement starts a task on a backend server.
