--- a/internal/job/chunk_test.go
+++ b/internal/job/chunk_test.go
@@ -51,6 +51,7 @@
 		g := placedGroup(t, count)
 		g.Tasks[count-1].AddCrash(Crash{Server: "s", IncarnationStart: 5, Blame: Alone})
 		g.Tasks[count-1].Failures = 1
+		g.CountStop(count - 1)
 		g.MarkAllChanged()
 		old, err := g.ProgressRecords()
 		assert.NilError(t, err)
@@ -72,6 +73,18 @@
 	}
 }
 
+// Tasks that were never stopped are stored as the release before Stops reads them.
+func TestTaskWithoutStopsIsStoredAsBefore(t *testing.T) {
+	old, err := cbor.Marshal(packedFields{Phase: Placed, Run: 2, Server: "s", Failures: 1, Checkpoint: "c"})
+	assert.NilError(t, err)
+	now, err := cbor.Marshal(packedTask{Phase: Placed, Run: 2, Server: "s", Failures: 1, Checkpoint: "c"})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, now, old)
+	stopped, err := cbor.Marshal(packedTask{Phase: Placed, Run: 2, Stops: 1})
+	assert.NilError(t, err)
+	assert.ErrorContains(t, chunkDecoding.Unmarshal(stopped, new(packedFields)), "different number of elements")
+}
+
 // A record of a whole group, from an earlier release, is read. Later chunks replace its tasks, and both
 // are deleted with the job.
 func TestWholeGroupRecordStaysReadable(t *testing.T) {
--- a/internal/replica/state_test.go
+++ b/internal/replica/state_test.go
@@ -45,6 +45,22 @@
 	}
 }
 
+// The time that a job waits is kept over its attempts.
+func TestWaitIsKeptOverAttempts(t *testing.T) {
+	s := New(config.NewState())
+	apply := func(offset int64, minute int, kind journal.Kind, body any) {
+		l := located(offset, fmt.Sprintf("e%d", offset), kind, body)
+		l.Time = time.Unix(0, 0).Add(time.Duration(minute) * time.Minute)
+		assert.Equal(t, s.Apply(l).Verdict, journal.VerdictAccepted)
+	}
+	apply(1, 0, journal.KindTerm, journal.TermClaimed{AZ: "a", Holder: "h"})
+	apply(2, 10, journal.KindJobAccepted, journal.JobAccepted{Job: model.Job{ID: "j", HomeAZ: "a"}})
+	apply(3, 40, journal.KindAttempt, journal.AttemptClaimed{Job: "j", Attempt: "one", Number: 1, Term: model.Token{Offset: 1}})
+	apply(4, 50, journal.KindJobEnded, journal.JobEnded{Job: "j", Attempt: "one", Result: string(ResultRetry)})
+	apply(5, 55, journal.KindAttempt, journal.AttemptClaimed{Job: "j", Attempt: "two", Number: 2, Term: model.Token{Offset: 1}})
+	assert.Equal(t, s.Job("j").Waited, 35*time.Minute)
+}
+
 // TestSnapshotEqualsReplay checks that a VM that starts from a snapshot reaches the same
 // verdicts and state as one that replayed the whole log.
 func TestSnapshotEqualsReplay(t *testing.T) {
