--- a/internal/sched/keep.go
+++ b/internal/sched/keep.go
@@ -15,18 +15,33 @@
 	capacity, urgent, used job.Resources
 }
 
+// maxKeptShare bounds the part of a service's capacity that is kept, and keptFactor how much is kept as a multiple of
+// what urgent work uses now: when no more of it comes, nothing is kept.
+const (
+	maxKeptShare = 0.25
+	keptFactor   = 1.5
+)
+
 // keepRoom keeps whole racks for urgent work, as much as it has used lately: first those where most of it runs, then
 // those with the most room. Later steps of the round start nothing there; what runs there goes on.
 //
 // It answers urgent work that comes all the time to a full cluster: what starts in the room that it has just left is
 // stopped for the next that comes, which loses more than the room would be idle.
 func (d *round) keepRoom(lately map[string]job.Resources) {
-	for service, need := range lately {
-		for _, r := range d.racksOf(service) {
-			if share(need, r.capacity) < 0.5 {
+	for service, used := range lately {
+		racks := d.racksOf(service)
+		var capacity, now job.Resources
+		for _, r := range racks {
+			capacity, now = capacity.Add(r.capacity), now.Add(r.urgent)
+		}
+		most := min(share(used, capacity), keptFactor*share(now, capacity), maxKeptShare)
+		kept := 0.0
+		for _, r := range racks {
+			part := share(r.capacity, capacity)
+			if kept+part/2 > most {
 				break
 			}
-			need = need.Sub(r.capacity)
+			kept += part
 			for _, srv := range r.servers {
 				srv.earmarked = srv.earmarked.Add(srv.Capacity)
 			}
