Evacuated availability zones: nothing is started there

Change: each VM that follows the configuration's partition also keeps the set of evacuated zones and the time up to which it was read. The holder places nothing there, checks again right before each start order, and sends none on knowledge that is older than the bound.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -39,6 +39,12 @@
 // ServersUnread carries the error of a failed read of the entries of the backend servers.
 type ServersUnread struct{ Err error }
 
+// EvacuationsRead carries all availability zones that are to be evacuated.
+type EvacuationsRead struct{ Evacuations }
+
+// EvacuationsUnread carries the error of a failed read of the requests to evacuate availability zones.
+type EvacuationsUnread struct{ Err error }
+
 // AppendAnswered carries the outcome of the Append action with this number and epoch: each term numbers its
 // own.
 type AppendAnswered struct {
@@ -102,6 +108,8 @@
 func (ConfigChanged) event()     {}
 func (ServersListed) event()     {}
 func (ServersUnread) event()     {}
+func (EvacuationsRead) event()   {}
+func (EvacuationsUnread) event() {}
 func (AppendAnswered) event()    {}
 func (ClaimAnswered) event()     {}
 func (StartAnswered) event()     {}
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -61,7 +61,7 @@
 
 // Sources names the partitions that operators and backend servers write to.
 type Sources struct {
-	// Config holds the newest configuration under ConfigKey.
+	// Config holds the newest configuration under ConfigKey, and the requests to evacuate availability zones.
 	Config    Partition
 	ConfigKey string
 	// Servers holds an entry for each backend server under its ID.
@@ -72,6 +72,9 @@
 type Decoder interface {
 	Config(value []byte) (*Config, error)
 	Server(id model.BackendServerID, value []byte) (ServerEntry, error)
+	// Evacuation returns the availability zone that a record of Sources.Config asks to evacuate, also beside an
+	// error about its value. A record without a value takes the zone back. The name is empty for other records.
+	Evacuation(key string, value []byte) (model.AZ, error)
 }
 
 // Options are the settings and dependencies of a Loop.
@@ -273,8 +276,11 @@
 
 func (l *Loop) followConfig(ctx context.Context) {
 	f := &follower{store: l.options.Store, partition: l.options.Sources.Config, wait: func() time.Duration { return configWait }, pause: noPause, log: l.options.Log}
+	f.onFailure = func(err error) { l.post(ctx, EvacuationsUnread{Err: err}) }
+	evacuations := &evacuationReader{decoder: l.options.Decoder, log: l.options.Log, counters: l.options.Counters, skipped: make(map[string]string)}
 	f.sink = func(b readBatch) {
 		l.post(ctx, StoreAnswered{})
+		l.post(ctx, EvacuationsRead{evacuations.read(b, l.options.Sources.ConfigKey)})
 		for _, r := range b.Records {
 			if r.Key == l.options.Sources.ConfigKey {
 				l.configRead(ctx, r)
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -17,7 +17,9 @@
 	ServersLost, TasksGivenUp        tally.Counter
 	RecordsSkipped                   tally.Counter
 	// Replica is 1 while this VM follows all records.
-	Replica                                  tally.Gauge
+	Replica tally.Gauge
+	// EvacuatedZones is the number of evacuated availability zones, EvacuatedRuns what the holder still has running there.
+	EvacuatedZones, EvacuatedRuns            tally.Gauge
 	RunsDone, RunsFailed                     tally.Counter
 	JobsDone, JobsFailed, JobsCancelled      tally.Counter
 	RoundLatency, CommitLatency, JobDuration tally.Histogram
@@ -42,6 +44,8 @@
 		TasksGivenUp:   scope.Counter("tasks_given_up"),
 		RecordsSkipped: scope.Counter("records_skipped"),
 		Replica:        scope.Gauge("replica"),
+		EvacuatedZones: scope.Gauge("evacuated_zones"),
+		EvacuatedRuns:  scope.Gauge("evacuated_runs"),
 		RunsDone:       scope.Counter("runs_done"),
 		RunsFailed:     scope.Counter("runs_failed"),
 		JobsDone:       scope.Counter("jobs_done"),
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -88,10 +88,10 @@
 	return kept
 }
 
-// canPlan reports whether enough is known to place tasks: the entries of the backend servers
-// were read recently, and most listed ones have reported or firstReportTimeout has passed.
+// canPlan reports whether enough is known to place tasks: the entries of the backend servers and the requests
+// for evacuations were read recently, and most listed servers have reported or firstReportTimeout has passed.
 func (s *State) canPlan() bool {
-	if s.config == nil || len(s.servers) == 0 || !s.serversKnown() {
+	if s.config == nil || len(s.servers) == 0 || !s.serversKnown() || !s.evacuationsKnown() {
 		return false
 	}
 	if s.now.Sub(s.term.takenAt) >= firstReportTimeout {
@@ -137,7 +137,7 @@
 
 // usable reports whether a backend server may take new tasks.
 func (s *State) usable(v *server) bool {
-	return v.listed && v.hasReported && v.failedCalls == 0 && !v.entry.Draining && v.clock != 0 && v.health.usable(s.now)
+	return v.listed && v.hasReported && v.failedCalls == 0 && !v.entry.Draining && !s.isEvacuated(v) && v.clock != 0 && v.health.usable(s.now)
 }
 
 func (s *State) serverView(v *server) sched.Server {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -170,7 +170,7 @@
 	}
 	if r.phase == runOrdered && r.startInDoubt {
 		switch o := s.obstacle(v, r); {
-		case o == serverLeaves || o == serverUnlisted || o == capacityShrunk:
+		case o.lasts():
 			s.requestStop(r, stopInDoubt, "start without an answer: "+string(o))
 		case s.now.Sub(r.orderedAt) > startRetryPeriod && v.failedCalls > 0, s.now.Sub(r.orderedAt) > startRetryLimit:
 			s.requestStop(r, stopInDoubt, "start without an answer")
@@ -223,21 +223,30 @@
 const (
 	noObstacle           obstacle = ""
 	serverLeaves         obstacle = "the backend server leaves"
+	zoneEvacuated        obstacle = "the availability zone is evacuated"
 	serverUnlisted       obstacle = "the backend server is no longer listed"
 	serverRestarted      obstacle = "the backend server has started again"
 	capacityShrunk       obstacle = "the backend server's capacity has shrunk"
 	cancellationsUnknown obstacle = "cancellations are not known up to now"
 	listTooOld           obstacle = "the list of backend servers is too old"
+	evacuationsUnknown   obstacle = "evacuations are not known up to now"
 	termUnconfirmed      obstacle = "another VM may hold the term"
 	earlierRunWorks      obstacle = "an earlier run of the task has not ended"
 )
 
+// lasts reports whether the start can't be expected to become possible on the same backend server soon.
+func (o obstacle) lasts() bool {
+	return o == serverLeaves || o == zoneEvacuated || o == serverUnlisted || o == capacityShrunk
+}
+
 // obstacle looks again at what a placement rests on. It is called right before each start order,
 // since the run may have waited for its record or for an answer to an earlier order.
 func (s *State) obstacle(v *server, r *run) obstacle {
 	switch {
 	case v.entry.Draining:
 		return serverLeaves
+	case s.isEvacuated(v):
+		return zoneEvacuated
 	case !v.listed:
 		return serverUnlisted
 	case !v.hasReported:
@@ -246,6 +255,8 @@
 		return capacityShrunk
 	case !s.cancellationsKnown(r.group.State.Job.ID):
 		return cancellationsUnknown
+	case s.bounds.EvacuationBound > 0 && !s.now.Before(s.evacuationLimit()):
+		return evacuationsUnknown
 	case !s.now.Before(s.startLimit(r.group.State.Job.ID)):
 		return listTooOld
 	case !s.mayAct():
@@ -282,11 +293,15 @@
 }
 
 // startLimit is the latest time to send a start order for a task of the job with the present
-// knowledge of cancellations and of backend servers that leave.
+// knowledge of cancellations, of backend servers that leave and of evacuations.
 func (s *State) startLimit(id model.JobID) time.Time {
 	drains := s.announcementsKnownAsOf().Add(s.bounds.DrainBound - min(deliveryMargin, s.bounds.DrainBound/5))
 	cancellations := s.readAsOf[SubmissionPartition(id)].Add(s.bounds.CancelBound - deliveryMargin)
-	return minTime(drains, cancellations)
+	limit := minTime(drains, cancellations)
+	if s.bounds.EvacuationBound > 0 {
+		limit = minTime(limit, s.evacuationLimit())
+	}
+	return limit
 }
 
 // cancellationsKnown reports whether submissions were read recently enough to start a task of
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -18,6 +18,9 @@
 	// DrainBound is how long after a backend server has announced that it leaves a task may still
 	// be started there.
 	DrainBound time.Duration
+	// EvacuationBound is how long after the request to evacuate an availability zone a task may still be started
+	// there; 0 if the deployment sets no bound.
+	EvacuationBound time.Duration
 }
 
 // Timings of the loop.
@@ -56,10 +59,10 @@
 	// overloadAfter is how long the lag has to exceed overloadLag before the VM counts as
 	// overloaded; the backlog of a pause is processed faster than that.
 	overloadAfter = 1 * time.Second
-	// startMargin is the part of CancelBound and of DrainBound reserved for storing a placement and
+	// startMargin is the part of CancelBound, DrainBound and EvacuationBound reserved for storing a placement and
 	// delivering its start order.
 	startMargin = 1 * time.Second
-	// deliveryMargin is the part of CancelBound and of DrainBound reserved for the delivery of a
+	// deliveryMargin is the part of the same bounds reserved for the delivery of a
 	// start order that was sent.
 	deliveryMargin = 500 * time.Millisecond
 	// maxListAge is how long the list of backend servers is used while the store does not serve
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -112,6 +112,7 @@
 	serversAsOf time.Time
 	// serversAwayAt is when the store last failed to serve these entries.
 	serversAwayAt time.Time
+	evacuations   evacuations
 	// losses are the backend servers that were lost recently.
 	losses []loss
 	// crashed are the backend servers whose loss is recorded with tasks.
@@ -164,6 +165,8 @@
 		orphans:    make(map[string]int),
 		avoid:      make(map[job.GroupKey]map[model.BackendServerID]time.Time),
 		stepRates:  make(map[job.GroupKey]*straggler.StepRates),
+
+		evacuations: evacuations{zones: make(map[model.AZ]*evacuation)},
 	}
 	s.stopwatch = func() time.Time { return s.now }
 	s.role.namedSince, s.role.silentUntil, s.role.answersAsReplica = make(map[string]time.Time), make(map[string]time.Time), make(map[string]bool)
@@ -217,6 +220,10 @@
 		s.serversListed(e)
 	case ServersUnread:
 		s.serversUnread(e.Err)
+	case EvacuationsRead:
+		s.evacuationsRead(e.Evacuations)
+	case EvacuationsUnread:
+		s.evacuationsUnread(e.Err)
 	case AppendAnswered:
 		s.appendAnswered(e)
 	case ClaimAnswered:
@@ -258,6 +265,7 @@
 		due = s.servers
 		s.dropJobs()
 		s.reportAfterArrivals()
+		s.reportEvacuations()
 	}
 	ids := eventloop.SortedKeys(due)
 	for _, id := range ids {
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -106,7 +106,7 @@
 		},
 		Bounds: fleet.Bounds{
 			LeaseMax: s.LeaseMax, StopTimeout: s.StopTimeout, FinalStateRetention: s.FinalStateRetention,
-			CancelBound: s.CancelBound, DrainBound: s.DrainBound,
+			CancelBound: s.CancelBound, DrainBound: s.DrainBound, EvacuationBound: s.EvacuationBound,
 		},
 		Store:     store,
 		Servers:   platform.NewServers(),
