Evacuations: tests of the bound, of lost reads and of bad records; gangs in doubt

Change: a start in doubt is not repeated either if another member of its gang can't be; a zone without backend servers is logged and counted once; the oracle checks the bound, and the random machines of faults and departures evacuate zones and lose the reads of the requests. Existing plays of other random tests stay as they were.

--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -27,6 +27,8 @@
 	readAt     time.Time // when this VM learned of it
 	reportedAt time.Time
 	empty      bool // nothing runs there any more, as far as the holder knows
+	// reportedUnknown is set once it was logged that no backend server is there.
+	reportedUnknown bool
 }
 
 // evacuations is what a VM knows of evacuated availability zones.
@@ -38,6 +40,9 @@
 
 func (s *State) evacuationsRead(e Evacuations) {
 	known := &s.evacuations
+	if e.AsOf.Before(known.asOf) {
+		return // a later read has told more
+	}
 	for _, az := range eventloop.SortedKeys(e.AZs) {
 		if known.zones[az] != nil {
 			continue
@@ -59,7 +64,7 @@
 		delete(known.zones, az)
 		s.replan = true
 	}
-	known.asOf = maxTime(known.asOf, e.AsOf)
+	known.asOf = e.AsOf
 	s.metrics.EvacuatedZones.Update(float64(len(known.zones)))
 }
 
@@ -131,6 +136,10 @@
 		z := s.evacuations.zones[az]
 		servers, runs := s.inZone(az)
 		total += runs
+		if servers == 0 && runs == 0 {
+			s.reportUnknownZone(az, z)
+			continue
+		}
 		ended := runs == 0 && !z.empty
 		z.empty = runs == 0
 		if !ended && (runs == 0 || s.now.Sub(z.reportedAt) < evacuationReport) {
@@ -143,6 +152,17 @@
 	s.metrics.EvacuatedRuns.Update(float64(total))
 }
 
+// reportUnknownZone logs and counts once that no backend server is in an evacuated availability zone: its name may be
+// mistyped. Backend servers that come there later get no tasks.
+func (s *State) reportUnknownZone(az model.AZ, z *evacuation) {
+	if z.reportedUnknown || len(s.servers) == 0 || s.now.Sub(maxTime(z.readAt, s.term.takenAt)) < unlistedRetention {
+		return
+	}
+	z.reportedUnknown = true
+	s.metrics.RecordsSkipped.Inc(1)
+	s.log.Warn("evacuation without effect: no backend server is in the availability zone", zap.String("az", string(az)))
+}
+
 // evacuationReader keeps the set of evacuated availability zones from the records of Sources.Config.
 type evacuationReader struct {
 	decoder  Decoder
--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -105,6 +105,7 @@
 type fakeServer struct {
 	id            model.BackendServerID
 	rack          model.RackID
+	az            model.AZ
 	startedAt     time.Time
 	setBack       time.Duration // by how much the time of day of its machine was set back
 	dead          bool
@@ -138,7 +139,7 @@
 func (w *world) addServer() *fakeServer {
 	n := len(w.servers)
 	s := &fakeServer{
-		id: model.BackendServerID(fmt.Sprintf("s%02d", n)), rack: model.RackID(fmt.Sprintf("r%d", n%2)),
+		id: model.BackendServerID(fmt.Sprintf("s%02d", n)), rack: model.RackID(fmt.Sprintf("r%d", n%2)), az: fakeZone(n),
 		capacity: fakeCapacity, startedAt: w.now, runs: make(map[string]*fakeRun), highestEndedRun: make(map[string]int64),
 	}
 	w.servers[s.id] = s
@@ -146,6 +147,11 @@
 	return s
 }
 
+// fakeZones is the number of availability zones that the backend servers are in.
+const fakeZones = 3
+
+func fakeZone(n int) model.AZ { return model.AZ(fmt.Sprintf("az%d", n%fakeZones)) }
+
 // remoteDataFactor is how many times as long a task takes on another rack than its data.
 const remoteDataFactor = 3
 
@@ -157,7 +163,7 @@
 
 func (s *fakeServer) entry(w *world) ServerEntry {
 	return ServerEntry{
-		ID: s.id, Service: service, Address: string(s.id), Rack: s.rack, Labels: []string{"a", string(s.rack), s.label},
+		ID: s.id, Service: service, Address: string(s.id), AZ: s.az, Rack: s.rack, Labels: []string{"a", string(s.rack), s.label},
 		Capacity: s.capacity, Draining: s.draining, Remaining: s.stays, IncarnationStart: s.born(), Clock: s.clock(w), Sequence: s.heartbeats(w),
 	}
 }
--- a/internal/fleet/oracle_test.go
+++ b/internal/fleet/oracle_test.go
@@ -95,6 +95,9 @@
 	if since := s.drainingSince; !since.IsZero() && o.w.now.Sub(since) > drainBound && !o.w.carryingOutLate && o.w.inTouch(by) {
 		o.w.t.Fatalf("%v: task %s is started on %s by %s, %v after the announcement that it leaves", o.w.now, name, s.id, by, o.w.now.Sub(since))
 	}
+	if at, ok := o.w.evacuated[s.az]; ok && o.w.now.Sub(at) > evacuationBound && !o.w.carryingOutLate && o.w.inTouch(by) {
+		o.w.t.Fatalf("%v: task %s is started on %s by %s, %v after the evacuation of its zone", o.w.now, name, s.id, by, o.w.now.Sub(at))
+	}
 	if at, ok := o.acknowledgedDone[name]; ok && o.w.now.Sub(at) > time.Second && !(o.lateAfterDone && o.w.carryingOutLate) {
 		o.w.t.Fatalf("%v: task %s is started on %s after its end was acknowledged", o.w.now, name, s.id)
 	}
--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -153,6 +153,16 @@
 
 func (c *machine) changeLateShare(*rapid.T) { c.lateShare = float64(c.draw("late", 2)) * 0.3 }
 
+// changeEvacuation has an availability zone evacuated or taken back.
+func (c *machine) changeEvacuation(*rapid.T) {
+	az := fakeZone(c.draw("az", fakeZones))
+	if _, evacuated := c.evacuated[az]; evacuated {
+		c.takeBack(az)
+	} else {
+		c.evacuate(az)
+	}
+}
+
 func (c *machine) passTime(*rapid.T) {
 	c.run(time.Duration(c.draw("ms", 4000)) * time.Millisecond)
 }
@@ -162,6 +172,10 @@
 	clear(c.cutLinks)
 	c.lateShare = 0
 	c.store.down, c.store.lossRate = false, 0
+	c.evacuationsUnread, c.evacuationsLimited, c.evacuationsLate = false, false, 0
+	for _, az := range eventloop.SortedKeys(c.evacuated) {
+		c.takeBack(az)
+	}
 	for _, s := range c.servers {
 		s.failsAll, s.hangs, s.draining, s.unlisted = false, false, false, false
 	}
@@ -178,12 +192,12 @@
 func TestRandomFaults(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		c := &machine{world: newWorld(t, uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")), 3, 6), t: t}
+		c := &machine{world: newEvacuationWorld(t, uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")), 3, 6), t: t}
 		c.run(3 * time.Second)
 		t.Repeat(map[string]func(*rapid.T){
 			"submit": c.submitJob, "submit2": c.submitJob, "cancel": c.cancelJob, "kill": c.killVM, "killAll": c.killAllVMs,
 			"drain": c.drainVM, "freeze": c.freezeVM, "cut": c.cutLink, "store": c.changeStore, "crash": c.crashServer,
-			"server": c.changeServer, "late": c.changeLateShare, "pass": c.passTime, "pass2": c.passTime, "pass3": c.passTime,
+			"server": c.changeServer, "evacuate": c.changeEvacuation, "late": c.changeLateShare, "pass": c.passTime, "pass2": c.passTime, "pass3": c.passTime,
 		})
 		c.endFaults()
 		c.run(settleTime)
@@ -257,6 +271,22 @@
 	d.at(time.Duration(500+d.draw("length", 5000))*time.Millisecond, func() { *lost = false })
 }
 
+// loseEvacuations has the reads of the requests for evacuations fail, or answered late, for some seconds.
+func (d *departures) loseEvacuations(*rapid.T) {
+	length := time.Duration(500+d.draw("length", 6000)) * time.Millisecond
+	switch d.draw("evacuations", 3) {
+	case 0:
+		d.evacuationsUnread = true
+		d.at(length, func() { d.evacuationsUnread = false })
+	case 1:
+		d.evacuationsLimited = true
+		d.at(length, func() { d.evacuationsLimited = false })
+	default:
+		d.evacuationsLate = time.Duration(d.draw("late", 6000)) * time.Millisecond
+		d.at(length, func() { d.evacuationsLate = 0 })
+	}
+}
+
 // loseOrders delivers a share of the orders seconds late for a while.
 func (d *departures) loseOrders(*rapid.T) {
 	d.lateShare = 0.3
@@ -268,11 +298,11 @@
 func TestRandomDepartures(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		d := &departures{machine: &machine{world: newWorld(t, uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")), 3, 6), t: t}}
+		d := &departures{machine: &machine{world: newEvacuationWorld(t, uint64(rapid.IntRange(0, 1<<20).Draw(t, "seed")), 3, 6), t: t}}
 		d.run(4 * time.Second)
 		d.every(200*time.Millisecond, d.submitSmallJob)
 		t.Repeat(map[string]func(*rapid.T){
-			"submit": d.submitTask, "leave": d.leave, "leave2": d.leave, "holder": d.loseHolder, "holder2": d.loseHolder,
+			"submit": d.submitTask, "leave": d.leave, "leave2": d.leave, "evacuate": d.changeEvacuation, "evacuate2": d.changeEvacuation, "requests": d.loseEvacuations, "holder": d.loseHolder, "holder2": d.loseHolder,
 			"part": d.losePart, "orders": d.loseOrders, "pass": d.passTime, "pass2": d.passTime, "pass3": d.passTime,
 		})
 		d.run(10 * time.Second) // the scheduled ends of all faults
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -169,7 +169,11 @@
 		return
 	}
 	if r.phase == runOrdered && r.startInDoubt {
-		switch o := s.obstacle(v, r); {
+		o := s.obstacle(v, r)
+		if o == noObstacle {
+			o = s.obstacleOfGang(r)
+		}
+		switch {
 		case o.lasts():
 			s.requestStop(r, stopInDoubt, "start without an answer: "+string(o))
 		case s.now.Sub(r.orderedAt) > startRetryPeriod && v.failedCalls > 0, s.now.Sub(r.orderedAt) > startRetryLimit:
@@ -268,6 +272,24 @@
 	}
 }
 
+// obstacleOfGang returns what lasts and keeps another member of the run's gang, whose start order is without an answer
+// too, from being started.
+func (s *State) obstacleOfGang(r *run) obstacle {
+	if !r.step().Gang {
+		return noObstacle
+	}
+	for i := range r.group.Tasks {
+		m := s.currentRun(r.group, i)
+		if m == nil || m == r || m.number != r.number || m.phase != runOrdered || !m.startInDoubt {
+			continue
+		}
+		if o := s.obstacle(s.servers[m.server], m); o.lasts() {
+			return o
+		}
+	}
+	return noObstacle
+}
+
 // earlierRunIsThere reports whether a run of the task that is not its current one is known to be on a backend server,
 // or one of any task of its gang.
 func (s *State) earlierRunIsThere(r *run) bool {
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -28,6 +28,8 @@
 	// faults for inTouchAfter may still start tasks there.
 	drainBound   = 2500 * time.Millisecond
 	inTouchAfter = 3 * time.Second
+	// evacuationBound is the same after the request to evacuate an availability zone.
+	evacuationBound = 5 * time.Second
 )
 
 // failer is implemented by testing.T and rapid.T.
@@ -55,9 +57,15 @@
 	unguarded          bool               // backend servers accept what exceeds their capacity
 	listsUnread        bool               // no node can read the entries of the backend servers
 	listsLimited       bool               // the store refuses reads of these entries as too many
+	evacuationBound    time.Duration      // 0 in worlds that evacuate nothing
+	evacuationsUnread  bool               // the partition with the requests for evacuations is away
+	evacuationsLimited bool               // the store refuses reads of it as too many
+	evacuationsLate    time.Duration      // how long the answers to reads of it are under way
 	progressUnstored   bool               // the partition for progress stores nothing
 	jobsUnstored       bool               // the partitions for submissions store nothing
 	carryingOutLate    bool               // a late order is being carried out
+	// evacuated are the evacuated availability zones, with when the request was stored.
+	evacuated map[model.AZ]time.Time
 	// readPause is the shortest time between two reads of a node.
 	readPause time.Duration
 	lateShare float64 // share of orders that are delivered seconds late
@@ -152,7 +160,7 @@
 		t: t, now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
 		store: &fakeStore{parts: make(map[Partition]*fakePartition)}, servers: make(map[model.BackendServerID]*fakeServer),
 		cutLinks: make(map[[2]string]bool), cutOneWay: make(map[[2]string]bool), storeRefuses: make(map[string]bool), refusal: ErrNoEffect, withoutSubmissions: make(map[string]bool), log: zap.NewNop(),
-		deadly: make(map[string]bool),
+		deadly: make(map[string]bool), evacuated: make(map[model.AZ]time.Time),
 	}
 	w.oracle = newOracle(w)
 	w.log = testLogger(w)
@@ -167,6 +175,16 @@
 	return w
 }
 
+// newEvacuationWorld returns a world whose availability zones can be evacuated.
+func newEvacuationWorld(t failer, seed uint64, vms, servers int) *world {
+	w := newWorld(t, seed, 0, servers)
+	w.evacuationBound = evacuationBound
+	for range vms {
+		w.addNode()
+	}
+	return w
+}
+
 // logVariable is the environment variable for the path of a log file with virtual times.
 const logVariable = "FLEET_TEST_LOG"
 
@@ -227,13 +245,17 @@
 func (w *world) addNodeIn(az string, milliCPU int) *node {
 	name := fmt.Sprintf("vm%d", len(w.nodes))
 	self := Identity{Node: name, Incarnation: model.Incarnation(name), AZ: az, Address: name, Forward: name, MilliCPU: milliCPU}
-	bounds := Bounds{LeaseMax: leaseMax, StopTimeout: 200 * time.Millisecond, FinalStateRetention: time.Hour, CancelBound: 3 * time.Second, DrainBound: drainBound}
+	bounds := Bounds{LeaseMax: leaseMax, StopTimeout: 200 * time.Millisecond, FinalStateRetention: time.Hour, CancelBound: 3 * time.Second, DrainBound: drainBound, EvacuationBound: w.evacuationBound}
 	n := &node{name: name, nextOffsets: make(map[Partition]int64), disturbedAt: w.now}
 	n.state = NewState(self, bounds, w.log.With(zap.String("node", name)), NewCounters(tally.NoopScope))
 	w.nodes = append(w.nodes, n)
 	w.deliver(n, ConfigChanged{Config: testConfig(64)})
 	w.ticks(n)
 	w.every(time.Second, func() { w.poll(n) })
+	if w.evacuationBound > 0 {
+		w.readEvacuations(n)
+		w.every(configWait, func() { w.readEvacuations(n) })
+	}
 	if r, err := PeerRecord(self); err == nil {
 		w.store.append(w, AppendRequest{Partition: vmsPartition, Records: []job.Record{r}, At: -1})
 	}
@@ -248,6 +270,9 @@
 	n.dead, n.queue, n.nextOffsets, n.disturbedAt = false, nil, make(map[Partition]int64), w.now
 	w.deliver(n, ConfigChanged{Config: testConfig(64)})
 	w.ticks(n)
+	if w.evacuationBound > 0 {
+		w.readEvacuations(n)
+	}
 	if r, err := PeerRecord(self); err == nil {
 		w.store.append(w, AppendRequest{Partition: vmsPartition, Records: []job.Record{r}, At: -1})
 	}
@@ -578,6 +603,40 @@
 	w.deliver(n, ServersListed{Servers: list, AsOf: w.now})
 }
 
+// evacuate stores the request to evacuate an availability zone.
+func (w *world) evacuate(az model.AZ) { w.changeEvacuations(func() { w.evacuated[az] = w.now }) }
+
+// takeBack removes the request.
+func (w *world) takeBack(az model.AZ) { w.changeEvacuations(func() { delete(w.evacuated, az) }) }
+
+func (w *world) changeEvacuations(change func()) {
+	if w.store.down || w.evacuationsUnread {
+		return
+	}
+	change()
+	for _, n := range w.nodes {
+		w.at(storeDelay, func() { w.readEvacuations(n) })
+	}
+}
+
+// readEvacuations lets a node read the requests for evacuations.
+func (w *world) readEvacuations(n *node) {
+	switch {
+	case w.store.down || w.evacuationsUnread || !w.reachesStore(n):
+		w.deliver(n, EvacuationsUnread{Err: ErrInDoubt})
+	case w.storeRefuses[n.name]:
+		w.deliver(n, EvacuationsUnread{Err: w.refusal})
+	case w.evacuationsLimited:
+		w.deliver(n, EvacuationsUnread{Err: fmt.Errorf("%w: %w", ErrTooManyCalls, ErrNoEffect)})
+	default:
+		e := Evacuations{AZs: make(map[model.AZ]bool), AsOf: w.now}
+		for az := range w.evacuated {
+			e.AZs[az] = true
+		}
+		w.at(w.evacuationsLate, func() { w.deliver(n, EvacuationsRead{e}) })
+	}
+}
+
 // countRead counts a read of a partition.
 func (n *node) countRead(records []StoredRecord) {
 	n.readCalls++
@@ -590,7 +649,7 @@
 // leave.
 func (w *world) observeFaults() {
 	for _, n := range w.nodes {
-		if n.frozen || w.store.down || w.listsUnread || w.store.lossRate > 0 || w.storeRefuses[n.name] || w.lateShare > 0 || !w.reachesStore(n) {
+		if n.frozen || w.store.down || w.listsUnread || w.evacuationsUnread || w.store.lossRate > 0 || w.storeRefuses[n.name] || w.lateShare > 0 || !w.reachesStore(n) {
 			n.disturbedAt = w.now
 		}
 	}
