--- a/internal/standin/prepared/deployment.go
+++ b/internal/standin/prepared/deployment.go
@@ -151,6 +151,15 @@
 	ports map[int]bool
 }{ports: make(map[int]bool)}
 
+// EvacuationBound is how long after Evacuate a VM may still start tasks in the zone.
+const EvacuationBound = 5 * time.Second
+
+// Evacuate requests that nothing more is started in a zone, until TakeBack.
+func (d *Deployment) Evacuate(zone string) { d.Store.Put("op", "evacuate/"+zone, []byte("{}")) }
+
+// TakeBack ends an evacuation.
+func (d *Deployment) TakeBack(zone string) { d.Store.Put("op", "evacuate/"+zone, nil) }
+
 // freePorts returns the first of n adjacent ports that are free for connections and datagrams.
 func freePorts(n int) (int, error) {
 	given.Lock()
@@ -210,7 +219,7 @@
 		"listen.front=" + v.Front, "listen.ready=" + v.Ready, fmt.Sprintf("portRange=%d,%d", first, first+1), "bootstrap=true",
 		"limits.cpuShare=0.4", "limits.cores=1", "limits.memoryMb=284", "limits.maxFds=4100", "limits.linkMbps=1000.0",
 		"heartbeatMs=1500", "orders=rpc", storeSetting + v.storeAddress, "platform.form=log",
-		"bounds.drainMs=2500", "bounds.graceS=6", "bounds.revokeMs=5000", fmt.Sprintf("bounds.holdMaxMs=%d", leaseMax.Milliseconds()),
+		"bounds.drainMs=2500", fmt.Sprintf("bounds.evacuateMs=%d", EvacuationBound.Milliseconds()), "bounds.graceS=6", "bounds.revokeMs=5000", fmt.Sprintf("bounds.holdMaxMs=%d", leaseMax.Milliseconds()),
 		"bounds.stopTimeoutMs=200", fmt.Sprintf("bounds.gangTimeoutMs=%d", gangTimeout.Milliseconds()), "bounds.cancel_ms=3000", "bounds.status_s=120", "bounds.fencing=true",
 	}
 	return v, os.WriteFile(v.SettingsPath, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
--- a/internal/standin/prepared/record.go
+++ b/internal/standin/prepared/record.go
@@ -125,6 +125,20 @@
 	return last
 }
 
+// BegunIn returns the runs that began in a zone between two times, on orders that were in time.
+func (r *Record) BegunIn(zone string, from, to time.Time) (found []*Run) {
+	r.change(func() {
+		for _, runs := range r.runs {
+			for _, run := range runs {
+				if run.Zone == zone && !run.Late && run.Began.After(from) && run.Began.Before(to) {
+					found = append(found, run)
+				}
+			}
+		}
+	})
+	return found
+}
+
 // Ran reports whether there is a run of one of the job's tasks, however it ended.
 func (r *Record) Ran(job string) (ran bool) {
 	r.change(func() {
--- a/test/e2e/fleet_faults_test.go
+++ b/test/e2e/fleet_faults_test.go
@@ -139,6 +139,12 @@
 		time.Sleep(between(rng, 1000, 8000))
 		f.Store.SetFault(v.Node, prepared.StoreFault{})
 	},
+	func(f *fleetRun, rng *rand.Rand) {
+		zone := f.Zones[rng.IntN(len(f.Zones))]
+		f.Evacuate(zone)
+		time.Sleep(between(rng, 1000, 9000))
+		f.TakeBack(zone)
+	},
 }
 
 // TestFleetRandomFaults has cuts, pauses, restarts and troubles of the store and of backend servers come in
