Evacuations: each guard has a test that fails without it

Change: one reason for knowledge that is too old; tests of start orders' latest time, of placements that could not be started, and of reads that arrive out of order.

--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -35,6 +35,9 @@
 	return count
 }
 
+// newestRun returns the highest number of the runs of a job that the holder has decided.
+func (w *world) newestRun(id model.JobID) int64 { return w.holder().state.jobs.Job(id).NewestRun() }
+
 // submitAllTheTime submits a small job each 100 ms.
 func (w *world) submitAllTheTime(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); w.run(100 * time.Millisecond) {
@@ -56,6 +59,7 @@
 	assert.Equal(t, w.status(running), job.StatusDone)
 	assert.Equal(t, w.startsIn("az0", known), 0)
 	assert.Equal(t, w.oracle.starts, 10, "four more tasks fit in the other zones")
+	assert.Equal(t, w.newestRun(waiting), int64(1), "tasks were placed where they could not be started")
 	takenBack := w.now
 	w.takeBack("az0")
 	w.submit(newJob(6, wholeServer, 4))
@@ -118,6 +122,34 @@
 	}
 }
 
+// Start orders are not sent later than what is known allows, and nothing is placed that could not be started.
+func TestOldKnowledgeOfEvacuationsLimitsStarts(t *testing.T) {
+	w := newEvacuationWorldWithHolder(t, 2, 6)
+	w.evacuationsLimited = true
+	known := w.holder().state.evacuations.asOf
+	w.submitAllTheTime(evacuationBound)
+	for _, o := range w.startOrders {
+		assert.Assert(t, !o.SendBefore.After(known.Add(evacuationBound-deliveryMargin)), "%v", o.SendBefore.Sub(known))
+	}
+	id := w.submit(newJob(1, oneAccelerator, 1)).ID
+	w.run(3 * time.Second)
+	assert.Equal(t, w.newestRun(id), int64(0))
+	w.evacuationsLimited = false
+	w.run(3 * time.Second)
+	assert.Equal(t, w.status(id), job.StatusDone)
+}
+
+// An older read that is delivered later tells nothing.
+func TestOlderReadOfEvacuationsIsIgnored(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := NewState(Identity{}, Bounds{}, zap.NewNop(), NewCounters(tally.NoopScope))
+	s.evacuationsRead(Evacuations{AZs: map[model.AZ]bool{"a": true}, AsOf: now})
+	s.evacuationsRead(Evacuations{AsOf: now.Add(-time.Second)})
+	assert.Assert(t, s.evacuations.zones["a"] != nil)
+	s.evacuationsRead(Evacuations{AsOf: now.Add(time.Second)})
+	assert.Assert(t, s.evacuations.zones["a"] == nil)
+}
+
 // While the store does not serve the requests, operators cannot store any. Tasks are started on what was read, but not
 // without end.
 func TestHolderStartsTasksWhileEvacuationsAreAway(t *testing.T) {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -232,8 +232,7 @@
 	serverRestarted      obstacle = "the backend server has started again"
 	capacityShrunk       obstacle = "the backend server's capacity has shrunk"
 	cancellationsUnknown obstacle = "cancellations are not known up to now"
-	listTooOld           obstacle = "the list of backend servers is too old"
-	evacuationsUnknown   obstacle = "evacuations are not known up to now"
+	listTooOld           obstacle = "the list of backend servers or of evacuations is too old"
 	termUnconfirmed      obstacle = "another VM may hold the term"
 	earlierRunWorks      obstacle = "an earlier run of the task has not ended"
 )
@@ -259,8 +258,6 @@
 		return capacityShrunk
 	case !s.cancellationsKnown(r.group.State.Job.ID):
 		return cancellationsUnknown
-	case s.bounds.EvacuationBound > 0 && !s.now.Before(s.evacuationLimit()):
-		return evacuationsUnknown
 	case !s.now.Before(s.startLimit(r.group.State.Job.ID)):
 		return listTooOld
 	case !s.mayAct():
