Backend servers that work slowly after their start are chosen last among equals

Cause: an evacuated zone may come back cold; the entries tell for how long, and nothing read it. Change: the entry's time is decoded; of servers of equal cost the warm ones go first. Measured: TestColdServersAreUsedLast (fails without the change in fit.go).

--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -149,6 +149,7 @@
 	return sched.Server{
 		ID: v.entry.ID, Service: v.entry.Service, Rack: v.entry.Rack, Labels: v.entry.Labels,
 		Capacity: v.entry.Capacity, Free: v.entry.Capacity.Sub(l.used), Releasing: l.releasing, Ends: l.ends, Suspect: v.health.suspect(), Failing: v.health.failing(s.now),
+		Cold:     v.listedAt.Add(v.entry.ColdFor).After(s.now),
 		Unproven: l.unproven, Isolated: l.isolated, UnsavedWork: l.unsavedWork,
 	}
 }
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -215,7 +215,9 @@
 	Capacity job.Resources
 	Draining bool
 	// Remaining is the minimum time until a draining backend server leaves; 0 if unknown.
-	Remaining        time.Duration
+	Remaining time.Duration
+	// ColdFor is how much longer it works slowly after its start.
+	ColdFor          time.Duration
 	IncarnationStart int64 // Unix milliseconds
 	Clock            int64 // milliseconds
 	Sequence         int64
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -176,8 +176,8 @@
 	cost   float64
 }
 
-// cheaper prefers servers that are not suspect, then the lower cost, then the order of the
-// snapshot.
+// cheaper prefers servers that are not suspect, then the lower cost, then warm servers, then the
+// order of the snapshot.
 func (o *option) cheaper(other *option) bool {
 	if o.server.Suspect != other.server.Suspect {
 		return !o.server.Suspect
@@ -185,6 +185,9 @@
 	if o.cost != other.cost {
 		return o.cost < other.cost
 	}
+	if o.server.Cold != other.server.Cold {
+		return !o.server.Cold
+	}
 	return o.server.index < other.server.index
 }
 
--- a/internal/sched/round_test.go
+++ b/internal/sched/round_test.go
@@ -85,6 +85,17 @@
 	assert.Equal(t, len(plan.Placements), 3)
 }
 
+// An availability zone is taken back while its backend servers are cold: of servers that are otherwise equal, warm ones
+// are used first, and cold ones rather than none.
+func TestColdServersAreUsedLast(t *testing.T) {
+	c := newCluster(4)
+	c.Servers[0].Cold, c.Servers[2].Cold = true, true
+	first := Decide(c.addPending("two", job.Step{Count: 2, Need: whole}, nil).Snapshot)
+	assert.DeepEqual(t, placedOn(first, "two"), map[model.BackendServerID]int{"s1": 1, "s3": 1})
+	all := Decide(c.addPending("more", job.Step{Count: 2, Need: whole}, nil).Snapshot)
+	assert.Equal(t, len(all.Placements), 4)
+}
+
 func TestSmallTasksLeaveWholeServersFree(t *testing.T) {
 	small := job.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 1}
 	c := newCluster(4).addPreemptible("other", 2, small, 1)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -32,6 +32,8 @@
 	// each failure breaks a whole gang, while a single task shows as well whether the backend
 	// server works again.
 	Failing bool
+	// Cold is set while it works slowly after its start. Among servers of equal cost the others go first.
+	Cold bool
 	// Unproven is set while a task on the backend server has not been seen running for a while.
 	Unproven bool
 	// Isolated is set while such a task is suspected of crashing its backend servers. Nothing
