--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -7,6 +7,7 @@
 
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/sched"
 	"github.com/eelgrassreach/eelgrassreach/internal/straggler"
 )
 
@@ -85,8 +86,11 @@
 	if r.phase != runRunning || r.step().LongRunning || r.step().Fills || r.percent >= 100 {
 		return false
 	}
-	limit := time.Duration(stallShare * float64(r.step().EstimatedRuntime))
-	return time.Duration(r.reportedClock-r.progressClock)*time.Millisecond > min(max(limit, minStall), maxStall)
+	limit := min(max(time.Duration(stallShare*float64(r.step().EstimatedRuntime)), minStall), maxStall)
+	if v := s.servers[r.server]; v != nil {
+		limit = max(limit, sched.AtPace(limit, s.paceOf(v)))
+	}
+	return time.Duration(r.reportedClock-r.progressClock)*time.Millisecond > limit
 }
 
 // stopStalled stops a stalled run and quarantines its backend server.
@@ -106,7 +110,8 @@
 func (s *State) handleNewRates(v *server, rated []*run) {
 	for _, r := range rated {
 		if s.comparable(v, r) {
-			s.ratesOf(r.group).SetRate(r.index, r.progress)
+			s.ratesOf(r.group).SetRate(r.index, r.progress, s.paceOf(v))
+			s.observePace(v, r)
 		}
 	}
 	for _, r := range rated {
@@ -167,15 +172,23 @@
 	return s.now.Add(s.remaining(r)).After(v.drainingSince.Add(v.entry.Remaining + drainMargin))
 }
 
-// remaining estimates the remaining runtime of a run: from its progress once that reaches
-// measurablePercent, else from the submitter's estimate.
+// remaining estimates how long a run continues; the members of a gang end together.
 func (s *State) remaining(r *run) time.Duration {
+	if r.step().Gang && r.current() {
+		return s.gangRemaining(r.group)
+	}
+	return s.ownRemaining(r)
+}
+
+// ownRemaining estimates how long a run works: from its progress once that reaches measurablePercent, else from
+// the run time of its kind of work and the pace of its backend server.
+func (s *State) ownRemaining(r *run) time.Duration {
 	worked := s.now.Sub(r.startedAt)
 	if r.percent >= measurablePercent && worked > 0 {
 		rest := time.Duration(float64(worked) * float64(100-r.percent) / float64(r.percent))
 		return max(rest-s.now.Sub(r.progressAt), 0)
 	}
-	return max(r.step().EstimatedRuntime-worked, 0)
+	return max(s.expectedRuntime(r)-worked, 0)
 }
 
 // measurablePercent is the least progress from which a run's speed can be estimated.
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -16,6 +16,8 @@
 	StartsExpired                    tally.Counter
 	ServersLost, TasksGivenUp        tally.Counter
 	RecordsSkipped                   tally.Counter
+	// PacesLearned counts the paces of backend servers that have become known or have changed.
+	PacesLearned tally.Counter
 	// Replica is 1 while this VM follows all records.
 	Replica tally.Gauge
 	// EvacuatedZones is the number of evacuated availability zones, EvacuatedRuns what the holder still has running there.
@@ -43,6 +45,7 @@
 		ServersLost:    scope.Counter("servers_lost"),
 		TasksGivenUp:   scope.Counter("tasks_given_up"),
 		RecordsSkipped: scope.Counter("records_skipped"),
+		PacesLearned:   scope.Counter("paces_learned"),
 		Replica:        scope.Gauge("replica"),
 		EvacuatedZones: scope.Gauge("evacuated_zones"),
 		EvacuatedRuns:  scope.Gauge("evacuated_runs"),
@@ -87,3 +90,13 @@
 	scope.Gauge("waiting_tasks").Update(float64(b.tasks))
 	scope.Gauge("oldest_wait_seconds").Update(b.oldestWait.Seconds())
 }
+
+// paceClass sets the gauge of the backend servers that work at a pace, to a tenth.
+func (c Counters) paceClass(pace float64, servers int) {
+	c.scope.Tagged(map[string]string{"pace": strconv.FormatFloat(pace, 'f', 1, 64)}).Gauge("servers_by_pace").Update(float64(servers))
+}
+
+// kindRuntime sets the gauge of the usual run time of a kind of work, relative to the usual estimate.
+func (c Counters) kindRuntime(kind job.Kind, ratio float64) {
+	c.scope.Tagged(map[string]string{"kind": string(kind)}).Gauge("runtime_by_estimate").Update(ratio)
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -40,6 +40,7 @@
 	}
 	s.replan, s.lastPlan = false, s.now
 	began := s.stopwatch()
+	s.updatePaces()
 	snapshot := s.snapshot()
 	if len(snapshot.Pending) == 0 {
 		s.lastRoundTook = s.stopwatch().Sub(began)
@@ -149,7 +150,7 @@
 	return sched.Server{
 		ID: v.entry.ID, Service: v.entry.Service, Rack: v.entry.Rack, Labels: v.entry.Labels,
 		Capacity: v.entry.Capacity, Free: v.entry.Capacity.Sub(l.used), Releasing: l.releasing, Ends: l.ends, Suspect: v.health.suspect(), Failing: v.health.failing(s.now),
-		Unproven: l.unproven, Isolated: l.isolated, UnsavedWork: l.unsavedWork,
+		Unproven: l.unproven, Isolated: l.isolated, UnsavedWork: l.unsavedWork, Pace: s.paceOf(v),
 	}
 }
 
@@ -194,7 +195,7 @@
 // timeToEnd estimates when a run ends by itself, also before its start is confirmed.
 func (s *State) timeToEnd(r *run) time.Duration {
 	if r.phase == runRecording || r.phase == runOrdered {
-		return r.step().EstimatedRuntime
+		return s.expectedRuntime(r)
 	}
 	return s.remaining(r)
 }
@@ -265,10 +266,10 @@
 	st, step := g.State, g.Step()
 	p := sched.PendingStep{
 		Key: g.Key(), Service: s.currentService(st.Job), Step: step, Priority: st.Job.Priority, Guaranteed: covered, Urgent: st.Job.Priority == 0,
-		Due: s.dueAt(g), Remaining: st.Job.CriticalPath(), Avoid: s.avoidedNow(g.Key()), TasksPerServer: make(map[model.BackendServerID]int),
+		Due: s.dueAt(g), Remaining: st.Job.CriticalPathBy(s.runtimesOf(g)), Avoid: s.avoidedNow(g.Key()), TasksPerServer: make(map[model.BackendServerID]int),
 	}
-	p.Objective = p.Due.Add(st.Job.Objective())
-	p.Kind, p.Runtime = st.Job.Kind(g.Index), step.EstimatedRuntime
+	p.Objective = p.Due.Add(st.Job.ObjectiveOf(p.Remaining))
+	p.Kind, p.Runtime = st.Job.Kind(g.Index), s.runtime(g)
 	for i := range g.Tasks {
 		if g.Tasks[i].Phase == job.Waiting && !s.mayStillRun(g, i) {
 			p.Tasks = append(p.Tasks, i)
@@ -398,7 +399,7 @@
 	t.Phase, t.Run, t.Server = job.Placed, number, p.Server
 	r := &run{
 		group: g, index: p.Index, name: g.Key().TaskName(p.Index), number: number, server: p.Server,
-		phase: runRecording, placedAt: s.now,
+		phase: runRecording, placedAt: s.now, apart: p.Far,
 	}
 	s.servers[p.Server].putRun(r)
 	if rates := s.stepRates[p.Key]; rates != nil {
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -197,6 +197,8 @@
 		}
 		c.Offset = r.Offset
 		s.claimRead(target, c, initial)
+	case r.Key == paceKey:
+		return target.applyPaces(r.Value, s.now)
 	case strings.HasPrefix(r.Key, arrivalPrefix):
 		return s.applyArrival(target, r, initial)
 	case strings.HasPrefix(r.Key, recordedEndPrefix):
--- a/internal/fleet/restart.go
+++ b/internal/fleet/restart.go
@@ -40,6 +40,7 @@
 	v.incarnationStart, v.earlierIncarnation = incarnationStart, v.incarnationStart
 	v.highestClock, v.highestClockAt = 0, time.Time{}
 	v.appliedEnd, v.recordedEnd, v.acknowledgedEnd = 0, 0, 0
+	s.paces.estimator.Forget(paceServer(v)) // if an incarnation before had the same time of start
 	s.observeRestartUnderID(v)
 	s.forgetIncarnation(id, v)
 }
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -50,6 +50,8 @@
 	lossRecorded  bool // the loss of its backend server is recorded with its task
 	// earlier is the number of an earlier run of the task while reports list that on the same backend server; else 0.
 	earlier int64
+	// apart is set if the tasks of its step may have been placed on several racks.
+	apart bool
 	// reached is set if a start order may have reached the backend server.
 	reached bool
 
@@ -115,7 +117,7 @@
 	name := g.Key().TaskName(index)
 	r := &run{
 		group: g, index: index, name: name, number: t.Run, server: t.Server, phase: runAdopting,
-		startedAt: s.now, progressAt: s.now,
+		startedAt: s.now, progressAt: s.now, apart: true,
 	}
 	if a := s.arrivals[name]; a.server == r.server {
 		r.unansweredAt = a.until.Add(-maxDeliveryDelay)
@@ -705,5 +707,5 @@
 
 // workDone estimates how long a run whose start was not confirmed has run, from its progress.
 func (s *State) workDone(r *run, percent int) time.Duration {
-	return r.step().EstimatedRuntime * time.Duration(percent) / 100
+	return s.expectedRuntime(r) * time.Duration(percent) / 100
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -56,6 +56,8 @@
 	recordedEnds map[model.BackendServerID]endPosition
 	// arrivals holds until when start orders without an answer may arrive, by task.
 	arrivals map[string]arrival
+	// paceRecord is the newest record of a holder's paces; nil if there is none.
+	paceRecord []byte
 	// restartsSeen is set if a backend server has started again under its ID.
 	restartsSeen bool
 	peers        map[string]Peer
@@ -124,6 +126,7 @@
 	avoid map[job.GroupKey]map[model.BackendServerID]time.Time
 	// stepRates holds the progress rates of the tasks of each step.
 	stepRates map[job.GroupKey]*straggler.StepRates
+	paces     paceState
 	writer    writer
 	advice    map[string]*advice
 	// backlog collects the next backlog report, by priority.
@@ -165,6 +168,7 @@
 		orphans:    make(map[string]int),
 		avoid:      make(map[job.GroupKey]map[model.BackendServerID]time.Time),
 		stepRates:  make(map[job.GroupKey]*straggler.StepRates),
+		paces:      newPaceState(),
 
 		evacuations: evacuations{zones: make(map[model.AZ]*evacuation)},
 	}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -263,6 +263,7 @@
 		zap.Duration("list_age", s.now.Sub(s.serversAsOf)))
 	s.metrics.TermsTaken.Inc(1)
 	s.emit(ReadServers{})
+	s.adoptPaces()
 	s.adoptPlaced()
 	s.replan = true
 }
@@ -286,6 +287,7 @@
 	s.orphans = make(map[string]int)
 	s.avoid = make(map[job.GroupKey]map[model.BackendServerID]time.Time)
 	s.stepRates = make(map[job.GroupKey]*straggler.StepRates)
+	s.paces = newPaceState()
 	s.resync()
 }
 
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -112,6 +112,9 @@
 		}
 	}
 	records = append(records, w.drops...)
+	if r, due := s.paceRecordDue(); due {
+		records = append(records, r)
+	}
 	if presence {
 		records = append(records, job.Record{Key: presenceKey, Value: []byte("{}")})
 	}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -136,13 +136,18 @@
 
 // CriticalPath returns the estimated time of the longest chain of dependent steps.
 func (j *Job) CriticalPath() time.Duration {
+	return j.CriticalPathBy(func(step int) time.Duration { return j.Steps[step].EstimatedRuntime })
+}
+
+// CriticalPathBy is CriticalPath with other run times than the estimated ones.
+func (j *Job) CriticalPathBy(runtime func(step int) time.Duration) time.Duration {
 	chain := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
 	for i := range j.Steps {
 		for _, d := range j.Steps[i].DependsOn {
 			chain[i] = max(chain[i], chain[d])
 		}
-		chain[i] += j.Steps[i].EstimatedRuntime
+		chain[i] += runtime(i)
 		longest = max(longest, chain[i])
 	}
 	return longest
@@ -150,7 +155,12 @@
 
 // Objective returns how long after its due time an occurrence should end at the latest.
 func (j *Job) Objective() time.Duration {
-	return time.Duration(j.Stretch*float64(j.CriticalPath())) + j.Grace
+	return j.ObjectiveOf(j.CriticalPath())
+}
+
+// ObjectiveOf is Objective for a given time of the longest chain of dependent steps.
+func (j *Job) ObjectiveOf(criticalPath time.Duration) time.Duration {
+	return time.Duration(j.Stretch*float64(criticalPath)) + j.Grace
 }
 
 // LongRunning reports whether any step runs until the job is cancelled.
--- a/internal/sched/cost.go
+++ b/internal/sched/cost.go
@@ -8,7 +8,7 @@
 	if p.Isolate {
 		return srv.UnsavedWork
 	}
-	return d.roomCost(left)
+	return d.roomCost(left) + d.paceCost(p, srv)
 }
 
 // roomCost is the room that is left on a server, so that empty ones stay free for tasks that need a whole one.
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -78,6 +78,7 @@
 	servers []*serverState
 	cost    float64
 	far     bool // uses other racks than the one that the step runs best on
+	gang    gangPace
 }
 
 // trialUsage tracks what an assignment has used so far.
@@ -335,6 +336,14 @@
 
 // allOrNothing places all tasks on the servers or none.
 func (d *round) allOrNothing(p *PendingStep, s supply, servers []*serverState) (assignment, bool) {
+	if levels := d.levelsFor(p); levels != nil {
+		return d.likePaced(p, s, servers, levels)
+	}
+	return d.assignAll(p, s, servers)
+}
+
+// assignAll places all tasks where each costs least, or none.
+func (d *round) assignAll(p *PendingStep, s supply, servers []*serverState) (assignment, bool) {
 	if !d.haveCapacity(p, s, len(p.Tasks), servers) {
 		return assignment{}, false
 	}
@@ -349,7 +358,7 @@
 func (d *round) cheapestRack(p *PendingStep, s supply, servers []*serverState) (best assignment, ok bool) {
 	for _, rack := range d.byRack(servers) {
 		a, fits := d.allOrNothing(p, s, rack)
-		if fits && (!ok || a.cost < best.cost) {
+		if fits && (!ok || a.cheaperGang(&best, s)) {
 			best, ok = a, true
 		}
 	}
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -20,7 +20,8 @@
 	earmarked   map[string]float64       // what is earmarked of it for waiting gangs, in cores
 	plan        Plan
 
-	racks          int // number of racks
+	racks          int                  // number of racks
+	paceLevels     map[string][]float64 // of the services with backend servers of unlike pace
 	candidateLists map[candidateKey]candidateList
 	// trial, options and chosen are memory that is used again.
 	trial   trialUsage
@@ -48,6 +49,7 @@
 		earmarked:   make(map[string]float64),
 
 		candidateLists: make(map[candidateKey]candidateList),
+		paceLevels:     paceLevels(s.Servers),
 	}
 	racks := make(map[model.RackID]int)
 	states := make([]serverState, len(s.Servers))
--- a/internal/straggler/straggler.go
+++ b/internal/straggler/straggler.go
@@ -37,6 +37,9 @@
 	at      time.Time
 	rate    float64 // percent per second, over the last window
 	known   bool
+	// steadyPercent was reached at steadyAt, the end of the first window: the start takes time by itself.
+	steadyPercent int
+	steadyAt      time.Time
 }
 
 // NewProgress returns the progress of a run that has reached percent at now.
@@ -55,30 +58,43 @@
 	}
 	p.rate, p.known = float64(percent-p.percent)/window.Seconds(), true
 	p.percent, p.at = percent, now
+	if p.steadyAt.IsZero() {
+		p.steadyPercent, p.steadyAt = percent, now
+	}
 	return true
 }
 
-// StepRates holds the newest rates of a step's tasks.
+// Steady returns the progress in percent since the end of the first window, and the time that it took.
+func (p *Progress) Steady() (gained int, took time.Duration) {
+	return p.percent - p.steadyPercent, p.at.Sub(p.steadyAt)
+}
+
+// StepRates holds the newest rates of a step's tasks, as they would be on ordinary backend servers.
 type StepRates struct {
 	rates  []float64
+	paces  []float64 // of the tasks' backend servers, relative to ordinary ones
 	known  []bool
 	sorted []float64 // the known rates
 }
 
 // NewStepRates returns the rates of a step of n tasks, all unknown.
 func NewStepRates(n int) *StepRates {
-	return &StepRates{rates: make([]float64, n), known: make([]bool, n)}
+	return &StepRates{rates: make([]float64, n), paces: make([]float64, n), known: make([]bool, n)}
 }
 
-// SetRate sets the newest rate of a task; an unknown rate is ignored.
-func (s *StepRates) SetRate(index int, p Progress) {
+// SetRate sets the newest rate of a task on a backend server of the given pace, 0 if that is not known. An unknown
+// rate is ignored.
+func (s *StepRates) SetRate(index int, p Progress, pace float64) {
 	if !p.known {
 		return
 	}
+	if pace == 0 {
+		pace = 1
+	}
 	s.ClearRate(index)
-	s.known[index], s.rates[index] = true, p.rate
-	at, _ := slices.BinarySearch(s.sorted, p.rate)
-	s.sorted = slices.Insert(s.sorted, at, p.rate)
+	s.known[index], s.rates[index], s.paces[index] = true, p.rate/pace, pace
+	at, _ := slices.BinarySearch(s.sorted, s.rates[index])
+	s.sorted = slices.Insert(s.sorted, at, s.rates[index])
 }
 
 // ClearRate removes the rate of a task that is started again.
@@ -124,17 +140,17 @@
 }
 
 // WorthMoving reports whether a straggler at percent would end sooner if it were started
-// again elsewhere from the percentage saved, with overhead for the stop and the start.
+// again on an ordinary backend server from the percentage saved, with overhead for the stop and the start.
 func (s *StepRates) WorthMoving(index, percent, saved int, overhead time.Duration) bool {
 	usual := s.usualOfOthers(index)
 	if usual <= 0 {
 		return false
 	}
-	// The backend server recovers after slowDuration; until then the task continues slowly.
-	rest := float64(completePercent - percent)
-	stay := slowDuration.Seconds() + max(rest-s.rates[index]*slowDuration.Seconds(), 0)/usual
-	if s.rates[index] > 0 {
-		stay = min(stay, rest/s.rates[index])
+	// The backend server recovers its pace after slowDuration; until then the task continues slowly.
+	rest, rate := float64(completePercent-percent), s.rates[index]*s.paces[index]
+	stay := slowDuration.Seconds() + max(rest-rate*slowDuration.Seconds(), 0)/(usual*s.paces[index])
+	if rate > 0 {
+		stay = min(stay, rest/rate)
 	}
 	move := overhead.Seconds() + float64(completePercent-saved)/usual
 	return stay > minMoveGain*move
--- a/internal/straggler/straggler_test.go
+++ b/internal/straggler/straggler_test.go
@@ -15,7 +15,7 @@
 	for i, percent := range percents {
 		p := NewProgress(0, testNow)
 		p.Observe(percent, testNow.Add(time.Second))
-		s.SetRate(i, p)
+		s.SetRate(i, p, 0)
 	}
 	return s
 }
