--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -125,6 +125,7 @@
 	refusesStops    Refusal     // the same for stop orders only
 	label           string      // besides those that all have
 	slowdown        int         // factor for the duration of new runs; 0 means 1
+	speed           float64     // how fast new runs work; 0 means 1
 	failsJob        model.JobID // the tasks of this job fail here
 	highestToken    int64
 	deadline        int64
@@ -286,6 +287,9 @@
 	}
 	r.startedAt = w.now
 	r.duration *= time.Duration(max(s.slowdown, 1))
+	if s.speed > 0 {
+		r.duration = time.Duration(float64(r.duration) / s.speed)
+	}
 	if rack := r.step(w).DataRack; rack != "" && rack != s.rack {
 		r.duration *= remoteDataFactor
 	}
@@ -350,7 +354,11 @@
 		if s.hangs || r.waiting {
 			percent = 0
 		}
-		report.Running = append(report.Running, RunReport{Task: name, Run: r.order.Run, Percent: min(percent, 99)})
+		most := 99
+		if r.step(w).Gang {
+			most = 100 // it waits for slower members
+		}
+		report.Running = append(report.Running, RunReport{Task: name, Run: r.order.Run, Percent: min(percent, most)})
 	}
 	return report, nil
 }
--- a/internal/fleet/oracle_test.go
+++ b/internal/fleet/oracle_test.go
@@ -166,6 +166,11 @@
 		s.end(o.w, r, EndedDone)
 		return
 	}
+	for _, m := range o.members(r) {
+		if m.at.runs[m.run.order.Task] == m.run && o.w.now.Sub(m.run.startedAt) < m.run.duration {
+			return // it goes at the pace of its slowest member
+		}
+	}
 	for _, m := range o.members(r) {
 		if m.at.runs[m.run.order.Task] == m.run {
 			m.at.end(o.w, m.run, EndedDone)
