Short steps count for the run time of their kind

Cause: steps that end before their progress is known were left out, so that short kinds of work seemed to take longer. Change: the end of a run tells the run time of such a step.

--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"time"
@@ -85,12 +86,34 @@
 
 // observePace takes note of a run's new rate of progress.
 func (s *State) observePace(v *server, r *run) {
-	gained, took := r.progress.Steady()
-	s.paces.estimator.Observe(pace.Observation{
+	o := observationOf(v, r)
+	o.Gained, o.Took = r.progress.Steady()
+	s.paces.estimator.Observe(o, s.now)
+}
+
+func observationOf(v *server, r *run) pace.Observation {
+	return pace.Observation{
 		Group: r.group.Key(), Index: r.index, Server: paceServer(v), Service: v.entry.Service, Gang: r.step().Gang,
 		Kind: r.group.State.Job.Kind(r.group.Index), Estimate: r.step().EstimatedRuntime, Unusual: r.step().SameRack && r.apart,
-		Gained: gained, Took: took,
-	}, s.now)
+	}
+}
+
+// observeEnd takes note of how long a run took that this holder has placed, and that has worked from the begin of its task.
+func (s *State) observeEnd(v *server, r *run) {
+	if r.phase != runRunning || r.placedAt.IsZero() || !s.comparable(v, r) || r.group.Tasks[r.index].Checkpoint != "" {
+		return
+	}
+	slowest := cmp.Or(s.paceOf(v), 1)
+	if r.step().Gang {
+		for i := range r.group.Tasks {
+			if m := s.currentRun(r.group, i); m != nil {
+				slowest = min(slowest, cmp.Or(s.paceOf(s.servers[m.server]), 1))
+			}
+		}
+	}
+	o := observationOf(v, r)
+	o.Took = s.now.Sub(r.startedAt)
+	s.paces.estimator.ObserveEnd(o, slowest, s.now)
 }
 
 // updatePaces computes the paces anew and logs those that have changed.
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -613,6 +613,9 @@
 	s.replan = true
 	r := v.runs[e.Task]
 	if r != nil && r.number == e.Run {
+		if e.Outcome == EndedDone {
+			s.observeEnd(v, r)
+		}
 		s.removeRun(v, r)
 		s.keepAbandoned(v, r)
 		s.keepEarlier(v, r)
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -72,7 +72,7 @@
 	servers map[Server]*server
 	steps   map[job.GroupKey]*step
 	order   []*step // by first observation
-	count   int     // observations in all steps
+	count   int     // steps and observations in them
 	kinds   map[job.Kind]*kindFit
 	// hints are paces that an earlier estimator has learned, by Server.hash.
 	hints map[uint32]float64
@@ -110,6 +110,9 @@
 	seenAt   time.Time
 	runtime  float64 // logarithm of the seconds on an ordinary backend server
 	known    bool
+	// ended is the same as the mean of the runs that have ended tells it, for a step that was too short to be observed.
+	ended float64
+	ends  int
 }
 
 // member is the newest rate of a task on a backend server.
@@ -135,13 +138,7 @@
 	if o.Gained < minGained || o.Took <= 0 || o.Server.Incarnation == 0 {
 		return
 	}
-	st := e.steps[o.Group]
-	if st == nil {
-		st = &step{key: o.Group, service: o.Service, gang: o.Gang, kind: o.Kind, estimate: o.Estimate}
-		e.steps[o.Group] = st
-		e.order = append(e.order, st)
-	}
-	st.seenAt, st.unusual = now, st.unusual || o.Unusual
+	st := e.stepOf(o, now)
 	v := e.server(o.Server, o.Service)
 	v.seenAt = now
 	coarseness := 0.6 / float64(o.Gained)
@@ -160,6 +157,31 @@
 	e.changed = true
 }
 
+// ObserveEnd takes note of a run that has ended as done, on a backend server that works at the given pace; for a gang the
+// pace of the slowest member. It counts for the run time of steps that were too short for Observe: without
+// them, kinds of work would seem to take longer than they do.
+func (e *Estimator) ObserveEnd(o Observation, pace float64, now time.Time) {
+	if o.Took <= 0 || pace <= 0 {
+		return
+	}
+	st := e.stepOf(o, now)
+	st.ends++
+	st.ended += (math.Log(o.Took.Seconds()*pace) - st.ended) / float64(st.ends)
+	e.changed = true
+}
+
+func (e *Estimator) stepOf(o Observation, now time.Time) *step {
+	st := e.steps[o.Group]
+	if st == nil {
+		st = &step{key: o.Group, service: o.Service, gang: o.Gang, kind: o.Kind, estimate: o.Estimate}
+		e.steps[o.Group] = st
+		e.order = append(e.order, st)
+		e.count++
+	}
+	st.seenAt, st.unusual = now, st.unusual || o.Unusual
+	return st
+}
+
 func (e *Estimator) server(key Server, service string) *server {
 	v := e.servers[key]
 	if v == nil {
@@ -219,7 +241,7 @@
 			kept = append(kept, st)
 			continue
 		}
-		e.count -= len(st.members)
+		e.count -= 1 + len(st.members)
 		delete(e.steps, st.key)
 	}
 	clear(e.order[len(kept):])
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -269,6 +269,19 @@
 	assert.Assert(t, got > 9*time.Second && got < 11*time.Second, "%v", got)
 }
 
+// Steps that end before their progress is known count as well: else short work would seem to take as long as the rest.
+func TestShortStepsCountForTheirKind(t *testing.T) {
+	e := New()
+	for i := range 10 {
+		group := job.GroupKey{Job: model.JobID(fmt.Sprintf("j%d", i))}
+		e.ObserveEnd(Observation{Group: group, Kind: "quote/", Estimate: time.Second, Took: 500 * time.Millisecond}, 2, testNow)
+	}
+	e.Update(testNow)
+	got := e.Runtime(job.GroupKey{Job: "new"}, "quote/", 3*time.Second)
+	assert.Assert(t, got > 2900*time.Millisecond && got < 3100*time.Millisecond, "%v", got)
+	e.ObserveEnd(Observation{Group: job.GroupKey{Job: "none"}, Kind: "quote/"}, 2, testNow)
+}
+
 func TestNextHolderStartsFromTheRecord(t *testing.T) {
 	p := newPlay(1, fleet(1, 350, 0.46, 1, 1, 1))
 	for range 40 {
@@ -325,3 +338,14 @@
 		}
 	})
 }
+
+func BenchmarkUpdate(b *testing.B) {
+	p := newPlay(1, fleet(1, 1100, 0.46, 1, 1, 1))
+	for range 30 {
+		p.second(10, 6)
+	}
+	for b.Loop() {
+		p.e.changed = true
+		p.e.Update(p.now)
+	}
+}
--- a/internal/pace/solve.go
+++ b/internal/pace/solve.go
@@ -78,6 +78,9 @@
 	if st.gang {
 		spread = e.gangSpread
 	}
+	if len(st.members) == 0 {
+		return
+	}
 	tolerance = max(tolerance, 2*spread)
 	total, totalWeight := 0.0, 0.0
 	for i := range st.members {
@@ -220,7 +223,7 @@
 // settle decides whether a step's run time is known, and takes it from the middle of its tasks: some take many times as long.
 func (st *step) settle() {
 	if len(st.members) == 0 {
-		st.known = false
+		st.runtime, st.known = st.ended, st.ends > 0
 		return
 	}
 	list := make([]float64, len(st.members))
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -45,5 +45,14 @@
 				Decide(s)
 			}
 		})
+		b.Run(fmt.Sprintf("servers=%d/unlike", n), func(b *testing.B) {
+			s := nearlyFullSnapshot(n, 60)
+			for i := range s.Servers {
+				s.Servers[i].Pace = []float64{0.55, 1, 1, 1.2}[i%4]
+			}
+			for b.Loop() {
+				Decide(s)
+			}
+		})
 	}
 }
