--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -87,10 +87,12 @@
 		return false
 	}
 	limit := min(max(time.Duration(stallShare*float64(r.step().EstimatedRuntime)), minStall), maxStall)
-	if v := s.servers[r.server]; v != nil {
-		limit = max(limit, sched.AtPace(limit, s.paceOf(v)))
+	still := time.Duration(r.reportedClock-r.progressClock) * time.Millisecond
+	if still <= limit {
+		return false
 	}
-	return time.Duration(r.reportedClock-r.progressClock)*time.Millisecond > limit
+	v := s.servers[r.server]
+	return v == nil || still > sched.AtPace(limit, min(s.paceOf(v), 1))
 }
 
 // stopStalled stops a stalled run and quarantines its backend server.
--- a/internal/pace/record.go
+++ b/internal/pace/record.go
@@ -114,4 +114,9 @@
 }
 
 // hint returns the pace that an earlier estimator has learned; 0 if none.
-func (e *Estimator) hint(key Server) float64 { return e.hints[key.hash()] }
+func (e *Estimator) hint(key Server) float64 {
+	if len(e.hints) == 0 {
+		return 0
+	}
+	return e.hints[key.hash()]
+}
