Members beside a slow one are not fast; design note of the paces

Change: observations that differ by more than slow phases do count only when they last, in both directions.

--- a/internal/fleet/pace_test.go
+++ b/internal/fleet/pace_test.go
@@ -99,6 +99,15 @@
 	w := unevenWorld(t, 2)
 	w.learnPaces(t)
 	w.took(t, newJob(1, oneAccelerator, 5)) // has the newest paces recorded
+	written := 0
+	for _, r := range w.store.part(progressPartition).records {
+		if r.Key == paceKey {
+			written++
+			assert.Assert(t, len(r.Value) < 300, "%d bytes", len(r.Value))
+		}
+	}
+	most := int(w.now.Sub(w.holder().state.term.takenAt)/paceRecordInterval) + 1
+	assert.Assert(t, written > 0 && written <= most, "%d records, at most %d", written, most)
 	old := w.holder()
 	old.dead = true
 	w.run(4 * time.Second)
--- a/internal/pace/kinds.go
+++ b/internal/pace/kinds.go
@@ -14,6 +14,8 @@
 	minKindSteps = 8
 	// estimatesTrusted is how much, as a sum of squares, speaks beforehand for run times being proportional to estimates.
 	estimatesTrusted = 0.5
+	// maxKindName bounds the names of kinds, which are submitters' words, since they are recorded.
+	maxKindName = 128
 )
 
 // kindFit relates the true run times of a kind of work to the estimates: logarithms of seconds, along a line of slope 0 to
@@ -47,7 +49,7 @@
 func (e *Estimator) fitKinds(now time.Time) {
 	estimates, actuals := make(map[job.Kind][]float64), make(map[job.Kind][]float64)
 	for _, st := range e.order {
-		if st.known && !st.unusual && st.estimate > 0 {
+		if st.known && !st.unusual && st.estimate > 0 && len(st.kind) <= maxKindName {
 			estimates[st.kind] = append(estimates[st.kind], math.Log(st.estimate.Seconds()))
 			actuals[st.kind] = append(actuals[st.kind], st.runtime)
 		}
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -182,6 +182,27 @@
 	assert.Assert(t, wrong*100 < known, "%d of %d", wrong, known)
 }
 
+// In small gangs sound members seem fast beside one that is slow for some seconds.
+func TestMembersBesideASlowOneAreNotFast(t *testing.T) {
+	p := newPlay(1, fleet(1, 40, 1))
+	for range 10 {
+		p.second(4, 1)
+	}
+	for i := range 24 {
+		for index, percent := range []int{10, 50} {
+			p.e.Observe(Observation{
+				Group: job.GroupKey{Job: model.JobID(fmt.Sprintf("two%d", i))}, Index: index, Server: Server{ID: model.BackendServerID([]string{"slow", "sound"}[index]), Incarnation: 1},
+				Service: "desk", Gang: true, Gained: percent, Took: 2 * time.Second,
+			}, p.now)
+		}
+		if i%4 == 3 {
+			p.second(1, 1)
+		}
+	}
+	sound := p.e.Pace(Server{ID: "sound", Incarnation: 1})
+	assert.Assert(t, sound < 1.2, "%v", sound)
+}
+
 func TestServerThatStaysSlowIsLearned(t *testing.T) {
 	p := newPlay(1, fleet(1, 30, 1))
 	for range 10 {
--- a/internal/pace/record.go
+++ b/internal/pace/record.go
@@ -16,7 +16,7 @@
 const (
 	// serverBytes is the size of a backend server in a record: the hash of its incarnation, and its pace.
 	serverBytes = 5
-	// paceUnit is the unit of a pace in a record: its logarithm in hundredths. maxUnits bounds it.
+	// paceUnit is the unit of a pace in a record: its logarithm in fiftieths. maxUnits bounds it.
 	paceUnit = 0.02
 	maxUnits = 120
 	// maxServers bounds the backend servers in a record.
--- a/internal/pace/solve.go
+++ b/internal/pace/solve.go
@@ -19,7 +19,8 @@
 	// known, surePaceSpread for those that are known.
 	paceSpread, surePaceSpread = 0.35, 0.05
 	// slowPhase is the share of its pace below which a backend server counts as slow for some seconds, until it
-	// has been so for slowPhaseLimit. Slow phases are by a factor of three or more.
+	// has been so for slowPhaseLimit. Slow phases are by a factor of three or more. In a small step the others then seem to
+	// be as much faster.
 	slowPhase      = 0.36
 	slowPhaseLimit = 12 * time.Second
 	// minSteps is the number of steps that have to tell a pace, sureError the standard error up to which it is known.
@@ -138,7 +139,7 @@
 
 // observe adds one observation of a backend server's pace.
 func (e *Estimator) observe(v *server, pace, variance, tolerance float64, at time.Time) {
-	if pace < v.log+math.Log(slowPhase) {
+	if math.Abs(pace-v.log) > -math.Log(slowPhase) { // slow, or compared with slow ones
 		if v.nextFrom.IsZero() || at.Before(v.nextFrom) {
 			v.nextFrom = at
 		}
