Reasons for steps that find no place, and what is at work meanwhile

Cause: the log told what waits, not why, nor how much of the backend servers worked meanwhile. Change: sched.Plan.Unplaced names a reason for each step that found no place, once a second; the backlog lines count them by priority, a line tells what waits and was stopped by organisation, and a line 'utilisation' what is at work while gangs wait, by rack, and what is free in pieces that nothing fits in. Metrics for the same. The zone of the caller is stored nowhere, so it isn't told.

--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -7,6 +7,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/sched"
 )
 
 // Counters holds the metrics of the loop.
@@ -82,4 +84,29 @@
 	scope.Gauge("waiting_gangs").Update(float64(b.gangs))
 	scope.Gauge("waiting_tasks").Update(float64(b.tasks))
 	scope.Gauge("oldest_wait_seconds").Update(b.oldestWait.Seconds())
+	for reason, n := range b.reasons {
+		scope.Tagged(map[string]string{"reason": string(reason)}).Gauge("waiting_steps").Update(float64(n))
+	}
+}
+
+// organisationBacklog sets the gauges of what waits of an organisation, and counts what was stopped.
+func (c Counters) organisationBacklog(id model.OrganisationID, b *organisationBacklog) {
+	scope := c.scope.Tagged(map[string]string{"organisation": string(id)})
+	scope.Gauge("waiting_tasks_of_organisation").Update(float64(b.tasks))
+	scope.Gauge("oldest_wait_seconds_of_organisation").Update(b.oldestWait.Seconds())
+	scope.Counter("runs_stopped_of_organisation").Inc(int64(b.stops))
+}
+
+// use sets the gauges of what is at work while gangs wait.
+func (c Counters) use(u sched.Use) {
+	for resource, value := range map[string]struct{ used, fragmented float64 }{
+		"cores": {u.Cores, u.FragmentedCores}, "memory": {u.Memory, u.FragmentedMemory}, "accelerators": {u.Accelerators, u.FragmentedAccelerators},
+	} {
+		scope := c.scope.Tagged(map[string]string{"resource": resource})
+		scope.Gauge("used_share").Update(value.used)
+		scope.Gauge("fragmented_share").Update(value.fragmented)
+	}
+	c.scope.Gauge("fullest_rack_share").Update(u.Fullest.Share)
+	c.scope.Gauge("emptiest_rack_share").Update(u.Emptiest.Share)
+	c.scope.Gauge("whole_servers_free").Update(float64(u.WholeFree))
 }
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -46,6 +46,7 @@
 		s.reportBacklog(snapshot, sched.Plan{})
 		return
 	}
+	snapshot.Explain = s.backlogDue()
 	p := sched.Decide(snapshot)
 	s.lastRoundTook = s.stopwatch().Sub(began)
 	s.metrics.RoundLatency.RecordDuration(s.lastRoundTook)
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -128,6 +128,8 @@
 	// backlog collects the next backlog report, by priority.
 	backlog           map[int]*priorityBacklog
 	backlogReportedAt time.Time
+	// organisationBacklog is the same by organisation.
+	organisationBacklog map[model.OrganisationID]*organisationBacklog
 	// startsUnderWay are the start orders of this term without an answer yet.
 	startsUnderWay int
 	replan         bool
@@ -148,22 +150,23 @@
 // NewState returns the state of a VM that has not read any records yet.
 func NewState(self Identity, bounds Bounds, log *zap.Logger, metrics Counters) *State {
 	s := &State{
-		self:       self,
-		bounds:     bounds,
-		log:        log,
-		metrics:    metrics,
-		replicated: newReplicated(),
-		servers:    make(map[model.BackendServerID]*server),
-		tokens:     make(map[model.BackendServerID]int64),
-		crashed:    make(map[model.BackendServerID]bool),
-		advice:     make(map[string]*advice),
-		backlog:    make(map[int]*priorityBacklog),
-		nextOf:     make(map[Partition]int64),
-		readAsOf:   make(map[Partition]time.Time),
-		touched:    make(map[model.BackendServerID]*server),
-		orphans:    make(map[string]int),
-		avoid:      make(map[job.GroupKey]map[model.BackendServerID]time.Time),
-		stepRates:  make(map[job.GroupKey]*straggler.StepRates),
+		self:                self,
+		bounds:              bounds,
+		log:                 log,
+		metrics:             metrics,
+		replicated:          newReplicated(),
+		servers:             make(map[model.BackendServerID]*server),
+		tokens:              make(map[model.BackendServerID]int64),
+		crashed:             make(map[model.BackendServerID]bool),
+		advice:              make(map[string]*advice),
+		backlog:             make(map[int]*priorityBacklog),
+		organisationBacklog: make(map[model.OrganisationID]*organisationBacklog),
+		nextOf:              make(map[Partition]int64),
+		readAsOf:            make(map[Partition]time.Time),
+		touched:             make(map[model.BackendServerID]*server),
+		orphans:             make(map[string]int),
+		avoid:               make(map[job.GroupKey]map[model.BackendServerID]time.Time),
+		stepRates:           make(map[job.GroupKey]*straggler.StepRates),
 	}
 	s.stopwatch = func() time.Time { return s.now }
 	s.role.namedSince, s.role.silentUntil, s.role.answersAsReplica = make(map[string]time.Time), make(map[string]time.Time), make(map[string]bool)
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -18,6 +18,8 @@
 	unplaceable map[fitKey]bool          // keys of steps for which no room was found
 	capacity    map[string]float64       // of each service, in cores
 	earmarked   map[string]float64       // what is earmarked of it for waiting gangs, in cores
+	reasons     map[fitKey]Reason        // of steps that found no place, if asked for
+	explain     bool
 	plan        Plan
 
 	racks          int // number of racks
@@ -46,6 +48,8 @@
 		unplaceable: make(map[fitKey]bool),
 		capacity:    make(map[string]float64),
 		earmarked:   make(map[string]float64),
+		reasons:     make(map[fitKey]Reason),
+		explain:     s.Explain,
 
 		candidateLists: make(map[candidateKey]candidateList),
 	}
@@ -74,11 +78,24 @@
 // it room that is being released, or stops other tasks. For a gang that still does not fit,
 // it earmarks the room where the gang can start first.
 func (d *round) schedule(p *PendingStep) {
+	placedBefore := len(d.plan.Placements)
 	a := d.fit(p, freeNow, !d.mayPreempt(p) && d.mayGoFar(p))
 	d.place(p, a)
 	if len(a.servers) == len(p.Tasks) {
 		return
 	}
+	var why Reason
+	if d.explain {
+		why = d.reason(p) // before room is kept for the step itself
+	}
+	d.scheduleRest(p, a)
+	if waiting := len(p.Tasks) - (len(d.plan.Placements) - placedBefore); waiting > 0 {
+		d.plan.Unplaced = append(d.plan.Unplaced, Unplaced{Key: p.Key, Tasks: waiting, Reason: why})
+	}
+}
+
+// scheduleRest is schedule for the tasks that the assignment has left.
+func (d *round) scheduleRest(p *PendingStep, a assignment) {
 	if !d.mayPreempt(p) {
 		d.earmarkRoom(p)
 		return
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -101,6 +101,8 @@
 	Servers     []Server
 	Pending     []PendingStep
 	Preemptible []PreemptibleTask
+	// Explain asks for the reasons in Plan.Unplaced.
+	Explain bool
 }
 
 // Placement starts a task on a backend server.
@@ -131,8 +133,8 @@
 // Unplaced is a step that waits on, and why.
 type Unplaced struct {
 	Key    job.GroupKey
-	Tasks  int // that found no place
-	Reason Reason
+	Tasks  int    // that found no place
+	Reason Reason // empty unless the snapshot asks for reasons
 }
 
 // Reason is why a step finds no place.
