Work that ends before an earmarked gang can start is let in beside it

Cause: earmarked room was kept from all later steps, however short, and an urgent step that might not use it reserved it as room that is being released, so that neither it nor anything behind it started. Change: a step uses earmarked room if it ends before the gang is expected to start, is long-running or has a guarantee. A gang that would be too late by then keeps nothing; one that needs more than 0.4 of the service keeps it only if it starts before it has waited or will work as long. The plan and the log tell what is kept.

--- a/internal/fleet/backlog.go
+++ b/internal/fleet/backlog.go
@@ -119,7 +119,7 @@
 	}
 	s.reportOrganisations()
 	if gangs {
-		s.reportUse(sched.MeasureUse(snap, plan))
+		s.reportUse(sched.MeasureUse(snap, plan), plan.Earmarks)
 	}
 }
 
@@ -189,14 +189,29 @@
 
 func (b *organisationBacklog) size() int { return b.tasks + b.stops }
 
-// reportUse logs how much of the backend servers is at work while gangs wait.
-func (s *State) reportUse(u sched.Use) {
-	s.metrics.use(u)
+// reportUse logs how much of the backend servers is at work while gangs wait, and for which one most room is kept.
+func (s *State) reportUse(u sched.Use, earmarks []sched.Earmark) {
+	var earmarked float64
+	var largest sched.Earmark
+	for _, e := range earmarks {
+		earmarked += e.Share
+		if e.Share > largest.Share {
+			largest = e
+		}
+	}
+	s.metrics.use(u, earmarked)
 	share := func(key string, value float64) zap.Field { return zap.String(key, fmt.Sprintf("%.3f", value)) }
-	s.log.Info("utilisation", share("cores", u.Cores), share("memory", u.Memory), share("accelerators", u.Accelerators),
+	fields := []zap.Field{
+		share("cores", u.Cores), share("memory", u.Memory), share("accelerators", u.Accelerators),
 		zap.String("fullest_rack", string(u.Fullest.Rack)), share("fullest", u.Fullest.Share),
 		zap.String("emptiest_rack", string(u.Emptiest.Rack)), share("emptiest", u.Emptiest.Share), zap.Int("whole_servers_free", u.WholeFree),
-		share("fragmented_cores", u.FragmentedCores), share("fragmented_memory", u.FragmentedMemory), share("fragmented_accelerators", u.FragmentedAccelerators))
+		share("fragmented_cores", u.FragmentedCores), share("fragmented_memory", u.FragmentedMemory), share("fragmented_accelerators", u.FragmentedAccelerators),
+		share("earmarked", earmarked),
+	}
+	if len(earmarks) > 0 {
+		fields = append(fields, zap.Stringer("earmarked_for", largest.Key), zap.Duration("starts_after", largest.After))
+	}
+	s.log.Info("utilisation", fields...)
 }
 
 func (b *priorityBacklog) empty() bool { return b.steps == 0 && b.placed == 0 && len(b.stopped) == 0 }
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -98,7 +98,8 @@
 }
 
 // use sets the gauges of what is at work while gangs wait.
-func (c Counters) use(u sched.Use) {
+func (c Counters) use(u sched.Use, earmarked float64) {
+	c.scope.Gauge("earmarked_share").Update(earmarked)
 	for resource, value := range map[string]struct{ used, fragmented float64 }{
 		"cores": {u.Cores, u.FragmentedCores}, "memory": {u.Memory, u.FragmentedMemory}, "accelerators": {u.Accelerators, u.FragmentedAccelerators},
 	} {
--- a/internal/sched/earmark.go
+++ b/internal/sched/earmark.go
@@ -4,34 +4,79 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
 )
 
 // maxEarmarkedShare bounds the part of a service's capacity that is earmarked for waiting
-// gangs, so that smaller tasks can still start. A single gang may exceed it.
+// gangs, so that smaller tasks can still start. A single gang may exceed it, if it starts before it has
+// waited or will work as long: what is kept idle for it is then no more than it gains or uses.
 const maxEarmarkedShare = 0.4
 
+// mark is room on a server that is kept for a gang, which starts after a time.
+type mark struct {
+	need  job.Resources
+	start time.Duration
+}
+
+// keptFrom returns the earmarked room that the step may not use.
+func (srv *serverState) keptFrom(p *PendingStep) job.Resources {
+	var kept job.Resources
+	if p.Guaranteed || p.Step.LongRunning {
+		return kept
+	}
+	runtime := srv.runtime(p)
+	for _, m := range srv.marks {
+		if runtime == 0 || runtime > m.start {
+			kept = kept.Add(m.need)
+		}
+	}
+	return kept
+}
+
+// runtime is how long a task of the step runs on the server; 0 if that is not known.
+func (srv *serverState) runtime(p *PendingStep) time.Duration {
+	switch {
+	case !srv.nearData(p):
+		return 0
+	case srv.Pace > 0:
+		return time.Duration(float64(p.Runtime) / srv.Pace)
+	default:
+		return p.Runtime
+	}
+}
+
 // earmarkRoom earmarks room for a gang that found none: the servers on which all of its
 // tasks can start first, by when the tasks there are expected to end. Later steps of the
-// round cannot use that room unless they preempt or are long-running.
+// round can use that room only if they end before the gang can start, are long-running or guaranteed.
 //
 // It answers a load of smaller, less urgent tasks that arrive faster than they end.
-// Without it they take each part of the room as it becomes free, and the gang starves.
+// Without it they take each part of the room as it becomes free, and the gang starves. What ends in time
+// is let in, since one task that ends late would else keep all the room of a wide gang idle.
 func (d *round) earmarkRoom(p *PendingStep) {
 	if !p.Step.Gang || p.expired(d.now) {
 		return
 	}
 	need := p.Step.Reserved()
 	size := need.CoreWeight() * float64(len(p.Tasks))
-	if earmarked := d.earmarked[p.Service]; earmarked > 0 && earmarked+size > maxEarmarkedShare*d.capacity[p.Service] {
+	bound := maxEarmarkedShare * d.capacity[p.Service]
+	earmarked := d.earmarked[p.Service]
+	if earmarked > 0 && earmarked+size > bound {
 		return
 	}
 	slots := d.earliestSlots(p)
 	if slots == nil {
 		return
 	}
+	start := slots[len(slots)-1].after
+	if p.expired(d.now.Add(start)) || size > bound && start > max(p.Remaining, d.now.Sub(p.Due)) {
+		return
+	}
 	d.earmarked[p.Service] += size
+	d.plan.Earmarks = append(d.plan.Earmarks, Earmark{Key: p.Key, After: start, Share: size / d.capacity[p.Service]})
 	for _, slot := range slots {
 		slot.server.earmarked = slot.server.earmarked.Add(need)
+		slot.server.marks = append(slot.server.marks, mark{need, start})
 	}
 }
 
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -15,6 +15,7 @@
 	free  job.Resources
 	// earmarked is for gangs that wait; it is part of what is free or will become free.
 	earmarked job.Resources
+	marks     []mark
 	// releasing is what is being released and not yet reserved for a pending step.
 	releasing job.Resources
 	// ends lists the running tasks that end by themselves, the first one first.
@@ -38,19 +39,19 @@
 	reclaimable               // also what preemptible tasks would release if stopped
 )
 
-// available returns the resources that the step may use on the server.
+// available returns the resources that the step may use on the server. What is kept for gangs that wait is
+// left out, unless the step ends before they can start, has to be at work at all times, or has a guarantee.
 func (srv *serverState) available(p *PendingStep, s supply) job.Resources {
+	free := srv.free.Sub(srv.keptFrom(p))
 	switch {
-	case s == freeNow && p.Step.LongRunning:
-		return srv.free // these tasks have to be at work at all times
 	case s == freeNow:
-		return srv.free.Sub(srv.earmarked)
+		return free
 	case s == freeSoon:
-		return srv.free.Add(srv.releasing)
+		return free.Add(srv.releasing)
 	case p.Guaranteed:
-		return srv.free.Add(srv.releasing).Add(srv.reclaimableByGuaranteed)
+		return free.Add(srv.releasing).Add(srv.reclaimableByGuaranteed)
 	default:
-		return srv.free.Add(srv.releasing).Add(srv.reclaimableByUrgent)
+		return free.Add(srv.releasing).Add(srv.reclaimableByUrgent)
 	}
 }
 
@@ -250,6 +251,7 @@
 	guaranteed, mayPreempt bool
 	supply                 supply
 	evictions              int
+	runtime                time.Duration // decides who may use earmarked room
 }
 
 // fitKeyOf returns the step's key; ok is false when limits of its own make the step
@@ -265,6 +267,9 @@
 	if s == freeSoon {
 		k.evictions = len(d.plan.Evictions)
 	}
+	if len(d.plan.Earmarks) > 0 {
+		k.runtime = p.Runtime
+	}
 	return k, p.Step.MaxPerServer == 0 && p.Avoid == nil && p.Advised == nil
 }
 
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -43,7 +43,7 @@
 func (l *load) submit(name string, priority int, step job.Step) job.GroupKey {
 	p := PendingStep{
 		Key: groupKey(name), Service: "desk", Step: &step, Priority: priority, Due: l.Now,
-		Objective: l.Now.Add(3 * step.EstimatedRuntime), Remaining: step.EstimatedRuntime,
+		Objective: l.Now.Add(3 * step.EstimatedRuntime), Remaining: step.EstimatedRuntime, Runtime: step.EstimatedRuntime,
 	}
 	for i := range step.Count {
 		p.Tasks = append(p.Tasks, i)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -128,6 +128,17 @@
 	Evictions  []Eviction
 	// Unplaced are the steps of which some tasks found no place, in the order of the round.
 	Unplaced []Unplaced
+	// Earmarks tell for which gangs that wait room is kept.
+	Earmarks []Earmark
+}
+
+// Earmark is room that is kept for a gang that waits.
+type Earmark struct {
+	Key job.GroupKey
+	// After is the time after which the gang is expected to start there.
+	After time.Duration
+	// Share is the room as a share of the capacity of the service.
+	Share float64
 }
 
 // Unplaced is a step that waits on, and why.
