--- a/internal/fleet/backlog_test.go
+++ b/internal/fleet/backlog_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -59,3 +60,30 @@
 	w.run(3 * seconds * time.Second)
 	assert.Equal(t, w.status(id), job.StatusDone)
 }
+
+// While a gang waits, the report tells why, of which organisation, and how much is at work meanwhile.
+func TestBacklogTellsWhyGangsWait(t *testing.T) {
+	w := newWorldWithHolder(t, 1, 3)
+	core, logs := observer.New(zapcore.InfoLevel)
+	scope := tally.NewTestScope("", nil)
+	w.holder().state.log = zap.New(core)
+	w.holder().state.metrics = NewCounters(scope)
+	w.submit(newJob(2, wholeServer, 20))
+	w.run(time.Second)
+	gang := newJob(3, wholeServer, 5)
+	gang.Steps[0].Gang = true
+	w.submit(gang)
+	w.run(3 * time.Second)
+
+	why := logs.FilterMessage("backlog").FilterField(zap.Int("why_no_accelerators", 1)).All()
+	assert.Assert(t, len(why) >= 2 && len(why) <= 4, "%d lines in 3 s", len(why))
+	use := logs.FilterMessage("utilisation").All()
+	assert.Assert(t, len(use) > 0)
+	fields := use[len(use)-1].ContextMap()
+	assert.Equal(t, fields["accelerators"], "0.667")
+	assert.Equal(t, fields["whole_servers_free"], int64(1))
+	assert.Equal(t, len(logs.FilterMessage("backlog of organisations").All()), len(why))
+	gauges := scope.Snapshot().Gauges()
+	assert.Equal(t, gauges["waiting_steps+priority="+strconv.Itoa(gang.Priority)+",reason=no_accelerators"].Value(), 1.0)
+	assert.Equal(t, gauges["used_share+resource=accelerators"].Value(), 2.0/3)
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -125,6 +125,7 @@
 	}
 	open := s.openJobs()
 	covered := s.jobsCoveredByGuarantees(open)
+	snap.Shapes = s.shapesOf(open)
 	for _, st := range open {
 		if s.cancellationsKnown(st.Job.ID) {
 			s.addPendingSteps(&snap, st, covered[st])
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -8,6 +8,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/sched"
 	"github.com/eelgrassreach/eelgrassreach/internal/straggler"
 )
 
@@ -128,6 +129,9 @@
 	// backlog collects the next backlog report, by priority.
 	backlog           map[int]*priorityBacklog
 	backlogReportedAt time.Time
+	// shapes are what the open jobs ask for, as counted at shapesAt.
+	shapes   []sched.Shape
+	shapesAt time.Time
 	// organisationBacklog is the same by organisation.
 	organisationBacklog map[model.OrganisationID]*organisationBacklog
 	// startsUnderWay are the start orders of this term without an answer yet.
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -204,11 +204,10 @@
 	if !need.FitsIn(left) {
 		return option{}, false
 	}
-	cost := d.placementCost(t.pending, srv, left.Sub(need))
 	if t.supply == reclaimable {
-		cost = d.preemptionCost(t.pending, srv, used+1) - t.costs[srv.index]
+		return option{server: srv, cost: d.preemptionCost(t.pending, srv, used+1) - t.costs[srv.index]}, true
 	}
-	return option{server: srv, cost: cost}, true
+	return option{server: srv, cost: d.placementCost(t.pending, srv, left.Sub(need))}, true
 }
 
 // haveCapacity reports whether the servers together can hold n tasks, without choosing any.
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -22,7 +22,9 @@
 	explain     bool
 	plan        Plan
 
-	racks          int // number of racks
+	shapes         map[string][]*shapeState // that steps ask for, by service
+	racks          int                      // number of racks
+	byRackNumber   [][]*serverState
 	candidateLists map[candidateKey]candidateList
 	// trial, options and chosen are memory that is used again.
 	trial   trialUsage
@@ -49,6 +51,7 @@
 		capacity:    make(map[string]float64),
 		earmarked:   make(map[string]float64),
 		reasons:     make(map[fitKey]Reason),
+		shapes:      make(map[string][]*shapeState),
 		explain:     s.Explain,
 
 		candidateLists: make(map[candidateKey]candidateList),
@@ -70,6 +73,7 @@
 		d.byID[v.ID] = srv
 	}
 	d.racks = len(racks)
+	d.addShapes(s.Shapes)
 	d.addPreemptible(s.Preemptible)
 	return d
 }
@@ -150,6 +154,7 @@
 	need := p.Step.Reserved()
 	for i, srv := range a.servers {
 		srv.free = srv.free.Sub(need)
+		d.forgetRackShares(srv)
 		srv.unproven, srv.isolated = true, srv.isolated || p.Isolate
 		if p.Isolate {
 			clear(d.candidateLists) // others may no longer use the server
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -101,6 +101,8 @@
 	Servers     []Server
 	Pending     []PendingStep
 	Preemptible []PreemptibleTask
+	// Shapes are what the demand asks for. A service with fewer than two is packed by the room that is left.
+	Shapes []Shape
 	// Explain asks for the reasons in Plan.Unplaced.
 	Explain bool
 }
