--- a/internal/fleet/backlog.go
+++ b/internal/fleet/backlog.go
@@ -118,7 +118,7 @@
 		*b = *b.next()
 	}
 	s.reportOrganisations()
-	if gangs {
+	if gangs && len(snap.Servers) > 0 {
 		s.reportUse(sched.MeasureUse(snap, plan), plan.Earmarks)
 	}
 }
