--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -47,6 +47,7 @@
 		s.reportBacklog(snapshot, sched.Plan{})
 		return
 	}
+	snapshot.Explain = s.backlogDue()
 	p := sched.Decide(snapshot)
 	s.lastRoundTook = s.stopwatch().Sub(began)
 	s.metrics.RoundLatency.RecordDuration(s.lastRoundTook)
@@ -125,6 +126,7 @@
 	}
 	open := s.openJobs()
 	covered := s.jobsCoveredByGuarantees(open)
+	snap.Shapes = s.shapesOf(open)
 	for _, st := range open {
 		if s.cancellationsKnown(st.Job.ID) {
 			s.addPendingSteps(&snap, st, covered[st])
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -8,6 +8,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/sched"
 	"github.com/eelgrassreach/eelgrassreach/internal/straggler"
 )
 
@@ -132,6 +133,11 @@
 	// backlog collects the next backlog report, by priority.
 	backlog           map[int]*priorityBacklog
 	backlogReportedAt time.Time
+	// shapes are what the open jobs ask for, as counted at shapesAt.
+	shapes   []sched.Shape
+	shapesAt time.Time
+	// organisationBacklog is the same by organisation.
+	organisationBacklog map[model.OrganisationID]*organisationBacklog
 	// startsUnderWay are the start orders of this term without an answer yet.
 	startsUnderWay int
 	replan         bool
@@ -152,23 +158,24 @@
 // NewState returns the state of a VM that has not read any records yet.
 func NewState(self Identity, bounds Bounds, log *zap.Logger, metrics Counters) *State {
 	s := &State{
-		self:       self,
-		bounds:     bounds,
-		log:        log,
-		metrics:    metrics,
-		replicated: newReplicated(),
-		servers:    make(map[model.BackendServerID]*server),
-		tokens:     make(map[model.BackendServerID]int64),
-		crashed:    make(map[model.BackendServerID]bool),
-		advice:     make(map[string]*advice),
-		backlog:    make(map[int]*priorityBacklog),
-		nextOf:     make(map[Partition]int64),
-		readAsOf:   make(map[Partition]time.Time),
-		touched:    make(map[model.BackendServerID]*server),
-		orphans:    make(map[string]int),
-		avoid:      make(map[job.GroupKey]map[model.BackendServerID]time.Time),
-		stepRates:  make(map[job.GroupKey]*straggler.StepRates),
-		paces:      newPaceState(),
+		self:                self,
+		bounds:              bounds,
+		log:                 log,
+		metrics:             metrics,
+		replicated:          newReplicated(),
+		servers:             make(map[model.BackendServerID]*server),
+		tokens:              make(map[model.BackendServerID]int64),
+		crashed:             make(map[model.BackendServerID]bool),
+		advice:              make(map[string]*advice),
+		backlog:             make(map[int]*priorityBacklog),
+		organisationBacklog: make(map[model.OrganisationID]*organisationBacklog),
+		nextOf:              make(map[Partition]int64),
+		readAsOf:            make(map[Partition]time.Time),
+		touched:             make(map[model.BackendServerID]*server),
+		orphans:             make(map[string]int),
+		avoid:               make(map[job.GroupKey]map[model.BackendServerID]time.Time),
+		stepRates:           make(map[job.GroupKey]*straggler.StepRates),
+		paces:               newPaceState(),
 
 		evacuations: evacuations{zones: make(map[model.AZ]*evacuation)},
 	}
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -18,10 +18,15 @@
 	unplaceable map[fitKey]bool          // keys of steps for which no room was found
 	capacity    map[string]float64       // of each service, in cores
 	earmarked   map[string]float64       // what is earmarked of it for waiting gangs, in cores
+	reasons     map[fitKey]Reason        // of steps that found no place, if asked for
+	explain     bool
 	plan        Plan
 
-	racks          int                  // number of racks
-	paceLevels     map[string][]float64 // of the services with backend servers of unlike pace
+	shapes         map[string][]*shapeState // that steps ask for, by service
+	racks          int                      // number of racks
+	paceLevels     map[string][]float64     // of the services with backend servers of unlike pace
+	byRackNumber   [][]*serverState
+	lost           []lostEntry
 	candidateLists map[candidateKey]candidateList
 	// trial, options and chosen are memory that is used again.
 	trial   trialUsage
@@ -47,6 +52,9 @@
 		unplaceable: make(map[fitKey]bool),
 		capacity:    make(map[string]float64),
 		earmarked:   make(map[string]float64),
+		reasons:     make(map[fitKey]Reason),
+		shapes:      make(map[string][]*shapeState),
+		explain:     s.Explain,
 
 		candidateLists: make(map[candidateKey]candidateList),
 		paceLevels:     paceLevels(s.Servers),
@@ -68,6 +76,7 @@
 		d.byID[v.ID] = srv
 	}
 	d.racks = len(racks)
+	d.addShapes(s.Shapes)
 	d.addPreemptible(s.Preemptible)
 	return d
 }
@@ -76,11 +85,24 @@
 // it room that is being released, or stops other tasks. For a gang that still does not fit,
 // it earmarks the room where the gang can start first.
 func (d *round) schedule(p *PendingStep) {
+	placedBefore := len(d.plan.Placements)
 	a := d.fit(p, freeNow, !d.mayPreempt(p) && d.mayGoFar(p))
 	d.place(p, a)
 	if len(a.servers) == len(p.Tasks) {
 		return
 	}
+	var why Reason
+	if d.explain {
+		why = d.reason(p) // before room is kept for the step itself
+	}
+	d.scheduleRest(p, a)
+	if waiting := len(p.Tasks) - (len(d.plan.Placements) - placedBefore); waiting > 0 {
+		d.plan.Unplaced = append(d.plan.Unplaced, Unplaced{Key: p.Key, Tasks: waiting, Reason: why})
+	}
+}
+
+// scheduleRest is schedule for the tasks that the assignment has left.
+func (d *round) scheduleRest(p *PendingStep, a assignment) {
 	if !d.mayPreempt(p) {
 		d.earmarkRoom(p)
 		return
@@ -135,6 +157,7 @@
 	need := p.Step.Reserved()
 	for i, srv := range a.servers {
 		srv.free = srv.free.Sub(need)
+		d.forgetRackShares(srv)
 		srv.unproven, srv.isolated = true, srv.isolated || p.Isolate
 		if p.Isolate {
 			clear(d.candidateLists) // others may no longer use the server
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -103,6 +103,10 @@
 	Servers     []Server
 	Pending     []PendingStep
 	Preemptible []PreemptibleTask
+	// Shapes are what the demand asks for. A service with fewer than two is packed by the room that is left.
+	Shapes []Shape
+	// Explain asks for the reasons in Plan.Unplaced.
+	Explain bool
 }
 
 // Placement starts a task on a backend server.
@@ -128,13 +132,24 @@
 	Evictions  []Eviction
 	// Unplaced are the steps of which some tasks found no place, in the order of the round.
 	Unplaced []Unplaced
+	// Earmarks tell for which gangs that wait room is kept.
+	Earmarks []Earmark
+}
+
+// Earmark is room that is kept for a gang that waits.
+type Earmark struct {
+	Key job.GroupKey
+	// After is the time after which the gang is expected to start there.
+	After time.Duration
+	// Share is the room as a share of the capacity of the service.
+	Share float64
 }
 
 // Unplaced is a step that waits on, and why.
 type Unplaced struct {
 	Key    job.GroupKey
-	Tasks  int // that found no place
-	Reason Reason
+	Tasks  int    // that found no place
+	Reason Reason // empty unless the snapshot asks for reasons
 }
 
 // Reason is why a step finds no place.
