Interference: kinds of work that slow each other down are found and kept apart

Change: each run is compared with itself before and after its neighbours change (internal/interference); placement costs a server where a known pair would meet more than any room left there. Log, metrics, tests without a network.

--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -362,11 +362,28 @@
 
 func (r *fakeRun) step(w *world) *job.Step { return &w.oracle.jobs[r.key.Job].Steps[r.key.Step] }
 
+// slowNeighbours takes from the progress of the runs what they lose by each other, each time that endDueRuns is called.
+func (s *fakeServer) slowNeighbours(w *world) {
+	if len(w.slowdowns) == 0 {
+		return
+	}
+	for _, r := range s.runs {
+		kept := 1.0
+		for _, other := range s.runs {
+			if other != r {
+				kept *= 1 - w.slowdowns[[2]string{r.step(w).Image, other.step(w).Image}]
+			}
+		}
+		r.startedAt = r.startedAt.Add(time.Duration((1 - kept) * float64(50*time.Millisecond)))
+	}
+}
+
 // endDueRuns ends the runs that have finished, failed or lost their lease by now.
 func (s *fakeServer) endDueRuns(w *world) {
 	if s.dead {
 		return
 	}
+	s.slowNeighbours(w)
 	for _, name := range eventloop.SortedKeys(s.runs) {
 		r := s.runs[name]
 		switch {
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -16,6 +16,10 @@
 	StartsExpired                    tally.Counter
 	ServersLost, TasksGivenUp        tally.Counter
 	RecordsSkipped                   tally.Counter
+	// NeighbourSamples counts the comparisons of runs beside different tasks, SlowPairs is the number of pairs of kinds of
+	// work that slow each other down, and PlacedApart and PlacedBeside count the tasks of such kinds.
+	NeighbourSamples, PlacedApart, PlacedBeside tally.Counter
+	SlowPairs                                   tally.Gauge
 	// Replica is 1 while this VM follows all records.
 	Replica                                  tally.Gauge
 	RunsDone, RunsFailed                     tally.Counter
@@ -32,27 +36,32 @@
 	short := tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 14) // 0.25 ms to 2 s
 	long := tally.MustMakeExponentialDurationBuckets(100*time.Millisecond, 2, 12)  // 0.1 s to 205 s
 	return Counters{
-		TermsTaken:     scope.Counter("terms_taken"),
-		TermsLost:      scope.Counter("terms_lost"),
-		Placed:         scope.Counter("tasks_placed"),
-		Preempted:      scope.Counter("tasks_preempted"),
-		StartsRefused:  scope.Counter("starts_refused"),
-		StartsExpired:  scope.Counter("starts_expired"),
-		ServersLost:    scope.Counter("servers_lost"),
-		TasksGivenUp:   scope.Counter("tasks_given_up"),
-		RecordsSkipped: scope.Counter("records_skipped"),
-		Replica:        scope.Gauge("replica"),
-		RunsDone:       scope.Counter("runs_done"),
-		RunsFailed:     scope.Counter("runs_failed"),
-		JobsDone:       scope.Counter("jobs_done"),
-		JobsFailed:     scope.Counter("jobs_failed"),
-		JobsCancelled:  scope.Counter("jobs_cancelled"),
-		RoundLatency:   scope.Histogram("round_seconds", short),
-		CommitLatency:  scope.Histogram("commit_seconds", short),
-		JobDuration:    scope.Histogram("job_seconds", long),
-		StartDelay:     scope.Histogram("start_delay_seconds", short),
-		ListAge:        scope.Histogram("list_age_seconds", short),
-		scope:          scope,
+		TermsTaken:       scope.Counter("terms_taken"),
+		TermsLost:        scope.Counter("terms_lost"),
+		Placed:           scope.Counter("tasks_placed"),
+		Preempted:        scope.Counter("tasks_preempted"),
+		StartsRefused:    scope.Counter("starts_refused"),
+		StartsExpired:    scope.Counter("starts_expired"),
+		ServersLost:      scope.Counter("servers_lost"),
+		TasksGivenUp:     scope.Counter("tasks_given_up"),
+		RecordsSkipped:   scope.Counter("records_skipped"),
+		NeighbourSamples: scope.Counter("neighbour_samples"),
+		PlacedApart:      scope.Counter("tasks_placed_apart"),
+		PlacedBeside:     scope.Counter("tasks_placed_beside"),
+		SlowPairs:        scope.Gauge("slow_pairs"),
+
+		Replica:       scope.Gauge("replica"),
+		RunsDone:      scope.Counter("runs_done"),
+		RunsFailed:    scope.Counter("runs_failed"),
+		JobsDone:      scope.Counter("jobs_done"),
+		JobsFailed:    scope.Counter("jobs_failed"),
+		JobsCancelled: scope.Counter("jobs_cancelled"),
+		RoundLatency:  scope.Histogram("round_seconds", short),
+		CommitLatency: scope.Histogram("commit_seconds", short),
+		JobDuration:   scope.Histogram("job_seconds", long),
+		StartDelay:    scope.Histogram("start_delay_seconds", short),
+		ListAge:       scope.Histogram("list_age_seconds", short),
+		scope:         scope,
 	}
 }
 
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -51,6 +51,7 @@
 	s.metrics.RoundLatency.RecordDuration(s.lastRoundTook)
 	p.Placements = s.withinStartBudget(p.Placements)
 	s.reportBacklog(snapshot, p)
+	s.countNeighbours(p.Placements, snapshot.Slowdowns)
 	s.applyPlacements(p.Placements)
 	for _, e := range p.Evictions {
 		s.evict(e)
@@ -116,10 +117,14 @@
 }
 
 func (s *State) snapshot() sched.Snapshot {
-	snap := sched.Snapshot{Now: s.now}
+	snap := sched.Snapshot{Now: s.now, Slowdowns: s.slowdowns()}
 	for _, id := range eventloop.SortedKeys(s.servers) {
 		if v := s.servers[id]; s.usable(v) {
-			snap.Servers = append(snap.Servers, s.serverView(v))
+			view := s.serverView(v)
+			if len(snap.Slowdowns) > 0 {
+				view.Kinds = v.kinds()
+			}
+			snap.Servers = append(snap.Servers, view)
 		}
 	}
 	open := s.openJobs()
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/interference"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/straggler"
@@ -63,6 +64,8 @@
 	// listedSince is when a report first listed it in the present incarnation of its backend server, on the
 	// latter's clock, milliseconds; 0 before.
 	listedSince int64
+	// neighbours compares its pace beside different tasks.
+	neighbours interference.Watch
 }
 
 // step returns the step that the run belongs to.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -75,6 +75,8 @@
 	// abandoned are removed runs, by task, whose start order a new incarnation may still carry out.
 	abandoned map[string]*run
 	health    health
+	// hadNeighbours is set if the newest report listed more than one run.
+	hadNeighbours bool
 }
 
 func (s *State) serversListed(l ServersListed) {
@@ -483,6 +485,7 @@
 		}
 	}
 	s.handleNewRates(v, rated)
+	s.observeNeighbours(v, e.Report.Running, e.Report.Clock)
 	if len(e.Report.Ended) >= endsPerReport {
 		return true
 	}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
+	"github.com/eelgrassreach/eelgrassreach/internal/interference"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/straggler"
@@ -123,8 +124,10 @@
 	avoid map[job.GroupKey]map[model.BackendServerID]time.Time
 	// stepRates holds the progress rates of the tasks of each step.
 	stepRates map[job.GroupKey]*straggler.StepRates
-	writer    writer
-	advice    map[string]*advice
+	// interference tells which kinds of work slow each other down.
+	interference *interference.Model
+	writer       writer
+	advice       map[string]*advice
 	// backlog collects the next backlog report, by priority.
 	backlog           map[int]*priorityBacklog
 	backlogReportedAt time.Time
@@ -164,6 +167,8 @@
 		orphans:    make(map[string]int),
 		avoid:      make(map[job.GroupKey]map[model.BackendServerID]time.Time),
 		stepRates:  make(map[job.GroupKey]*straggler.StepRates),
+
+		interference: interference.New(),
 	}
 	s.stopwatch = func() time.Time { return s.now }
 	s.role.namedSince, s.role.silentUntil, s.role.answersAsReplica = make(map[string]time.Time), make(map[string]time.Time), make(map[string]bool)
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -92,6 +92,9 @@
 	// expireShare is the share of start orders that wait in the node's process until it is too late to send them.
 	expireShare float64
 	oracle      *oracle
+	// slowdowns is the share of its pace that a run of the first image loses by each one of the second on its
+	// backend server.
+	slowdowns map[[2]string]float64
 	log         *zap.Logger
 }
 
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -27,6 +27,8 @@
 	// unproven and isolated are the server's, and include the round's placements.
 	unproven, isolated bool
 	rack               int // number of its rack in the round
+	// kinds counts the tasks by kind of work, with those of the round.
+	kinds map[job.Kind]int
 }
 
 // supply selects the resources that a fit may use.
@@ -203,7 +205,7 @@
 	if !need.FitsIn(left) {
 		return option{}, false
 	}
-	cost := d.placementCost(t.pending, srv, left.Sub(need))
+	cost := d.placementCost(t.pending, srv, left.Sub(need), used)
 	if t.supply == reclaimable {
 		cost = d.preemptionCost(t.pending, srv, used+1) - t.costs[srv.index]
 	}
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -18,6 +19,7 @@
 	unplaceable map[fitKey]bool          // keys of steps for which no room was found
 	capacity    map[string]float64       // of each service, in cores
 	earmarked   map[string]float64       // what is earmarked of it for waiting gangs, in cores
+	slowdowns   map[KindPair]float64
 	plan        Plan
 
 	racks          int // number of racks
@@ -46,6 +48,7 @@
 		unplaceable: make(map[fitKey]bool),
 		capacity:    make(map[string]float64),
 		earmarked:   make(map[string]float64),
+		slowdowns:   s.Slowdowns,
 
 		candidateLists: make(map[candidateKey]candidateList),
 	}
@@ -58,7 +61,7 @@
 		}
 		srv := &states[i]
 		*srv = serverState{
-			Server: v, index: i, free: v.Free, releasing: v.Releasing, ends: v.Ends, unproven: v.Unproven, isolated: v.Isolated, rack: racks[v.Rack],
+			Server: v, index: i, kinds: maps.Clone(v.Kinds), free: v.Free, releasing: v.Releasing, ends: v.Ends, unproven: v.Unproven, isolated: v.Isolated, rack: racks[v.Rack],
 		}
 		slices.SortFunc(srv.ends, func(a, b ExpectedEnd) int { return cmp.Compare(a.After, b.After) })
 		d.capacity[v.Service] += v.Capacity.CoreWeight()
@@ -137,7 +140,12 @@
 		if p.Isolate {
 			clear(d.candidateLists) // others may no longer use the server
 		}
-		d.plan.Placements = append(d.plan.Placements, Placement{Key: p.Key, Index: p.Tasks[i], Server: srv.ID, Far: a.far})
+		placement := Placement{Key: p.Key, Index: p.Tasks[i], Server: srv.ID, Far: a.far}
+		if len(d.slowdowns) > 0 {
+			placement.Beside = d.slowdownBeside(p, srv, 0)
+			srv.addNeighbour(p.Kind)
+		}
+		d.plan.Placements = append(d.plan.Placements, placement)
 	}
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -41,6 +41,8 @@
 	UnsavedWork float64
 	// Pace is how fast tasks run here: 1 on an ordinary backend server, 0 if it is not known.
 	Pace float64
+	// Kinds counts the tasks here by kind of work. It is set only if Snapshot.Slowdowns is.
+	Kinds map[job.Kind]int
 }
 
 // ExpectedEnd is a task that is expected to end and release its resources after a time.
@@ -101,8 +103,14 @@
 	Servers     []Server
 	Pending     []PendingStep
 	Preemptible []PreemptibleTask
+	// Slowdowns holds the kinds of work that are known to slow each other down on one backend server: the share
+	// of its pace that the first one of a pair loses by each task of the second one.
+	Slowdowns map[KindPair]float64
 }
 
+// KindPair is a kind of work and a neighbour of it.
+type KindPair struct{ Slowed, By job.Kind }
+
 // Placement starts a task on a backend server.
 type Placement struct {
 	Key    job.GroupKey
@@ -111,6 +119,9 @@
 	// Far is set when tasks of the step are placed on other racks than the one that it runs
 	// best on: away from its data, or on several racks.
 	Far bool
+	// Beside is how much of its pace the task, and those that are on the backend server already, lose by each other as
+	// far as that is known: the sum of shares.
+	Beside float64
 }
 
 // Eviction stops a task to make room for another step.
