--- a/internal/fleet/neighbours.go
+++ b/internal/fleet/neighbours.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/interference"
@@ -64,6 +66,19 @@
 	return mix
 }
 
+// interferenceInterval is the time between two reports of what is known of tasks that slow each other down.
+const interferenceInterval = 10 * time.Second
+
+// reportInterference logs how much was observed, and the pair that is the most certain so far.
+func (s *State) reportInterference() {
+	p := s.interference.Strongest()
+	if s.now.Sub(s.interferenceReportedAt) < interferenceInterval || p.Slowed == "" {
+		return
+	}
+	s.interferenceReportedAt = s.now
+	s.log.Info("interference", append(pairFields(p), zap.Int("pairs", len(s.interference.Pairs())))...)
+}
+
 // slowdowns returns the kinds of work that are known to slow each other down, nil if there are none, and logs what has
 // become known or is no longer sure.
 func (s *State) slowdowns() map[sched.KindPair]float64 {
@@ -74,6 +89,7 @@
 	for _, p := range dropped {
 		s.log.Info("tasks no longer slow each other down", pairFields(p)...)
 	}
+	s.reportInterference()
 	pairs := s.interference.Pairs()
 	if len(named)+len(dropped) > 0 {
 		s.metrics.SlowPairs.Update(float64(len(pairs)))
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -125,9 +125,10 @@
 	// stepRates holds the progress rates of the tasks of each step.
 	stepRates map[job.GroupKey]*straggler.StepRates
 	// interference tells which kinds of work slow each other down.
-	interference *interference.Model
-	writer       writer
-	advice       map[string]*advice
+	interference           *interference.Model
+	interferenceReportedAt time.Time
+	writer                 writer
+	advice                 map[string]*advice
 	// backlog collects the next backlog report, by priority.
 	backlog           map[int]*priorityBacklog
 	backlogReportedAt time.Time
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -95,7 +95,7 @@
 	// slowdowns is the share of its pace that a run of the first image loses by each one of the second on its
 	// backend server.
 	slowdowns map[[2]string]float64
-	log         *zap.Logger
+	log       *zap.Logger
 }
 
 // node is one VM.
--- a/internal/interference/interference.go
+++ b/internal/interference/interference.go
@@ -68,6 +68,8 @@
 	named   map[[2]job.Kind]Pair
 	solved  time.Time
 	changed bool
+	// strongest is the most certain pair of the last update, whether it is sure or not.
+	strongest Pair
 }
 
 // New returns a model without observations.
@@ -121,7 +123,7 @@
 	if !m.changed || now.Sub(m.solved) < solveInterval {
 		return nil, nil
 	}
-	m.changed, m.solved = false, now
+	m.changed, m.solved, m.strongest = false, now, Pair{}
 	for _, kind := range m.names {
 		v := m.victims[kind]
 		if v == nil {
@@ -132,6 +134,9 @@
 			p := Pair{
 				Slowed: kind, By: m.names[i], Slowdown: 1 - math.Exp(e.effect), Certainty: -e.effect / e.deviation, Samples: v.samples[i], Servers: len(v.servers[i]),
 			}
+			if p.Certainty > m.strongest.Certainty {
+				m.strongest = p
+			}
 			old, was := m.named[key]
 			switch {
 			case was && (p.Certainty < unsureAt || p.Slowdown < minSlowdown/2):
@@ -148,6 +153,9 @@
 	return named, dropped
 }
 
+// Strongest returns the most certain pair of the last update, also one that is not sure.
+func (m *Model) Strongest() Pair { return m.strongest }
+
 // Pairs lists the pairs that are sure, sorted by their kinds.
 func (m *Model) Pairs() []Pair {
 	list := make([]Pair, 0, len(m.named))
