--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -20,6 +20,10 @@
 	RecordsSkipped                   tally.Counter
 	// PacesLearned counts the paces of backend servers that have become known or have changed.
 	PacesLearned tally.Counter
+	// NeighbourSamples counts the comparisons of runs beside different tasks, SlowPairs is the number of pairs of kinds of
+	// work that slow each other down, and PlacedApart and PlacedBeside count the tasks of such kinds.
+	NeighbourSamples, PlacedApart, PlacedBeside tally.Counter
+	SlowPairs                                   tally.Gauge
 	// Replica is 1 while this VM follows all records.
 	Replica tally.Gauge
 	// EvacuatedZones is the number of evacuated availability zones, EvacuatedRuns what the holder still has running there.
@@ -38,16 +42,21 @@
 	short := tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 14) // 0.25 ms to 2 s
 	long := tally.MustMakeExponentialDurationBuckets(100*time.Millisecond, 2, 12)  // 0.1 s to 205 s
 	return Counters{
-		TermsTaken:     scope.Counter("terms_taken"),
-		TermsLost:      scope.Counter("terms_lost"),
-		Placed:         scope.Counter("tasks_placed"),
-		Preempted:      scope.Counter("tasks_preempted"),
-		StartsRefused:  scope.Counter("starts_refused"),
-		StartsExpired:  scope.Counter("starts_expired"),
-		ServersLost:    scope.Counter("servers_lost"),
-		TasksGivenUp:   scope.Counter("tasks_given_up"),
-		RecordsSkipped: scope.Counter("records_skipped"),
-		PacesLearned:   scope.Counter("paces_learned"),
+		TermsTaken:       scope.Counter("terms_taken"),
+		TermsLost:        scope.Counter("terms_lost"),
+		Placed:           scope.Counter("tasks_placed"),
+		Preempted:        scope.Counter("tasks_preempted"),
+		StartsRefused:    scope.Counter("starts_refused"),
+		StartsExpired:    scope.Counter("starts_expired"),
+		ServersLost:      scope.Counter("servers_lost"),
+		TasksGivenUp:     scope.Counter("tasks_given_up"),
+		RecordsSkipped:   scope.Counter("records_skipped"),
+		PacesLearned:     scope.Counter("paces_learned"),
+		NeighbourSamples: scope.Counter("neighbour_samples"),
+		PlacedApart:      scope.Counter("tasks_placed_apart"),
+		PlacedBeside:     scope.Counter("tasks_placed_beside"),
+		SlowPairs:        scope.Gauge("slow_pairs"),
+
 		Replica:        scope.Gauge("replica"),
 		EvacuatedZones: scope.Gauge("evacuated_zones"),
 		EvacuatedRuns:  scope.Gauge("evacuated_runs"),
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -28,6 +28,8 @@
 	// unproven and isolated are the server's, and include the round's placements.
 	unproven, isolated bool
 	rack               int // number of its rack in the round
+	// kinds counts the tasks by kind of work, with those of the round.
+	kinds map[job.Kind]int
 }
 
 // supply selects the resources that a fit may use.
@@ -211,7 +213,7 @@
 	if t.supply == reclaimable {
 		return option{server: srv, cost: d.preemptionCost(t.pending, srv, used+1) - t.costs[srv.index]}, true
 	}
-	return option{server: srv, cost: d.placementCost(t.pending, srv, left.Sub(need))}, true
+	return option{server: srv, cost: d.placementCost(t.pending, srv, left.Sub(need), used)}, true
 }
 
 // haveCapacity reports whether the servers together can hold n tasks, without choosing any.
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,7 @@
 	earmarked   map[string]float64       // what is earmarked of it for waiting gangs, in cores
 	reasons     map[fitKey]Reason        // of steps that found no place, if asked for
 	explain     bool
+	slowdowns   map[KindPair]float64
 	plan        Plan
 
 	shapes         map[string][]*shapeState // that steps ask for, by service
@@ -52,6 +54,7 @@
 		unplaceable: make(map[fitKey]bool),
 		capacity:    make(map[string]float64),
 		earmarked:   make(map[string]float64),
+		slowdowns:   s.Slowdowns,
 		reasons:     make(map[fitKey]Reason),
 		shapes:      make(map[string][]*shapeState),
 		explain:     s.Explain,
@@ -68,7 +71,7 @@
 		}
 		srv := &states[i]
 		*srv = serverState{
-			Server: v, index: i, free: v.Free, releasing: v.Releasing, ends: v.Ends, unproven: v.Unproven, isolated: v.Isolated, rack: racks[v.Rack],
+			Server: v, index: i, kinds: maps.Clone(v.Kinds), free: v.Free, releasing: v.Releasing, ends: v.Ends, unproven: v.Unproven, isolated: v.Isolated, rack: racks[v.Rack],
 		}
 		slices.SortFunc(srv.ends, func(a, b ExpectedEnd) int { return cmp.Compare(a.After, b.After) })
 		d.capacity[v.Service] += v.Capacity.CoreWeight()
@@ -162,7 +165,12 @@
 		if p.Isolate {
 			clear(d.candidateLists) // others may no longer use the server
 		}
-		d.plan.Placements = append(d.plan.Placements, Placement{Key: p.Key, Index: p.Tasks[i], Server: srv.ID, Far: a.far})
+		placement := Placement{Key: p.Key, Index: p.Tasks[i], Server: srv.ID, Far: a.far}
+		if len(d.slowdowns) > 0 {
+			placement.Beside = d.slowdownBeside(p, srv, 0)
+			srv.addNeighbour(p.Kind)
+		}
+		d.plan.Placements = append(d.plan.Placements, placement)
 	}
 }
 
