Admission: jobs that cannot end in useful time are refused at once

Change: the holder sums up what waits, runs and is free in a bounded digest that travels with its heartbeats and their relays.

--- /dev/null
+++ b/internal/admission/decide.go
@@ -0,0 +1,290 @@
+package admission
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/sched"
+)
+
+const (
+	// MaxAge is the age from which on a picture of the load is too old to refuse anything by: a VM that has missed
+	// two messages from the replica of its zone accepts all jobs.
+	MaxAge = 3 * time.Second
+	// trustedShare is the part of an estimated wait that counts. Estimates of runtimes are rough, and a wrong refusal
+	// is worse for a caller than a late answer.
+	trustedShare = 0.7
+	// minRetryAfter and maxRetryAfter bound when a refused caller may come back. The picture changes meanwhile.
+	minRetryAfter = 1 * time.Second
+	maxRetryAfter = 30 * time.Second
+	// spreadShare is by which part of the wait those who were refused at the same time return one after the other.
+	spreadShare = 0.5
+)
+
+// Reason is why a job is refused; empty if it is admitted.
+type Reason string
+
+// TooLate is the reason of a job that cannot end in useful time.
+const TooLate Reason = "cannot end in useful time"
+
+// Picture is what a VM knows of the load.
+type Picture struct {
+	// Digest is the newest one, nil if there is none, and Age how old its figures are.
+	Digest *Digest
+	Age    time.Duration
+	// LetIn is what this VM has let in since then.
+	LetIn []Admitted
+	// Owed is the work of callers who were refused and are due back, by priority.
+	Owed map[int]Work
+}
+
+// Admitted is a job that was let in.
+type Admitted struct {
+	At           time.Time
+	Service      string
+	Priority     int
+	Organisation model.OrganisationID
+	Work         Work
+	Peak         job.Resources // what its first steps take together
+}
+
+// Request is a job that asks to be let in.
+type Request struct {
+	Job     *job.Job
+	Service string
+	// Guaranteed is how many accelerators the organisation is guaranteed.
+	Guaranteed int
+	// RefusedBefore is set if the same job has been refused: it goes before those that are new.
+	RefusedBefore bool
+}
+
+// Verdict is a decision with what it is based on.
+type Verdict struct {
+	Refused    bool
+	Reason     Reason
+	RetryAfter time.Duration
+	// Begin is when the job is expected to begin, and UsefulFor how long after now it can end and still be of use.
+	Begin, UsefulFor time.Duration
+}
+
+// Decide admits or refuses a job.
+//
+// It answers a load of more work than the backend servers can do: if all of it is let in, all of it waits until
+// it is too late, and each caller learns that last. Who is refused can ask elsewhere, or come back when there is room.
+func Decide(p Picture, r Request) Verdict {
+	if p.Digest == nil || p.Age < 0 || p.Age > MaxAge || p.Digest.StoreInDoubt {
+		return Verdict{}
+	}
+	j, load := r.Job, p.Digest.Service(r.Service)
+	if load == nil || j.Occurrences > 0 || j.LongRunning() || j.Objective() <= 0 {
+		return Verdict{}
+	}
+	e := estimator{picture: p, load: load, request: r}
+	if e.guaranteed() || e.fitsNow() {
+		return Verdict{}
+	}
+	begin := e.begin() - p.Age
+	useful := sched.LateFactor*j.Objective() - j.CriticalPath()
+	if time.Duration(float64(begin)*trustedShare) <= useful {
+		return Verdict{}
+	}
+	return Verdict{
+		Refused: true, Reason: TooLate, Begin: begin, UsefulFor: useful,
+		RetryAfter: e.retryAfter(begin - useful),
+	}
+}
+
+// estimator holds the input of one decision.
+type estimator struct {
+	picture Picture
+	load    *ServiceLoad
+	request Request
+}
+
+// guaranteed reports whether the organisation's guarantee covers the job: it then goes before all others, and
+// others make room.
+func (e *estimator) guaranteed() bool {
+	j := e.request.Job
+	if j.Priority != 0 || e.request.Guaranteed <= 0 {
+		return false
+	}
+	covered := 0
+	if row := e.row(j.Organisation); row != nil {
+		covered = row.Covered
+	}
+	return j.PeakAccelerators() <= e.request.Guaranteed-covered
+}
+
+// row returns the row of an organisation's jobs of the same priority; nil if it has none of its own.
+func (e *estimator) row(o model.OrganisationID) *Row {
+	for i := range e.load.Rows {
+		r := &e.load.Rows[i]
+		if r.Others == 0 && r.Priority == e.request.Job.Priority && r.Organisation == o {
+			return r
+		}
+	}
+	return nil
+}
+
+// fitsNow reports whether there is room for a step that can begin at once: for all tasks of a gang, or for one of
+// others. What this VM has let in since the picture was drawn is taken off.
+func (e *estimator) fitsNow() bool {
+	for i := range e.request.Job.Steps {
+		s := &e.request.Job.Steps[i]
+		if len(s.DependsOn) > 0 {
+			continue
+		}
+		need := 1
+		if s.Gang {
+			need = s.Count
+		}
+		if e.slots(s.Reserved()) >= need {
+			return true
+		}
+	}
+	return false
+}
+
+// slots returns how many tasks could start now.
+func (e *estimator) slots(need job.Resources) int {
+	n := 0
+	for _, s := range e.load.Free {
+		n += s.Servers * perServer(need, s.Free)
+	}
+	taken := 0.0
+	for i := range e.picture.LetIn {
+		if a := &e.picture.LetIn[i]; a.Service == e.load.Name {
+			taken += a.Peak.CoreWeight()
+		}
+	}
+	if weight := need.CoreWeight(); weight > 0 {
+		n -= int(taken / weight)
+	}
+	return n
+}
+
+// perServer returns how many times need fits in free; 1 for what needs nothing.
+func perServer(need, free job.Resources) int {
+	most := -1
+	for _, d := range [][2]int{{need.MilliCPU, free.MilliCPU}, {need.MemoryMB, free.MemoryMB}, {need.Accelerators, free.Accelerators}} {
+		if d[0] > 0 && (most < 0 || d[1]/d[0] < most) {
+			most = d[1] / d[0]
+		}
+	}
+	if most < 0 {
+		return 1
+	}
+	return most
+}
+
+// begin estimates when the job can begin, counted from the picture. It is early rather than late: the backend
+// servers are taken to be used in full from now on, and each other organisation of the same priority to go before
+// this job with as much work as its own organisation has waiting.
+func (e *estimator) begin() time.Duration {
+	j := e.request.Job
+	own := e.ownWaiting()
+	var ahead, running, owed Work
+	var runtime, weight float64
+	for i := range e.load.Rows {
+		r := &e.load.Rows[i]
+		if j.Priority > 0 || r.Priority == 0 { // an urgent job does not wait for others that run
+			running = running.Add(r.Running)
+		}
+		waits := r.Waiting
+		switch {
+		case r.Priority > j.Priority:
+			continue
+		case r.Priority == j.Priority && (r.Others > 0 || r.Organisation != j.Organisation):
+			waits = waits.atMost(own, max(r.Others, 1))
+		case r.Priority == j.Priority:
+			continue // counted in own
+		}
+		ahead = ahead.Add(waits)
+	}
+	for priority, w := range e.picture.Owed {
+		if priority <= j.Priority && !e.request.RefusedBefore {
+			owed = owed.Add(w)
+		}
+	}
+	ahead = ahead.Add(own).Add(owed)
+	for i := range e.load.Rows {
+		if r := &e.load.Rows[i]; r.Priority <= j.Priority {
+			w := r.Waiting.On(e.load.Capacity).Seconds()
+			runtime, weight = runtime+w*float64(r.RuntimeMs), weight+w
+		}
+	}
+	inProgress := time.Duration(0) // of the running work, what is still running when the job begins
+	if weight > 0 {
+		inProgress = time.Duration(runtime/weight/2) * time.Millisecond
+	}
+	begin := max(0, ahead.Add(running).On(e.load.Capacity)-inProgress)
+	if j.Priority == 0 && e.request.Guaranteed > 0 {
+		begin = min(begin, e.underGuarantee())
+	}
+	return begin
+}
+
+// ownWaiting is the work of the organisation that waits at this priority, with what this VM has let in since.
+func (e *estimator) ownWaiting() Work {
+	j := e.request.Job
+	var own Work
+	if row := e.row(j.Organisation); row != nil {
+		own = row.Waiting
+	} else {
+		for i := range e.load.Rows {
+			if r := &e.load.Rows[i]; r.Others > 0 && r.Priority == j.Priority {
+				own = r.Waiting.share(r.Others)
+			}
+		}
+	}
+	for i := range e.picture.LetIn {
+		if a := &e.picture.LetIn[i]; a.Service == e.load.Name && a.Priority == j.Priority && a.Organisation == j.Organisation {
+			own = own.Add(a.Work)
+		}
+	}
+	return own
+}
+
+// underGuarantee is when the job begins if its organisation's urgent jobs get no more than what is guaranteed.
+func (e *estimator) underGuarantee() time.Duration {
+	own := e.ownWaiting()
+	if row := e.row(e.request.Job.Organisation); row != nil {
+		own = own.Add(row.Running)
+	}
+	return Work{Accelerators: own.Accelerators}.On(job.Resources{Accelerators: e.request.Guaranteed})
+}
+
+// retryAfter returns when the job can come back: once the backlog is so much shorter that the job would be in
+// time, and room for its share of the service is expected. Those who were refused before return one after the
+// other, so that they do not come back at once.
+func (e *estimator) retryAfter(tooLate time.Duration) time.Duration {
+	wait := max(tooLate, e.roomExpected()-e.picture.Age, minRetryAfter)
+	wait += time.Duration(float64(wait) * spreadShare * fraction(e.request.Job.ID))
+	return min(wait, maxRetryAfter)
+}
+
+// roomExpected is when so much of what runs has ended as the job's widest step takes.
+func (e *estimator) roomExpected() time.Duration {
+	share := 0.0
+	for i := range e.request.Job.Steps {
+		s := &e.request.Job.Steps[i]
+		share = max(share, s.Reserved().CoreWeight()*float64(s.Count)/max(e.load.Capacity.CoreWeight(), 1))
+	}
+	at := 2
+	switch {
+	case share <= 0.25:
+		at = 0
+	case share <= 0.5:
+		at = 1
+	}
+	return min(time.Duration(min(e.load.RoomMs[at], maxRetryAfter.Milliseconds()))*time.Millisecond, maxRetryAfter)
+}
+
+// fraction spreads job IDs evenly over 0 to 1.
+func fraction(id model.JobID) float64 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // a hash's Write never fails
+	return float64(h.Sum32()) / (1 << 32)
+}
--- /dev/null
+++ b/internal/fleet/load.go
@@ -0,0 +1,259 @@
+package fleet
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/admission"
+	"github.com/eelgrassreach/eelgrassreach/internal/guard"
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
+	"github.com/eelgrassreach/eelgrassreach/internal/sched"
+)
+
+const (
+	// digestInterval is the shortest time between two digests of the load.
+	digestInterval = heartbeatInterval
+	// leastBacklog is the work that waits, as the time in which the service's backend servers could do it, from
+	// which on a service is part of the digest: less is done before the digest has reached all VMs.
+	leastBacklog = relayInterval
+	// storeDoubt is how long after a failed call to the store a job may turn out to be stored.
+	storeDoubt = 10 * time.Second
+)
+
+// loadState is what this VM knows of the load.
+type loadState struct {
+	digest  *admission.Digest
+	encoded json.RawMessage
+	// asOf is when the holder drew the digest, on this VM's clock.
+	asOf time.Time
+	summedUpAt time.Time // when this VM, as the holder, last looked
+	// number is of the holder's newest digest, and backlogAt when a digest last had a backlog.
+	number        int64
+	backlogAt     time.Time
+	storeFailedAt time.Time // when the store last failed to serve this VM
+	dropReported  time.Time
+}
+
+// Load returns the newest digest of the load and its age; nil if there is none. It must not be changed.
+func (s *State) Load() (*admission.Digest, time.Duration) {
+	if s.load.digest == nil {
+		return nil, 0
+	}
+	return s.load.digest, s.now.Sub(s.load.asOf)
+}
+
+// StoreInDoubt reports whether a call of this VM to the store has failed lately.
+func (s *State) StoreInDoubt() bool {
+	return !s.load.storeFailedAt.IsZero() && s.now.Sub(s.load.storeFailedAt) < storeDoubt
+}
+
+// sumUpLoad draws the holder's digest after a round. While nothing waits, and once the other VMs no longer use
+// an earlier digest, there is none.
+func (s *State) sumUpLoad(snap sched.Snapshot, plan sched.Plan) {
+	l := &s.load
+	if s.now.Sub(l.summedUpAt) < digestInterval {
+		return
+	}
+	l.summedUpAt = s.now
+	services := s.backloggedServices(&snap, &plan)
+	if len(services) > 0 {
+		l.backlogAt = s.now
+	} else if l.backlogAt.IsZero() || s.now.Sub(l.backlogAt) > admission.MaxAge {
+		l.digest, l.encoded = nil, nil
+		return
+	}
+	l.number++
+	d := admission.Digest{Token: s.term.token, Number: l.number, StoreInDoubt: s.StoreInDoubt(), Services: services}
+	text, err := admission.Encode(d)
+	if err != nil {
+		s.log.Error("digest of the load not encoded", zap.Error(err))
+		return
+	}
+	l.digest, l.encoded, l.asOf = &d, text, s.now
+}
+
+// serviceLoad collects what a digest tells of one service.
+type serviceLoad struct {
+	admission.ServiceLoad
+	rows    map[admission.RowKey]*admission.Row
+	rooms   []admission.ServerRoom
+	ends    []sched.ExpectedEnd
+	waiting admission.Work
+}
+
+// backloggedServices sums up the services in which more waits than is done soon.
+func (s *State) backloggedServices(snap *sched.Snapshot, plan *sched.Plan) []admission.ServiceLoad {
+	loads := make(map[string]*serviceLoad)
+	for i := range snap.Servers {
+		v := &snap.Servers[i]
+		l := loads[v.Service]
+		if l == nil {
+			l = &serviceLoad{rows: make(map[admission.RowKey]*admission.Row)}
+			l.Name = v.Service
+			loads[v.Service] = l
+		}
+		l.Capacity = l.Capacity.Add(v.Capacity)
+	}
+	placed := make(map[job.GroupKey]int)
+	for _, p := range plan.Placements {
+		placed[p.Key]++
+	}
+	for i := range snap.Pending {
+		if p := &snap.Pending[i]; loads[p.Service] != nil && !p.Expired(s.now) {
+			s.addWaitingWork(loads[p.Service], p, placed[p.Key])
+		}
+	}
+	var list []admission.ServiceLoad
+	for name, l := range loads {
+		if l.waiting.On(l.Capacity) < leastBacklog {
+			delete(loads, name)
+		}
+	}
+	if len(loads) == 0 {
+		return nil
+	}
+	s.addRoom(loads, snap, plan)
+	s.addRunningWork(loads)
+	s.addCovered(loads)
+	for _, l := range loads {
+		list = append(list, l.summary())
+	}
+	slices.SortFunc(list, func(a, b admission.ServiceLoad) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// addWaitingWork adds the tasks of a step that a round has not placed.
+func (s *State) addWaitingWork(l *serviceLoad, p *sched.PendingStep, placed int) {
+	tasks := len(p.Tasks) - placed
+	if tasks <= 0 {
+		return
+	}
+	runtime := cmp.Or(p.Runtime, p.Step.EstimatedRuntime)
+	w := admission.WorkOf(p.Step.Reserved(), tasks, runtime)
+	l.waiting = l.waiting.Add(w)
+	admission.AddRow(l.rows, admission.Row{
+		Priority: p.Priority, Organisation: s.jobs.Job(p.Key.Job).Job.Organisation, Waiting: w,
+		RuntimeMs: runtime.Milliseconds(), OldestMs: max(0, s.now.Sub(p.Due).Milliseconds()),
+	})
+}
+
+// addRoom adds what is free after a round.
+func (s *State) addRoom(loads map[string]*serviceLoad, snap *sched.Snapshot, plan *sched.Plan) {
+	taken := make(map[model.BackendServerID]job.Resources)
+	for _, p := range plan.Placements {
+		step := s.jobs.Job(p.Key.Job).Group(p.Key.Occurrence, p.Key.Step).Step()
+		taken[p.Server] = taken[p.Server].Add(step.Reserved())
+	}
+	for i := range snap.Servers {
+		v := &snap.Servers[i]
+		if l := loads[v.Service]; l != nil {
+			l.rooms = append(l.rooms, admission.ServerRoom{Free: v.Free.Sub(taken[v.ID]), Capacity: v.Capacity, Rack: v.Rack})
+			l.ends = append(l.ends, v.Ends...)
+		}
+	}
+}
+
+// addRunningWork adds what is left of the tasks that run and end by themselves.
+func (s *State) addRunningWork(loads map[string]*serviceLoad) {
+	for _, v := range s.servers {
+		l := loads[v.entry.Service]
+		if l == nil || !s.usable(v) {
+			continue
+		}
+		for _, r := range v.runs {
+			if r.stopping || r.step().LongRunning {
+				continue
+			}
+			j := r.group.State.Job
+			admission.AddRow(l.rows, admission.Row{
+				Priority: j.Priority, Organisation: j.Organisation, Running: admission.WorkOf(r.step().Reserved(), 1, max(0, s.timeToEnd(r))),
+			})
+		}
+	}
+}
+
+// addCovered adds how much of each organisation's guarantee its open jobs take.
+func (s *State) addCovered(loads map[string]*serviceLoad) {
+	for st := range s.jobsCoveredByGuarantees(s.openJobs()) {
+		for _, l := range loads { // a guarantee holds for all services together
+			admission.AddRow(l.rows, admission.Row{Organisation: st.Job.Organisation, Covered: st.Job.PeakAccelerators()})
+		}
+	}
+}
+
+func (l *serviceLoad) summary() admission.ServiceLoad {
+	l.Free = admission.Shapes(l.rooms)
+	slices.SortFunc(l.ends, func(a, b sched.ExpectedEnd) int { return cmp.Compare(a.After, b.After) })
+	total := 0.0
+	for _, e := range l.ends {
+		total += e.Need.CoreWeight()
+	}
+	ended, next := 0.0, 0
+	for _, e := range l.ends {
+		ended += e.Need.CoreWeight()
+		for next < len(l.RoomMs) && ended >= total*admission.RoomShares[next] {
+			l.RoomMs[next] = max(0, e.After.Milliseconds())
+			next++
+		}
+	}
+	for _, r := range l.rows {
+		l.Rows = append(l.Rows, *r)
+	}
+	slices.SortFunc(l.Rows, func(a, b admission.Row) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Organisation, b.Organisation))
+	})
+	return l.ServiceLoad
+}
+
+// attachLoad adds the newest digest to a heartbeat, with its age.
+func (s *State) attachLoad(h *Heartbeat) {
+	if age := s.now.Sub(s.load.asOf); s.load.digest != nil && age <= admission.MaxAge {
+		h.Load, h.LoadAgeMs = s.load.encoded, age.Milliseconds()
+	}
+}
+
+// loadHeard takes over the digest of a heartbeat, unless it is older than the one held. One that cannot be read
+// changes nothing else. A digest that is too old to be used does not stand in the way of any other.
+func (s *State) loadHeard(h Heartbeat) {
+	if len(h.Load) == 0 || s.holdsTerm() {
+		return
+	}
+	var d *admission.Digest
+	err := guard.Do(func() (err error) {
+		d, err = admission.Decode(h.Load)
+		return err
+	})
+	age := time.Duration(h.LoadAgeMs) * time.Millisecond
+	l := &s.load
+	switch {
+	case err != nil || h.LoadAgeMs < 0 || h.LoadAgeMs > admission.MaxAge.Milliseconds():
+		s.digestUnreadable(h, err)
+		return
+	case l.digest != nil && s.now.Sub(l.asOf) <= admission.MaxAge:
+		switch c := cmp.Or(cmp.Compare(d.Token, l.digest.Token), cmp.Compare(d.Number, l.digest.Number)); {
+		case c < 0:
+			s.metrics.DigestsDropped.Inc(1)
+			return
+		case c == 0:
+			return // another relay brings the same
+		}
+	}
+	l.digest, l.encoded, l.asOf = d, h.Load, s.now.Add(-age)
+}
+
+// dropReportInterval is the shortest time between two log lines on digests that cannot be read.
+const dropReportInterval = 10 * time.Second
+
+func (s *State) digestUnreadable(h Heartbeat, err error) {
+	s.metrics.DigestsDropped.Inc(1)
+	if !s.load.dropReported.IsZero() && s.now.Sub(s.load.dropReported) < dropReportInterval {
+		return
+	}
+	s.load.dropReported = s.now
+	s.log.Warn("digest of the load cannot be read", zap.String("from", h.Node), zap.Int64("age_ms", h.LoadAgeMs), zap.Int("bytes", len(h.Load)), zap.Error(err))
+}
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -517,6 +517,12 @@
 		l.options.Log.Error("heartbeat not encoded", zap.Error(err))
 		return
 	}
+	if len(payload) > maxHeartbeat && len(a.Heartbeat.Load) > 0 { // the rest matters more
+		l.options.Counters.DigestsLeftOut.Inc(1)
+		a.Heartbeat.Load = nil
+		l.sendHeartbeat(a)
+		return
+	}
 	for _, address := range a.To {
 		if err := l.options.Datagrams.Send(address, payload); err != nil {
 			l.options.Log.Debug("heartbeat not sent", zap.String("to", address), zap.Error(err))
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -16,6 +16,9 @@
 	StartsExpired                    tally.Counter
 	ServersLost, TasksGivenUp        tally.Counter
 	RecordsSkipped                   tally.Counter
+	// DigestsDropped counts digests of the load that could not be read or were older than the one held,
+	// DigestsLeftOut those that did not fit into a heartbeat.
+	DigestsDropped, DigestsLeftOut tally.Counter
 	// Replica is 1 while this VM follows all records.
 	Replica                                  tally.Gauge
 	RunsDone, RunsFailed                     tally.Counter
@@ -41,6 +44,8 @@
 		ServersLost:    scope.Counter("servers_lost"),
 		TasksGivenUp:   scope.Counter("tasks_given_up"),
 		RecordsSkipped: scope.Counter("records_skipped"),
+		DigestsDropped: scope.Counter("digests_dropped"),
+		DigestsLeftOut: scope.Counter("digests_left_out"),
 		Replica:        scope.Gauge("replica"),
 		RunsDone:       scope.Counter("runs_done"),
 		RunsFailed:     scope.Counter("runs_failed"),
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -44,6 +44,7 @@
 	if len(snapshot.Pending) == 0 {
 		s.lastRoundTook = s.stopwatch().Sub(began)
 		s.reportBacklog(snapshot, sched.Plan{})
+		s.sumUpLoad(snapshot, sched.Plan{})
 		return
 	}
 	p := sched.Decide(snapshot)
@@ -51,6 +52,7 @@
 	s.metrics.RoundLatency.RecordDuration(s.lastRoundTook)
 	p.Placements = s.withinStartBudget(p.Placements)
 	s.reportBacklog(snapshot, p)
+	s.sumUpLoad(snapshot, p)
 	s.applyPlacements(p.Placements)
 	for _, e := range p.Evictions {
 		s.evict(e)
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -269,6 +269,7 @@
 		}
 	}
 	h.SentAt = s.now.UnixNano()
+	s.attachLoad(&h)
 	return h, s.addresses(nodes)
 }
 
@@ -297,6 +298,7 @@
 	h := s.heartbeat()
 	h.Relay = true
 	h.Largest = r.largest
+	s.attachLoad(&h)
 	h.HolderHeard = s.holdsTerm() || s.now.Sub(r.holderHeardAt) < namedFor
 	if s.holdsTerm() {
 		h.HolderForward = s.self.Forward
@@ -320,6 +322,7 @@
 	if !r.active {
 		s.rolesHeard(h)
 	}
+	s.loadHeard(h)
 }
 
 // rolesHeard stores which VMs can be asked and what fits on the backend servers.
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -130,6 +130,7 @@
 	backlogReportedAt time.Time
 	// startsUnderWay are the start orders of this term without an answer yet.
 	startsUnderWay int
+	load           loadState
 	replan         bool
 	lastPlan       time.Time
 	lastRoundTook  time.Duration
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -74,6 +74,9 @@
 	Replicas []Replica `json:"replicas,omitempty"`
 	// Largest holds the largest capacities of each service's backend servers.
 	Largest map[string][]job.Resources `json:"largest,omitempty"`
+	// Load is the holder's newest digest of the load, and LoadAgeMs how old its figures were when this was sent.
+	Load      json.RawMessage `json:"load,omitempty"`
+	LoadAgeMs int64           `json:"loadAgeMs,omitempty"`
 	// Relay is set in what a replica tells the VMs of its zone. HolderHeard then tells whether it has
 	// heard the holder lately, and HolderForward where that receives forwarded calls.
 	Relay         bool   `json:"relay,omitempty"`
@@ -257,6 +260,7 @@
 	s.term.yielding, s.term.recordsSentAt = false, s.now
 	s.role.namedSince, s.role.silentUntil, s.role.answersAsReplica = make(map[string]time.Time), make(map[string]time.Time), make(map[string]bool)
 	s.writer = newWriter()
+	s.load = loadState{storeFailedAt: s.load.storeFailedAt}
 	s.startsUnderWay = 0
 	s.tokens = make(map[model.BackendServerID]int64)
 	s.log.Info("term taken", zap.Int64("token", s.term.token), zap.Int("jobs", s.jobs.Len()),
@@ -473,6 +477,7 @@
 	s.term.handingOver = h.Leaving || h.StoreLost || h.Yielding
 	s.role.heardAt, s.role.heard, s.role.holderHeardAt = s.now, true, s.now
 	s.rolesHeard(h)
+	s.loadHeard(h)
 	if slices.Contains(h.Named, s.self.Node) {
 		s.role.namedAt = s.now
 	}
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -190,6 +190,9 @@
 
 // observeStore keeps track of whether the store serves this VM.
 func (s *State) observeStore(err error) {
+	if err != nil {
+		s.load.storeFailedAt = s.now
+	}
 	switch {
 	case err == nil:
 		s.storeAnsweredAt, s.storeRefusingSince = s.now, time.Time{}
--- /dev/null
+++ b/internal/intake/admit.go
@@ -0,0 +1,116 @@
+package intake
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/admission"
+	"github.com/eelgrassreach/eelgrassreach/internal/boottime"
+	"github.com/eelgrassreach/eelgrassreach/internal/fleet"
+	"github.com/eelgrassreach/eelgrassreach/internal/job"
+)
+
+const (
+	// refusalReportInterval is the shortest time between two log lines on refusals of one organisation's jobs, and
+	// maxRefusalsReported bounds the organisations that are kept apart.
+	refusalReportInterval = time.Second
+	maxRefusalsReported   = 256
+)
+
+// admissionState is what this VM remembers of the jobs that it has let in and refused.
+type admissionState struct {
+	mu     sync.Mutex
+	ledger *admission.Ledger
+	// reported holds when a refusal of each organisation's jobs was last logged, and unreported how many were not.
+	reported   map[refusalKey]time.Time
+	unreported map[refusalKey]int
+}
+
+type refusalKey struct {
+	organisation string
+	priority     int
+}
+
+// admit refuses a job that cannot end in useful time. A refusal says that nothing of the job ever runs, so it
+// takes a VM that follows the jobs and finds none in the store; where that is in doubt, the job is let in.
+func (s *Service) admit(ctx context.Context, c Call, j *job.Job) Answer {
+	var digest *admission.Digest
+	var age time.Duration
+	follows, doubt := false, false
+	err := s.options.Loop.Query(ctx, func(st *fleet.State) {
+		digest, age = st.Load()
+		follows, doubt = st.IsReplica() && st.Synced(), st.StoreInDoubt()
+	})
+	if err != nil || digest == nil || doubt {
+		return Answer{}
+	}
+	v := s.decide(digest, age, j)
+	switch {
+	case !v.Refused:
+		return Answer{}
+	case !follows && c.Forwarded:
+		return Answer{}
+	case !follows:
+		return Answer{Result: AskReplica, Reason: string(v.Reason)}
+	}
+	call, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	switch found, err := s.options.Loop.FindSubmission(call, j.ID); {
+	case err != nil:
+		s.options.Counters.RefusalsInDoubt.Inc(1)
+		return Answer{}
+	case found:
+		return Answer{} // stored a second time, it counts once
+	}
+	s.refuse(j, v, age)
+	return Answer{Result: Refused, Reason: string(v.Reason) + "; it has not run", RetryAfter: v.RetryAfter}
+}
+
+func (s *Service) decide(digest *admission.Digest, age time.Duration, j *job.Job) admission.Verdict {
+	guaranteed := 0
+	if config, _ := s.options.Loop.Config(); config != nil {
+		guaranteed = config.Organisations[j.Organisation].Guaranteed
+	}
+	now := boottime.Now()
+	a := &s.admission
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := admission.Picture{Digest: digest, Age: age, LetIn: a.ledger.Since(now.Add(-age)), Owed: a.ledger.Owed(j.Service, now)}
+	r := admission.Request{Job: j, Service: j.Service, Guaranteed: guaranteed, RefusedBefore: a.ledger.WasRefused(j.ID)}
+	return admission.Decide(p, r)
+}
+
+// refuse notes, counts and logs a refusal.
+func (s *Service) refuse(j *job.Job, v admission.Verdict, age time.Duration) {
+	s.options.Counters.countRefusal(j.Priority, v)
+	now := boottime.Now()
+	k := refusalKey{string(j.Organisation), j.Priority}
+	a := &s.admission
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.Refuse(j, j.Service, now.Add(v.RetryAfter))
+	if last, known := a.reported[k]; known && now.Sub(last) < refusalReportInterval {
+		a.unreported[k]++
+		return
+	}
+	if a.reported == nil || len(a.reported) >= maxRefusalsReported {
+		a.reported, a.unreported = make(map[refusalKey]time.Time), make(map[refusalKey]int)
+	}
+	a.reported[k] = now
+	s.options.Log.Info("job refused", zap.String("job", string(j.ID)), zap.String("organisation", k.organisation), zap.String("service", j.Service),
+		zap.Int("priority", j.Priority), zap.String("reason", string(v.Reason)), zap.Duration("retry_after", v.RetryAfter),
+		zap.Duration("expected_begin", v.Begin), zap.Duration("useful_for", v.UsefulFor), zap.Duration("digest_age", age), zap.Int("unreported", a.unreported[k]))
+	a.unreported[k] = 0
+}
+
+// noteStored notes a job that was let in, also one whose storing is in doubt.
+func (s *Service) noteStored(j *job.Job, a Answer) {
+	if a.Result == OK || a.InDoubt {
+		s.admission.mu.Lock()
+		defer s.admission.mu.Unlock()
+		s.admission.ledger.LetIn(j, j.Service, boottime.Now())
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/admission"
 	"github.com/eelgrassreach/eelgrassreach/internal/boottime"
 	"github.com/eelgrassreach/eelgrassreach/internal/fleet"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
@@ -31,6 +32,8 @@
 	Unavailable           // certain: the call had no effect; it may be repeated
 	OutcomeInDoubt        // the call may have had its effect
 	TryAnotherVM          // this VM cannot decide the call; another one may
+	Refused               // certain: the job is turned away for load, and nothing of it has run or will
+	AskReplica            // this VM would refuse the job, but does not know whether it is stored: a replica does
 )
 
 // Answer is the result of a call, with the reason and the configuration it is based on.
@@ -102,11 +105,12 @@
 	// answered with.
 	newestVersion atomic.Int64
 	appenders     map[fleet.Partition]*appender
+	admission     admissionState
 }
 
 // New returns a service that stores nothing until Run is called.
 func New(o Options) *Service {
-	s := &Service{options: o, appenders: make(map[fleet.Partition]*appender)}
+	s := &Service{options: o, appenders: make(map[fleet.Partition]*appender), admission: admissionState{ledger: admission.NewLedger()}}
 	for _, p := range fleet.Partitions() {
 		s.appenders[p] = newAppender(o.Store, p)
 	}
@@ -188,12 +192,28 @@
 }
 
 // Submit stores a job and acknowledges it. One that is known to be stored is acknowledged at once: a refusal of
-// the repeat would say that it never runs.
+// the repeat would say that it never runs. One that comes too late for its caller is refused.
 func (s *Service) Submit(ctx context.Context, c Call, t Target, j *job.Job) Answer {
 	stored, a := s.prepareJob(ctx, t, j)
 	if stored || a.Result != OK {
 		return a
 	}
+	if a := s.admit(ctx, c, j); a.Result != OK {
+		return a
+	}
+	return s.storeJob(ctx, c, j)
+}
+
+// SubmitAnyway is Submit without the question whether the job comes too late.
+func (s *Service) SubmitAnyway(ctx context.Context, c Call, t Target, j *job.Job) Answer {
+	stored, a := s.prepareJob(ctx, t, j)
+	if stored || a.Result != OK {
+		return a
+	}
+	return s.storeJob(ctx, c, j)
+}
+
+func (s *Service) storeJob(ctx context.Context, c Call, j *job.Job) Answer {
 	record, err := job.SubmissionRecord(j)
 	if err != nil {
 		return Answer{Result: Invalid, Reason: err.Error()}
@@ -201,7 +221,9 @@
 	if a := s.checkStore(ctx); a.Result != OK {
 		return a
 	}
-	return s.store(ctx, c, j.ID, record)
+	a := s.store(ctx, c, j.ID, record)
+	s.noteStored(j, a)
+	return a
 }
 
 // prepareJob adds the settings of its queue to a job and refuses a job that can never run. It reports whether
--- a/internal/intake/metrics.go
+++ b/internal/intake/metrics.go
@@ -5,19 +5,25 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/admission"
 )
 
 // Counters holds the metrics of submitters' calls.
 type Counters struct {
 	StoreLatency tally.Histogram
-	scope        tally.Scope
-	buckets      tally.Buckets
+	// RefusalsInDoubt counts jobs that were let in since it was not certain that they are not stored.
+	RefusalsInDoubt tally.Counter
+	scope           tally.Scope
+	buckets         tally.Buckets
 }
 
 // NewCounters registers the metrics.
 func NewCounters(scope tally.Scope) Counters {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12) // 1 ms to 2 s
-	return Counters{StoreLatency: scope.Histogram("store_seconds", buckets), scope: scope, buckets: buckets}
+	return Counters{
+		StoreLatency: scope.Histogram("store_seconds", buckets), RefusalsInDoubt: scope.Counter("refusals_in_doubt"), scope: scope, buckets: buckets,
+	}
 }
 
 // CountCall records an answered call.
@@ -26,3 +32,10 @@
 	s.Counter("calls").Inc(1)
 	s.Histogram("call_seconds", c.buckets).RecordDuration(took)
 }
+
+// countRefusal records a job that was refused for load.
+func (c Counters) countRefusal(priority int, v admission.Verdict) {
+	s := c.scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)})
+	s.Counter("refused").Inc(1)
+	s.Histogram("retry_after_seconds", c.buckets).RecordDuration(v.RetryAfter)
+}
