--- a/internal/admission/digest.go
+++ b/internal/admission/digest.go
@@ -166,6 +166,18 @@
 	}
 }
 
+// Waits returns how long the backend servers would need for what waits, by priority.
+func (l *ServiceLoad) Waits() map[int]time.Duration {
+	sums, waits := make(map[int]Work), make(map[int]time.Duration)
+	for i := range l.Rows {
+		sums[l.Rows[i].Priority] = sums[l.Rows[i].Priority].Add(l.Rows[i].Waiting)
+	}
+	for priority, w := range sums {
+		waits[priority] = w.On(l.Capacity)
+	}
+	return waits
+}
+
 func (l *ServiceLoad) waiting() time.Duration {
 	var sum Work
 	for i := range l.Rows {
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -4,11 +4,13 @@
 	"cmp"
 	"encoding/json"
 	"slices"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/admission"
+	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
 	"github.com/eelgrassreach/eelgrassreach/internal/guard"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
@@ -36,6 +38,7 @@
 	number        int64
 	backlogAt     time.Time
 	storeFailedAt time.Time // when the store last failed to serve this VM
+	reportedAt    time.Time // when it was last logged
 	dropReported  time.Time
 }
 
@@ -75,6 +78,28 @@
 		return
 	}
 	l.digest, l.encoded, l.asOf = &d, text, s.now
+	s.reportLoad()
+}
+
+// reportLoad logs each service with a backlog, at most once per backlogInterval.
+func (s *State) reportLoad() {
+	l := &s.load
+	if s.now.Sub(l.reportedAt) < backlogInterval {
+		return
+	}
+	l.reportedAt = s.now
+	for i := range l.digest.Services {
+		service := &l.digest.Services[i]
+		fields := []zap.Field{
+			zap.String("service", service.Name), zap.Int("rows", len(service.Rows)), zap.Int("bytes", len(l.encoded)),
+			zap.Int64s("room_ms", service.RoomMs[:]), zap.Bool("store_in_doubt", l.digest.StoreInDoubt),
+		}
+		waits := service.Waits()
+		for _, priority := range eventloop.SortedKeys(waits) {
+			fields = append(fields, zap.Duration("waiting_"+strconv.Itoa(priority), waits[priority]))
+		}
+		s.log.Info("load", fields...)
+	}
 }
 
 // serviceLoad collects what a digest tells of one service.
