--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -13,12 +13,12 @@
 	// MaxAge is the age from which on a picture of the load is too old to refuse anything by: a VM that has missed
 	// two messages from the replica of its zone accepts all jobs.
 	MaxAge = 3 * time.Second
-	// trustedShare is the part of an estimated wait that counts. Estimates of runtimes are rough, and a wrong refusal
-	// is worse for a caller than a late answer.
-	trustedShare = 0.7
 	// minRetryAfter and maxRetryAfter bound when a refused caller may come back. The picture changes meanwhile.
 	minRetryAfter = 1 * time.Second
 	maxRetryAfter = 30 * time.Second
+	// owedShare is the part of its useful time that a new job leaves to those who were refused before it. With more,
+	// everybody would be let in as late as is still useful, and many would then end too late.
+	owedShare = 0.25
 	// spreadShare is by which part of the wait those who were refused at the same time return one after the other.
 	spreadShare = 0.5
 )
@@ -56,8 +56,10 @@
 	Service string
 	// Guaranteed is how many accelerators the organisation is guaranteed.
 	Guaranteed int
-	// RefusedBefore is set if the same job has been refused: it goes before those that are new.
+	// RefusedBefore is set if the same job has been refused, first FirstRefused ago: it goes before those that are
+	// new, and its caller has waited as long.
 	RefusedBefore bool
+	FirstRefused  time.Duration
 }
 
 // Verdict is a decision with what it is based on.
@@ -85,9 +87,9 @@
 	if e.guaranteed() || e.fitsNow() {
 		return Verdict{}
 	}
-	begin := e.begin() - p.Age
-	useful := sched.LateFactor*j.Objective() - j.CriticalPath()
-	if time.Duration(float64(begin)*trustedShare) <= useful {
+	useful := usefulFor(j) - r.FirstRefused
+	begin := e.begin() - p.Age + e.owed()
+	if begin <= useful {
 		return Verdict{}
 	}
 	return Verdict{
@@ -96,6 +98,9 @@
 	}
 }
 
+// usefulFor is how long a job may wait to begin and still end in useful time.
+func usefulFor(j *job.Job) time.Duration { return sched.LateFactor*j.Objective() - j.CriticalPath() }
+
 // estimator holds the input of one decision.
 type estimator struct {
 	picture Picture
@@ -179,13 +184,13 @@
 	return most
 }
 
-// begin estimates when the job can begin, counted from the picture. It is early rather than late: the backend
-// servers are taken to be used in full from now on, and each other organisation of the same priority to go before
+// begin estimates when the job can begin, counted from the picture. It is early rather than late, since a wrong
+// refusal is worse for a caller than a late answer: the backend servers are taken to be used in full from now on, and each other organisation of the same priority to go before
 // this job with as much work as its own organisation has waiting.
 func (e *estimator) begin() time.Duration {
 	j := e.request.Job
 	own := e.ownWaiting()
-	var ahead, running, owed Work
+	var ahead, running Work
 	var runtime, weight float64
 	for i := range e.load.Rows {
 		r := &e.load.Rows[i]
@@ -203,12 +208,7 @@
 		}
 		ahead = ahead.Add(waits)
 	}
-	for priority, w := range e.picture.Owed {
-		if priority <= j.Priority && !e.request.RefusedBefore {
-			owed = owed.Add(w)
-		}
-	}
-	ahead = ahead.Add(own).Add(owed)
+	ahead = ahead.Add(own)
 	for i := range e.load.Rows {
 		if r := &e.load.Rows[i]; r.Priority <= j.Priority {
 			w := r.Waiting.On(e.load.Capacity).Seconds()
@@ -226,6 +226,20 @@
 	return begin
 }
 
+// owed is the time that a new job leaves to those who were refused before it and are due back.
+func (e *estimator) owed() time.Duration {
+	if e.request.RefusedBefore {
+		return 0
+	}
+	var sum Work
+	for priority, w := range e.picture.Owed {
+		if priority <= e.request.Job.Priority {
+			sum = sum.Add(w)
+		}
+	}
+	return min(sum.On(e.load.Capacity), time.Duration(float64(usefulFor(e.request.Job))*owedShare))
+}
+
 // ownWaiting is the work of the organisation that waits at this priority, with what this VM has let in since.
 func (e *estimator) ownWaiting() Work {
 	j := e.request.Job
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -27,7 +27,9 @@
 	service  string
 	priority int
 	work     Work
-	due      time.Time
+	first    time.Time // when it was first refused
+	due      time.Time // when its caller may return
+	useful   bool      // whether it can still end in useful time then
 }
 
 // NewLedger returns an empty ledger.
@@ -53,22 +55,29 @@
 	})
 }
 
-// Refuse notes a job that was refused and when its caller may return.
-func (l *Ledger) Refuse(j *job.Job, service string, due time.Time) {
-	if _, known := l.refused[j.ID]; !known {
+// Refuse notes a job that is refused now and when its caller may return.
+func (l *Ledger) Refuse(j *job.Job, service string, now, due time.Time) {
+	r, known := l.refused[j.ID]
+	if !known {
+		r.first = now
 		if len(l.order) == maxRefused {
 			delete(l.refused, l.order[0])
 			l.order = append(l.order[:0], l.order[1:]...)
 		}
 		l.order = append(l.order, j.ID)
 	}
-	l.refused[j.ID] = refusal{service: service, priority: j.Priority, work: workOfJob(j), due: due}
+	r.service, r.priority, r.work, r.due = service, j.Priority, workOfJob(j), due
+	r.useful = due.Sub(r.first) <= usefulFor(j)
+	l.refused[j.ID] = r
 }
 
-// WasRefused reports whether a job is known to have been refused here.
-func (l *Ledger) WasRefused(id model.JobID) bool {
-	_, known := l.refused[id]
-	return known
+// WasRefused reports whether a job is known to have been refused here, and how long ago it was first.
+func (l *Ledger) WasRefused(id model.JobID, now time.Time) (bool, time.Duration) {
+	r, known := l.refused[id]
+	if !known {
+		return false, 0
+	}
+	return true, now.Sub(r.first)
 }
 
 // Since returns what was let in after a moment, and forgets what was before.
@@ -79,11 +88,11 @@
 	return slices.Clone(l.letIn)
 }
 
-// Owed returns the work of refused callers of a service who are due back and not late, by priority.
+// Owed returns the work of refused callers of a service who are due back in useful time and not late, by priority.
 func (l *Ledger) Owed(service string, now time.Time) map[int]Work {
 	owed := make(map[int]Work)
 	for _, r := range l.refused {
-		if r.service == service && !now.After(r.due.Add(overdue)) {
+		if r.service == service && r.useful && !now.After(r.due.Add(overdue)) {
 			owed[r.priority] = owed[r.priority].Add(r.work)
 		}
 	}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -32,7 +32,7 @@
 	digest  *admission.Digest
 	encoded json.RawMessage
 	// asOf is when the holder drew the digest, on this VM's clock.
-	asOf time.Time
+	asOf       time.Time
 	summedUpAt time.Time // when this VM, as the holder, last looked
 	// number is of the holder's newest digest, and backlogAt when a digest last had a backlog.
 	number        int64
--- a/internal/intake/admit.go
+++ b/internal/intake/admit.go
@@ -79,7 +79,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := admission.Picture{Digest: digest, Age: age, LetIn: a.ledger.Since(now.Add(-age)), Owed: a.ledger.Owed(j.Service, now)}
-	r := admission.Request{Job: j, Service: j.Service, Guaranteed: guaranteed, RefusedBefore: a.ledger.WasRefused(j.ID)}
+	r := admission.Request{Job: j, Service: j.Service, Guaranteed: guaranteed}
+	r.RefusedBefore, r.FirstRefused = a.ledger.WasRefused(j.ID, now)
 	return admission.Decide(p, r)
 }
 
@@ -91,7 +92,7 @@
 	a := &s.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.ledger.Refuse(j, j.Service, now.Add(v.RetryAfter))
+	a.ledger.Refuse(j, j.Service, now, now.Add(v.RetryAfter))
 	if last, known := a.reported[k]; known && now.Sub(last) < refusalReportInterval {
 		a.unreported[k]++
 		return
