--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -23,8 +23,8 @@
 	// leastBacklog is the work that waits, as the time in which the service's backend servers could do it, from
 	// which on a service is part of the digest: less is done before the digest has reached all VMs.
 	leastBacklog = relayInterval
-	// storeDoubt is how long after a failed call to the store a job may turn out to be stored.
-	storeDoubt = 10 * time.Second
+	// StoreDoubt is how long after a failed call to the store a job may turn out to be stored.
+	StoreDoubt = 10 * time.Second
 )
 
 // loadState is what this VM knows of the load.
@@ -52,7 +52,7 @@
 
 // StoreInDoubt reports whether a call of this VM to the store has failed lately.
 func (s *State) StoreInDoubt() bool {
-	return !s.load.storeFailedAt.IsZero() && s.now.Sub(s.load.storeFailedAt) < storeDoubt
+	return !s.load.storeFailedAt.IsZero() && s.now.Sub(s.load.storeFailedAt) < StoreDoubt
 }
 
 // sumUpLoad draws the holder's digest after a round. While nothing waits, and once the other VMs no longer use
--- a/internal/intake/admit.go
+++ b/internal/intake/admit.go
@@ -11,6 +11,7 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/boottime"
 	"github.com/eelgrassreach/eelgrassreach/internal/fleet"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
+	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
 const (
@@ -18,12 +19,17 @@
 	// maxRefusalsReported bounds the organisations that are kept apart.
 	refusalReportInterval = time.Second
 	maxRefusalsReported   = 256
+	// storeDoubt is how long after a failed call to the store a job may turn out to be stored.
+	storeDoubt = fleet.StoreDoubt
 )
 
 // admissionState is what this VM remembers of the jobs that it has let in and refused.
 type admissionState struct {
 	mu     sync.Mutex
 	ledger *admission.Ledger
+	// storing counts the calls that are storing a job, and inDoubtAt is when one last ended without an answer.
+	storing   map[model.JobID]int
+	inDoubtAt time.Time
 	// reported holds when a refusal of each organisation's jobs was last logged, and unreported how many were not.
 	reported   map[refusalKey]time.Time
 	unreported map[refusalKey]int
@@ -34,6 +40,10 @@
 	priority     int
 }
 
+func newAdmissionState() admissionState {
+	return admissionState{ledger: admission.NewLedger(), storing: make(map[model.JobID]int)}
+}
+
 // admit refuses a job that cannot end in useful time. A refusal says that nothing of the job ever runs, so it
 // takes a VM that follows the jobs and finds none in the store; where that is in doubt, the job is let in.
 func (s *Service) admit(ctx context.Context, c Call, j *job.Job) Answer {
@@ -44,7 +54,7 @@
 		digest, age = st.Load()
 		follows, doubt = st.IsReplica() && st.Synced(), st.StoreInDoubt()
 	})
-	if err != nil || digest == nil || doubt {
+	if err != nil || digest == nil || doubt || s.mayBeStoring(j.ID) {
 		return Answer{}
 	}
 	v := s.decide(digest, age, j)
@@ -62,7 +72,7 @@
 	case err != nil:
 		s.options.Counters.RefusalsInDoubt.Inc(1)
 		return Answer{}
-	case found:
+	case found || s.mayBeStoring(j.ID):
 		return Answer{} // stored a second time, it counts once
 	}
 	s.refuse(j, v, age)
@@ -107,11 +117,34 @@
 	a.unreported[k] = 0
 }
 
-// noteStored notes a job that was let in, also one whose storing is in doubt.
-func (s *Service) noteStored(j *job.Job, a Answer) {
-	if a.Result == OK || a.InDoubt {
-		s.admission.mu.Lock()
-		defer s.admission.mu.Unlock()
-		s.admission.ledger.LetIn(j, j.Service, boottime.Now())
+// mayBeStoring reports whether this VM may have sent the store a job that cannot be found there yet.
+func (s *Service) mayBeStoring(id model.JobID) bool {
+	a := &s.admission
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.storing[id] > 0 || !a.inDoubtAt.IsZero() && boottime.Now().Sub(a.inDoubtAt) < storeDoubt
+}
+
+// storingBegins notes that a job is being stored; storingEnds must follow.
+func (s *Service) storingBegins(id model.JobID) {
+	a := &s.admission
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.storing[id]++
+}
+
+// storingEnds notes how storing a job has ended.
+func (s *Service) storingEnds(j *job.Job, answer Answer) {
+	a := &s.admission
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.storing[j.ID]--; a.storing[j.ID] == 0 {
+		delete(a.storing, j.ID)
+	}
+	if answer.InDoubt {
+		a.inDoubtAt = boottime.Now()
+	}
+	if answer.Result == OK || answer.InDoubt {
+		a.ledger.LetIn(j, j.Service, boottime.Now())
 	}
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -11,7 +11,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/eelgrassreach/eelgrassreach/internal/admission"
 	"github.com/eelgrassreach/eelgrassreach/internal/boottime"
 	"github.com/eelgrassreach/eelgrassreach/internal/fleet"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
@@ -110,7 +109,7 @@
 
 // New returns a service that stores nothing until Run is called.
 func New(o Options) *Service {
-	s := &Service{options: o, appenders: make(map[fleet.Partition]*appender), admission: admissionState{ledger: admission.NewLedger()}}
+	s := &Service{options: o, appenders: make(map[fleet.Partition]*appender), admission: newAdmissionState()}
 	for _, p := range fleet.Partitions() {
 		s.appenders[p] = newAppender(o.Store, p)
 	}
@@ -221,8 +220,9 @@
 	if a := s.checkStore(ctx); a.Result != OK {
 		return a
 	}
+	s.storingBegins(j.ID)
 	a := s.store(ctx, c, j.ID, record)
-	s.noteStored(j, a)
+	s.storingEnds(j, a)
 	return a
 }
 
