Admission: the rate at which work has been started lately counts

Change: the holder measures over 3 s, while there is a backlog, how fast work of a priority and above is started; a quarter of the capacity at least.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -325,3 +325,24 @@
 		assert.Check(t, after >= before)
 	}
 }
+
+// A service that starts its work at a third of what its backend servers could do takes three times as long.
+func TestRateThatWasSeenCounts(t *testing.T) {
+	capacity := job.Resources{MilliCPU: 100_000}
+	row := Row{Priority: 1, Organisation: "o", Waiting: WorkOf(job.Resources{MilliCPU: 1000}, 500, time.Second), RuntimeMs: 1000}
+	load := ServiceLoad{Name: "s", Capacity: capacity, Rows: []Row{row}}
+	j := &job.Job{Organisation: "o", Priority: 1, Stretch: 2, Steps: []job.Step{{Count: 1, EstimatedRuntime: time.Second, Need: job.Resources{MilliCPU: 1000}}}}
+	for _, c := range []struct {
+		priority int
+		started  float64 // of the capacity
+		refused  bool
+	}{{1, 1, false}, {1, 0.9, true}, {1, 0.3, true}, {2, 0.3, false}} {
+		load.Rates = []Rate{{Priority: c.priority, Started: Work{MilliCPU: int64(c.started * 100_000)}}}
+		d := &Digest{Token: 1, Services: []ServiceLoad{load}}
+		v := Decide(Picture{Digest: d}, Request{Job: j, Service: "s"})
+		assert.Equal(t, v.Refused, c.refused, "%+v: %+v", c, v)
+	}
+	load.Rates = []Rate{{Priority: 1}}
+	v := Decide(Picture{Digest: &Digest{Token: 1, Services: []ServiceLoad{load}}}, Request{Job: j, Service: "s"})
+	assert.Equal(t, v.Begin, 20*time.Second) // at a quarter of the capacity
+}
--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -19,6 +19,9 @@
 	// owedShare is the part of its useful time that a new job leaves to those who were refused before it. With more,
 	// everybody would be let in as late as is still useful, and many would then end too late.
 	owedShare = 0.25
+	// minRateShare is the share of a service's capacity that is taken to be at work at least: a lower rate comes from
+	// a moment's trouble rather than from the load.
+	minRateShare = 0.25
 	// spreadShare is by which part of the wait those who were refused at the same time return one after the other.
 	spreadShare = 0.5
 )
@@ -219,13 +222,25 @@
 	if weight > 0 {
 		inProgress = time.Duration(runtime/weight/2) * time.Millisecond
 	}
-	begin := max(0, ahead.Add(running).On(e.load.Capacity)-inProgress)
+	begin := max(0, ahead.Add(running).On(e.load.Capacity)-inProgress, e.atRate(ahead))
 	if j.Priority == 0 && e.request.Guaranteed > 0 {
 		begin = min(begin, e.underGuarantee())
 	}
 	return begin
 }
 
+// atRate is when work has been started that goes before the job, if it goes on as it has lately; 0 if that is not
+// known. Packing, lost work and what runs long keep a service from being used in full.
+func (e *estimator) atRate(ahead Work) time.Duration {
+	for _, r := range e.load.Rates {
+		if r.Priority == e.request.Job.Priority {
+			rate := max(r.Started.Weight(), minRateShare*e.load.Capacity.CoreWeight())
+			return time.Duration(min(ahead.Weight()/max(rate, 1), maxSeconds) * float64(time.Second))
+		}
+	}
+	return 0
+}
+
 // owed is the time that a new job leaves to those who were refused before it and are due back.
 func (e *estimator) owed() time.Duration {
 	if e.request.RefusedBefore {
--- a/internal/admission/digest.go
+++ b/internal/admission/digest.go
@@ -21,6 +21,7 @@
 	maxServices    = 8
 	maxRows        = 32 // of all services together
 	maxShapes      = 16 // of one service
+	maxRates       = 8
 	maxName        = 256
 	maxAmount      = 1_000_000_000_000_000
 	maxOthers      = 1_000_000
@@ -59,6 +60,12 @@
 	return Work{lesser(w.MilliCPU, o.MilliCPU), lesser(w.MemoryMB, o.MemoryMB), lesser(w.Accelerators, o.Accelerators)}
 }
 
+// Weight returns the size of w in core-seconds; an accelerator counts as in job.Resources.CoreWeight.
+func (w Work) Weight() float64 {
+	perAccelerator := job.Resources{Accelerators: 1}.CoreWeight()
+	return (float64(w.MilliCPU) + float64(w.Accelerators)*perAccelerator) / 1000
+}
+
 // On returns how long a capacity needs for the work if it is used in full; by the resource that needs longest.
 func (w Work) On(capacity job.Resources) time.Duration {
 	longest := 0.0
@@ -99,6 +106,14 @@
 	// RoomMs is when RoomShares of the room that is taken now are expected to be free, milliseconds.
 	RoomMs [3]int64 `json:"room"`
 	Rows   []Row    `json:"rows,omitempty"`
+	// Rates tell how fast work has been started lately; only of priorities that have had a backlog all the while.
+	Rates []Rate `json:"rates,omitempty"`
+}
+
+// Rate is the work of a priority and more urgent ones that was started each second.
+type Rate struct {
+	Priority int  `json:"p"`
+	Started  Work `json:"w"`
 }
 
 // RoomShares are the shares of the room that RoomMs is about.
@@ -148,6 +163,7 @@
 		trimmed := d
 		trimmed.Services = slices.Clone(d.Services)
 		for i := range trimmed.Services {
+			trimmed.Services[i].Rates = trimmed.Services[i].Rates[:min(len(trimmed.Services[i].Rates), maxRates)]
 			trimmed.Services[i].Rows = sumUp(trimmed.Services[i].Rows, rows/len(trimmed.Services))
 			trimmed.Services[i].Free = mergeShapes(trimmed.Services[i].Free, min(maxShapes, rows))
 		}
@@ -338,7 +354,7 @@
 	names := make(map[string]bool)
 	for i := range d.Services {
 		l := &d.Services[i]
-		if names[l.Name] || len(l.Name) > maxName || len(l.Free) > maxShapes || len(l.Rows) > maxRows {
+		if names[l.Name] || len(l.Name) > maxName || len(l.Free) > maxShapes || len(l.Rows) > maxRows || len(l.Rates) > maxRates {
 			return fmt.Errorf("service %.40q: twice or too large", l.Name)
 		}
 		names[l.Name] = true
@@ -359,6 +375,9 @@
 		r := &l.Rows[i]
 		ok = ok && len(r.Organisation) <= maxName && r.Others <= maxOthers && r.work() && amounts(int64(r.Others), r.RuntimeMs, r.OldestMs, int64(r.Covered))
 	}
+	for _, r := range l.Rates {
+		ok = ok && amounts(r.Started.MilliCPU, r.Started.MemoryMB, r.Started.Accelerators)
+	}
 	if !ok {
 		return errors.New("an amount is out of range")
 	}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -35,13 +36,29 @@
 	asOf       time.Time
 	summedUpAt time.Time // when this VM, as the holder, last looked
 	// number is of the holder's newest digest, and backlogAt when a digest last had a backlog.
-	number        int64
-	backlogAt     time.Time
+	number    int64
+	backlogAt time.Time
+	// started is what rounds have started lately, and pressedSince since when each priority of a service has had a
+	// backlog, with more urgent ones.
+	started       []startedWork
+	pressedSince  map[pressure]time.Time
 	storeFailedAt time.Time // when the store last failed to serve this VM
 	reportedAt    time.Time // when it was last logged
 	dropReported  time.Time
 }
 
+// startedWork sums up what was started within a digestInterval.
+type startedWork struct {
+	began time.Time
+	work  map[pressure]admission.Work
+}
+
+// pressure names a priority of a service.
+type pressure struct {
+	service  string
+	priority int
+}
+
 // Load returns the newest digest of the load and its age; nil if there is none. It must not be changed.
 func (s *State) Load() (*admission.Digest, time.Duration) {
 	if s.load.digest == nil {
@@ -59,6 +76,7 @@
 // an earlier digest, there is none.
 func (s *State) sumUpLoad(snap sched.Snapshot, plan sched.Plan) {
 	l := &s.load
+	l.noteStarted(s.now, &snap, &plan)
 	if s.now.Sub(l.summedUpAt) < digestInterval {
 		return
 	}
@@ -98,6 +116,9 @@
 		for _, priority := range eventloop.SortedKeys(waits) {
 			fields = append(fields, zap.Duration("waiting_"+strconv.Itoa(priority), waits[priority]))
 		}
+		for _, r := range service.Rates {
+			fields = append(fields, zap.String("rate_"+strconv.Itoa(r.Priority), fmt.Sprintf("%.2f", r.Started.Weight()/max(1, service.Capacity.CoreWeight()))))
+		}
 		s.log.Info("load", fields...)
 	}
 }
@@ -140,14 +161,19 @@
 		}
 	}
 	if len(loads) == 0 {
+		s.load.pressedSince = nil
 		return nil
 	}
 	s.addRoom(loads, snap, plan)
 	s.addRunningWork(loads)
 	s.addCovered(loads)
+	pressed := make(map[pressure]time.Time)
 	for _, l := range loads {
-		list = append(list, l.summary())
+		summary := l.summary()
+		summary.Rates = s.load.rates(s.now, &summary, pressed)
+		list = append(list, summary)
 	}
+	s.load.pressedSince = pressed
 	slices.SortFunc(list, func(a, b admission.ServiceLoad) int { return cmp.Compare(a.Name, b.Name) })
 	return list
 }
@@ -235,6 +261,67 @@
 	return l.ServiceLoad
 }
 
+// rateWindow is the time over which the rate is measured at which work starts: as long as a digest is used.
+const rateWindow = admission.MaxAge
+
+// noteStarted adds what a round has started.
+func (l *loadState) noteStarted(now time.Time, snap *sched.Snapshot, plan *sched.Plan) {
+	for len(l.started) > 0 && now.Sub(l.started[0].began) > rateWindow {
+		l.started = l.started[1:]
+	}
+	if len(plan.Placements) == 0 {
+		return
+	}
+	if n := len(l.started); n == 0 || now.Sub(l.started[n-1].began) >= digestInterval {
+		l.started = append(l.started, startedWork{began: now, work: make(map[pressure]admission.Work)})
+	}
+	sum := l.started[len(l.started)-1].work
+	placed := make(map[job.GroupKey]int)
+	for _, p := range plan.Placements {
+		placed[p.Key]++
+	}
+	for i := range snap.Pending {
+		p := &snap.Pending[i]
+		if n := placed[p.Key]; n > 0 {
+			k := pressure{p.Service, p.Priority}
+			sum[k] = sum[k].Add(admission.WorkOf(p.Step.Reserved(), n, cmp.Or(p.Runtime, p.Step.EstimatedRuntime)))
+			delete(placed, p.Key) // a step may be split in two
+		}
+	}
+}
+
+// rates returns how fast work has been started of each priority with a backlog, and notes the backlogs in pressed.
+func (l *loadState) rates(now time.Time, load *admission.ServiceLoad, pressed map[pressure]time.Time) []admission.Rate {
+	var list []admission.Rate
+	var waiting time.Duration
+	waits := load.Waits()
+	for _, priority := range eventloop.SortedKeys(waits) {
+		if waiting += waits[priority]; waiting < leastBacklog {
+			continue
+		}
+		k := pressure{load.Name, priority}
+		since, known := l.pressedSince[k]
+		if !known {
+			since = now
+		}
+		pressed[k] = since
+		if now.Sub(since) < rateWindow {
+			continue
+		}
+		var sum admission.Work
+		for _, s := range l.started {
+			for started, w := range s.work {
+				if started.service == load.Name && started.priority <= priority {
+					sum = sum.Add(w)
+				}
+			}
+		}
+		perSecond := int64(rateWindow / time.Second)
+		list = append(list, admission.Rate{Priority: priority, Started: admission.Work{MilliCPU: sum.MilliCPU / perSecond, MemoryMB: sum.MemoryMB / perSecond, Accelerators: sum.Accelerators / perSecond}})
+	}
+	return list
+}
+
 // attachLoad adds the newest digest to a heartbeat, with its age.
 func (s *State) attachLoad(h *Heartbeat) {
 	if age := s.now.Sub(s.load.asOf); s.load.digest != nil && age <= admission.MaxAge {
