--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// digestInterval is the shortest time between two digests of the load.
-	digestInterval = heartbeatInterval
+	// digestInterval is the shortest time between two digests of the load. Each goes with one of the holder's
+	// heartbeats.
+	digestInterval = 2 * heartbeatInterval
 	// leastBacklog is the work that waits, as the time in which the service's backend servers could do it, from
 	// which on a service is part of the digest: less is done before the digest has reached all VMs.
 	leastBacklog = relayInterval
@@ -36,8 +37,9 @@
 	asOf       time.Time
 	summedUpAt time.Time // when this VM, as the holder, last looked
 	// number is of the holder's newest digest, and backlogAt when a digest last had a backlog.
-	number    int64
-	backlogAt time.Time
+	number     int64
+	backlogAt  time.Time
+	sentNumber int64 // of the digest in the newest heartbeat with one
 	// started is what rounds have started lately, and pressedSince since when each priority of a service has had a
 	// backlog, with more urgent ones.
 	started       []startedWork
@@ -322,6 +324,14 @@
 	return list
 }
 
+// attachNewLoad adds the holder's digest to its heartbeat, if it was not in an earlier one.
+func (s *State) attachNewLoad(h *Heartbeat) {
+	if l := &s.load; l.sentNumber != l.number {
+		l.sentNumber = l.number
+		s.attachLoad(h)
+	}
+}
+
 // attachLoad adds the newest digest to a heartbeat, with its age.
 func (s *State) attachLoad(h *Heartbeat) {
 	if age := s.now.Sub(s.load.asOf); s.load.digest != nil && age <= admission.MaxAge {
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -269,7 +269,7 @@
 		}
 	}
 	h.SentAt = s.now.UnixNano()
-	s.attachLoad(&h)
+	s.attachNewLoad(&h)
 	return h, s.addresses(nodes)
 }
 
