--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -26,11 +26,15 @@
 	spreadShare = 0.5
 )
 
-// Reason is why a job is refused; empty if it is admitted.
+// Reason is why a job is refused, or let in although much waits; empty if there is nothing to say.
 type Reason string
 
-// TooLate is the reason of a job that cannot end in useful time.
-const TooLate Reason = "cannot end in useful time"
+// The reasons.
+const (
+	TooLate    Reason = "cannot end in useful time"
+	Guaranteed Reason = "under the organisation's guarantee"
+	Free       Reason = "backend servers are free"
+)
 
 // Picture is what a VM knows of the load.
 type Picture struct {
@@ -86,19 +90,18 @@
 	if load == nil || j.Occurrences > 0 || j.LongRunning() || j.Objective() <= 0 {
 		return Verdict{}
 	}
-	e := estimator{picture: p, load: load, request: r}
-	if e.guaranteed() || e.fitsNow() {
-		return Verdict{}
-	}
-	useful := usefulFor(j) - r.FirstRefused
-	begin := e.begin() - p.Age + e.owed()
-	if begin <= useful {
-		return Verdict{}
-	}
-	return Verdict{
-		Refused: true, Reason: TooLate, Begin: begin, UsefulFor: useful,
-		RetryAfter: e.retryAfter(begin - useful),
+	e := &estimator{picture: p, load: load, request: r}
+	v := Verdict{Begin: e.begin() - p.Age + e.owed(), UsefulFor: usefulFor(j) - r.FirstRefused}
+	switch {
+	case v.Begin <= v.UsefulFor:
+	case e.guaranteed():
+		v.Reason = Guaranteed
+	case e.fitsNow():
+		v.Reason = Free
+	default:
+		v.Refused, v.Reason, v.RetryAfter = true, TooLate, e.retryAfter(v.Begin-v.UsefulFor)
 	}
+	return v
 }
 
 // usefulFor is how long a job may wait to begin and still end in useful time.
@@ -138,6 +141,9 @@
 
 // fitsNow reports whether there is room for a step that can begin at once: for all tasks of a gang, or for one of
 // others. What this VM has let in since the picture was drawn is taken off.
+//
+// Room in which a step that needs no more, and goes before the job, has found no place is not free for the job: it
+// may be on backend servers that fail, or kept for others.
 func (e *estimator) fitsNow() bool {
 	for i := range e.request.Job.Steps {
 		s := &e.request.Job.Steps[i]
@@ -148,7 +154,16 @@
 		if s.Gang {
 			need = s.Count
 		}
-		if e.slots(s.Reserved()) >= need {
+		if !e.othersWaitFor(s.Reserved(), need) && e.slots(s.Reserved()) >= need {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *estimator) othersWaitFor(need job.Resources, tasks int) bool {
+	for _, w := range e.load.Unplaced {
+		if w.Priority <= e.request.Job.Priority && w.Tasks <= tasks && w.Need.FitsIn(need) {
 			return true
 		}
 	}
--- a/internal/intake/admit.go
+++ b/internal/intake/admit.go
@@ -60,6 +60,10 @@
 	v := s.decide(digest, age, j)
 	switch {
 	case !v.Refused:
+		if v.Reason != "" {
+			s.options.Log.Info("job let in although much waits", zap.String("job", string(j.ID)), zap.String("organisation", string(j.Organisation)),
+				zap.Int("priority", j.Priority), zap.String("reason", string(v.Reason)), zap.Duration("expected_begin", v.Begin), zap.Duration("digest_age", age))
+		}
 		return Answer{}
 	case !follows && c.Forwarded:
 		return Answer{}
