--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -141,9 +141,6 @@
 
 // fitsNow reports whether there is room for a step that can begin at once: for all tasks of a gang, or for one of
 // others. What this VM has let in since the picture was drawn is taken off.
-//
-// Room in which a step that needs no more, and goes before the job, has found no place is not free for the job: it
-// may be on backend servers that fail, or kept for others.
 func (e *estimator) fitsNow() bool {
 	for i := range e.request.Job.Steps {
 		s := &e.request.Job.Steps[i]
@@ -154,16 +151,7 @@
 		if s.Gang {
 			need = s.Count
 		}
-		if !e.othersWaitFor(s.Reserved(), need) && e.slots(s.Reserved()) >= need {
-			return true
-		}
-	}
-	return false
-}
-
-func (e *estimator) othersWaitFor(need job.Resources, tasks int) bool {
-	for _, w := range e.load.Unplaced {
-		if w.Priority <= e.request.Job.Priority && w.Tasks <= tasks && w.Need.FitsIn(need) {
+		if e.slots(s.Reserved()) >= need {
 			return true
 		}
 	}
--- a/internal/admission/digest.go
+++ b/internal/admission/digest.go
@@ -22,7 +22,6 @@
 	maxRows        = 32 // of all services together
 	maxShapes      = 16 // of one service
 	maxRates       = 8
-	maxUnplaced    = 6
 	maxName        = 256
 	maxAmount      = 1_000_000_000_000_000
 	maxOthers      = 1_000_000
@@ -109,8 +108,6 @@
 	Rows   []Row    `json:"rows,omitempty"`
 	// Rates tell how fast work has been started lately; only of priorities that have had a backlog all the while.
 	Rates []Rate `json:"rates,omitempty"`
-	// Unplaced are steps for which a round found no place.
-	Unplaced []Unplaced `json:"un,omitempty"`
 }
 
 // Rate is the work of a priority and more urgent ones that was started each second.
@@ -119,28 +116,6 @@
 	Started  Work `json:"w"`
 }
 
-// Unplaced is a step that has waited for a while and found no place: the smallest of its priority.
-type Unplaced struct {
-	Priority int           `json:"p"`
-	Need     job.Resources `json:"f"` // of one task
-	Tasks    int           `json:"n"` // that have to start together
-}
-
-// AddUnplaced adds a step to a list of the smallest ones, at most maxUnplaced.
-func AddUnplaced(list []Unplaced, u Unplaced) []Unplaced {
-	noMore := func(a, b Unplaced) bool {
-		return a.Priority <= b.Priority && a.Tasks <= b.Tasks && a.Need.FitsIn(b.Need)
-	}
-	if slices.ContainsFunc(list, func(o Unplaced) bool { return noMore(o, u) }) {
-		return list
-	}
-	list = slices.DeleteFunc(list, func(o Unplaced) bool { return noMore(u, o) })
-	if len(list) == maxUnplaced {
-		return list
-	}
-	return append(list, u)
-}
-
 // RoomShares are the shares of the room that RoomMs is about.
 var RoomShares = [3]float64{0.25, 0.5, 1}
 
@@ -379,7 +354,7 @@
 	names := make(map[string]bool)
 	for i := range d.Services {
 		l := &d.Services[i]
-		if names[l.Name] || len(l.Name) > maxName || len(l.Free) > maxShapes || len(l.Rows) > maxRows || len(l.Rates) > maxRates || len(l.Unplaced) > maxUnplaced {
+		if names[l.Name] || len(l.Name) > maxName || len(l.Free) > maxShapes || len(l.Rows) > maxRows || len(l.Rates) > maxRates {
 			return fmt.Errorf("service %.40q: twice or too large", l.Name)
 		}
 		names[l.Name] = true
@@ -400,9 +375,6 @@
 		r := &l.Rows[i]
 		ok = ok && len(r.Organisation) <= maxName && r.Others <= maxOthers && r.work() && amounts(int64(r.Others), r.RuntimeMs, r.OldestMs, int64(r.Covered))
 	}
-	for _, u := range l.Unplaced {
-		ok = ok && amounts(int64(u.Need.MilliCPU), int64(u.Need.MemoryMB), int64(u.Need.Accelerators), int64(u.Tasks))
-	}
 	for _, r := range l.Rates {
 		ok = ok && amounts(r.Started.MilliCPU, r.Started.MemoryMB, r.Started.Accelerators)
 	}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -75,15 +75,15 @@
 }
 
 // sumUpLoad draws the holder's digest after a round. While nothing waits, and once the other VMs no longer use
-// an earlier digest, there is none. The plan is whole unless placements were put off.
-func (s *State) sumUpLoad(snap sched.Snapshot, plan sched.Plan, whole bool) {
+// an earlier digest, there is none.
+func (s *State) sumUpLoad(snap sched.Snapshot, plan sched.Plan) {
 	l := &s.load
 	l.noteStarted(s.now, &snap, &plan)
 	if s.now.Sub(l.summedUpAt) < digestInterval {
 		return
 	}
 	l.summedUpAt = s.now
-	services := s.backloggedServices(&snap, &plan, whole)
+	services := s.backloggedServices(&snap, &plan)
 	if len(services) > 0 {
 		l.backlogAt = s.now
 	} else if l.backlogAt.IsZero() || s.now.Sub(l.backlogAt) > admission.MaxAge {
@@ -135,7 +135,7 @@
 }
 
 // backloggedServices sums up the services in which more waits than is done soon.
-func (s *State) backloggedServices(snap *sched.Snapshot, plan *sched.Plan, whole bool) []admission.ServiceLoad {
+func (s *State) backloggedServices(snap *sched.Snapshot, plan *sched.Plan) []admission.ServiceLoad {
 	loads := make(map[string]*serviceLoad)
 	for i := range snap.Servers {
 		v := &snap.Servers[i]
@@ -154,9 +154,6 @@
 	for i := range snap.Pending {
 		if p := &snap.Pending[i]; loads[p.Service] != nil && !p.Expired(s.now) {
 			s.addWaitingWork(loads[p.Service], p, placed[p.Key])
-			if whole && placed[p.Key] == 0 {
-				s.addUnplaced(loads[p.Service], p)
-			}
 		}
 	}
 	var list []admission.ServiceLoad
@@ -198,19 +195,6 @@
 	})
 }
 
-// addUnplaced adds a step that has found no place for a while although nothing but its size is in its way.
-func (s *State) addUnplaced(l *serviceLoad, p *sched.PendingStep) {
-	step := p.Step
-	if s.now.Sub(p.Due) < leastBacklog || step.Label != "" || step.SameRack || step.MaxPerServer > 0 || p.Isolate || p.Advised != nil || len(p.Avoid) > 0 {
-		return
-	}
-	tasks := 1
-	if step.Gang {
-		tasks = len(p.Tasks)
-	}
-	l.Unplaced = admission.AddUnplaced(l.Unplaced, admission.Unplaced{Priority: p.Priority, Need: step.Reserved(), Tasks: tasks})
-}
-
 // addRoom adds what is free after a round.
 func (s *State) addRoom(loads map[string]*serviceLoad, snap *sched.Snapshot, plan *sched.Plan) {
 	taken := make(map[model.BackendServerID]job.Resources)
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -44,16 +44,15 @@
 	if len(snapshot.Pending) == 0 {
 		s.lastRoundTook = s.stopwatch().Sub(began)
 		s.reportBacklog(snapshot, sched.Plan{})
-		s.sumUpLoad(snapshot, sched.Plan{}, true)
+		s.sumUpLoad(snapshot, sched.Plan{})
 		return
 	}
 	p := sched.Decide(snapshot)
 	s.lastRoundTook = s.stopwatch().Sub(began)
 	s.metrics.RoundLatency.RecordDuration(s.lastRoundTook)
-	decided := len(p.Placements)
 	p.Placements = s.withinStartBudget(p.Placements)
 	s.reportBacklog(snapshot, p)
-	s.sumUpLoad(snapshot, p, len(p.Placements) == decided)
+	s.sumUpLoad(snapshot, p)
 	s.applyPlacements(p.Placements)
 	for _, e := range p.Evictions {
 		s.evict(e)
