Admission: jobs that were let in and do not fit take no room from others

Cause: a wide gang that this VM had let in since the picture was drawn was taken off what is free, though it cannot start: a small job was refused beside free servers. Change: only what fits is taken off; the estimate is split into its parts. Measured: tests of the package, with one for this case.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -346,3 +346,15 @@
 	v := Decide(Picture{Digest: &Digest{Token: 1, Services: []ServiceLoad{load}}}, Request{Job: j, Service: "s"})
 	assert.Equal(t, v.Begin, 20*time.Second) // at a quarter of the capacity
 }
+
+// A gang that this VM has let in, and that does not fit, takes no room from a job that does.
+func TestWhatDoesNotFitTakesNoRoom(t *testing.T) {
+	one := job.Resources{MilliCPU: 1000}
+	row := Row{Priority: 1, Organisation: "o", Waiting: WorkOf(one, 5000, time.Second), RuntimeMs: 1000}
+	load := ServiceLoad{Name: "s", Capacity: one.Times(100), Rows: []Row{row}, Free: []Shape{{Free: one, Servers: 4}}}
+	j := &job.Job{Organisation: "o", Priority: 1, Stretch: 1, Steps: []job.Step{{Count: 1, EstimatedRuntime: time.Second, Need: one}}}
+	for tasks, refused := range map[int]bool{100: false, 4: true, 3: false} {
+		p := Picture{Digest: &Digest{Token: 1, Services: []ServiceLoad{load}}, LetIn: []Admitted{{Service: "s", First: []FirstStep{{tasks, one}}}}}
+		assert.Equal(t, Decide(p, Request{Job: j, Service: "s"}).Refused, refused, "%d tasks", tasks)
+	}
+}
--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -54,7 +54,13 @@
 	Priority     int
 	Organisation model.OrganisationID
 	Work         Work
-	Peak         job.Resources // what its first steps take together
+	First        []FirstStep
+}
+
+// FirstStep is a step that can begin at once, with what each of its tasks takes.
+type FirstStep struct {
+	Tasks int
+	Need  job.Resources
 }
 
 // Request is a job that asks to be let in.
@@ -158,24 +164,32 @@
 	return false
 }
 
-// slots returns how many tasks could start now.
+// slots returns how many tasks could start now, besides what was let in and fits as well.
 func (e *estimator) slots(need job.Resources) int {
-	n := 0
-	for _, s := range e.load.Free {
-		n += s.Servers * perServer(need, s.Free)
-	}
 	taken := 0.0
 	for i := range e.picture.LetIn {
-		if a := &e.picture.LetIn[i]; a.Service == e.load.Name {
-			taken += a.Peak.CoreWeight()
+		for _, s := range e.picture.LetIn[i].First {
+			if e.picture.LetIn[i].Service == e.load.Name && e.freeSlots(s.Need) >= s.Tasks {
+				taken += s.Need.CoreWeight() * float64(s.Tasks)
+			}
 		}
 	}
+	n := e.freeSlots(need)
 	if weight := need.CoreWeight(); weight > 0 {
 		n -= int(taken / weight)
 	}
 	return n
 }
 
+// freeSlots returns how many tasks could start when the picture was drawn.
+func (e *estimator) freeSlots(need job.Resources) int {
+	n := 0
+	for _, s := range e.load.Free {
+		n += s.Servers * perServer(need, s.Free)
+	}
+	return n
+}
+
 // perServer returns how many times need fits in free; 1 for what needs nothing.
 func perServer(need, free job.Resources) int {
 	most := -1
@@ -191,45 +205,54 @@
 }
 
 // begin estimates when the job can begin, counted from the picture. It is early rather than late, since a wrong
-// refusal is worse for a caller than a late answer: the backend servers are taken to be used in full from now on, and each other organisation of the same priority to go before
-// this job with as much work as its own organisation has waiting.
+// refusal is worse for a caller than a late answer: the backend servers are taken to be used in full from now on, or
+// as they have been lately.
 func (e *estimator) begin() time.Duration {
-	j := e.request.Job
-	own := e.ownWaiting()
-	var ahead, running Work
-	var runtime, weight float64
+	j, ahead := e.request.Job, e.ahead()
+	var running Work
 	for i := range e.load.Rows {
-		r := &e.load.Rows[i]
-		if j.Priority > 0 || r.Priority == 0 { // an urgent job does not wait for others that run
+		if r := &e.load.Rows[i]; j.Priority > 0 || r.Priority == 0 { // an urgent job does not wait for others that run
 			running = running.Add(r.Running)
 		}
-		waits := r.Waiting
-		switch {
-		case r.Priority > j.Priority:
-			continue
+	}
+	// When the job begins, about half of the work of the tasks that then run is still to be done.
+	inUse := ahead.Add(running).On(e.load.Capacity) - e.meanRuntime()/2
+	begin := max(0, inUse, e.atRate(ahead))
+	if j.Priority == 0 && e.request.Guaranteed > 0 {
+		begin = min(begin, e.underGuarantee())
+	}
+	return begin
+}
+
+// ahead is the work that waits and goes before the job: all that is more urgent, what its own organisation has
+// waiting at its priority, and of each other organisation there no more than that.
+func (e *estimator) ahead() Work {
+	j, own := e.request.Job, e.ownWaiting()
+	sum := own
+	for i := range e.load.Rows {
+		switch r := &e.load.Rows[i]; {
+		case r.Priority < j.Priority:
+			sum = sum.Add(r.Waiting)
 		case r.Priority == j.Priority && (r.Others > 0 || r.Organisation != j.Organisation):
-			waits = waits.atMost(own, max(r.Others, 1))
-		case r.Priority == j.Priority:
-			continue // counted in own
+			sum = sum.Add(r.Waiting.atMost(own, max(r.Others, 1)))
 		}
-		ahead = ahead.Add(waits)
 	}
-	ahead = ahead.Add(own)
+	return sum
+}
+
+// meanRuntime is that of the tasks that wait and are at least as urgent as the job.
+func (e *estimator) meanRuntime() time.Duration {
+	var sum, weight float64
 	for i := range e.load.Rows {
-		if r := &e.load.Rows[i]; r.Priority <= j.Priority {
-			w := r.Waiting.On(e.load.Capacity).Seconds()
-			runtime, weight = runtime+w*float64(r.RuntimeMs), weight+w
+		if r := &e.load.Rows[i]; r.Priority <= e.request.Job.Priority {
+			w := r.Waiting.Weight()
+			sum, weight = sum+w*float64(r.RuntimeMs), weight+w
 		}
 	}
-	inProgress := time.Duration(0) // of the running work, what is still running when the job begins
-	if weight > 0 {
-		inProgress = time.Duration(runtime/weight/2) * time.Millisecond
-	}
-	begin := max(0, ahead.Add(running).On(e.load.Capacity)-inProgress, e.atRate(ahead))
-	if j.Priority == 0 && e.request.Guaranteed > 0 {
-		begin = min(begin, e.underGuarantee())
+	if weight == 0 {
+		return 0
 	}
-	return begin
+	return time.Duration(min(sum/weight, maxSeconds)) * time.Millisecond
 }
 
 // atRate is when work has been started that goes before the job, if it goes on as it has lately; 0 if that is not
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -11,6 +11,8 @@
 const (
 	maxLetIn   = 512
 	maxRefused = 1024
+	// maxFirstSteps bounds what is kept of one job.
+	maxFirstSteps = 8
 	// overdue is how long after its time a refused caller is still expected.
 	overdue = 2 * time.Second
 )
@@ -44,14 +46,14 @@
 	if len(l.letIn) == maxLetIn {
 		l.letIn = append(l.letIn[:0], l.letIn[1:]...)
 	}
-	var peak job.Resources
+	var first []FirstStep
 	for i := range j.Steps {
-		if s := &j.Steps[i]; len(s.DependsOn) == 0 {
-			peak = peak.Add(s.Reserved().Times(s.Count))
+		if s := &j.Steps[i]; len(s.DependsOn) == 0 && len(first) < maxFirstSteps {
+			first = append(first, FirstStep{Tasks: s.Count, Need: s.Reserved()})
 		}
 	}
 	l.letIn = append(l.letIn, Admitted{
-		At: now, Service: service, Priority: j.Priority, Organisation: j.Organisation, Work: workOfJob(j), Peak: peak,
+		At: now, Service: service, Priority: j.Priority, Organisation: j.Organisation, Work: workOfJob(j), First: first,
 	})
 }
 
