--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -24,6 +24,9 @@
 	// work that slow each other down, and PlacedApart and PlacedBeside count the tasks of such kinds.
 	NeighbourSamples, PlacedApart, PlacedBeside tally.Counter
 	SlowPairs                                   tally.Gauge
+	// DigestsDropped counts digests of the load that could not be read or were older than the one held,
+	// DigestsLeftOut those that did not fit into a heartbeat.
+	DigestsDropped, DigestsLeftOut tally.Counter
 	// Replica is 1 while this VM follows all records.
 	Replica tally.Gauge
 	// EvacuatedZones is the number of evacuated availability zones, EvacuatedRuns what the holder still has running there.
@@ -57,6 +60,9 @@
 		PlacedBeside:     scope.Counter("tasks_placed_beside"),
 		SlowPairs:        scope.Gauge("slow_pairs"),
 
+		DigestsDropped: scope.Counter("digests_dropped"),
+		DigestsLeftOut: scope.Counter("digests_left_out"),
+
 		Replica:        scope.Gauge("replica"),
 		EvacuatedZones: scope.Gauge("evacuated_zones"),
 		EvacuatedRuns:  scope.Gauge("evacuated_runs"),
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -45,6 +45,7 @@
 	if len(snapshot.Pending) == 0 {
 		s.lastRoundTook = s.stopwatch().Sub(began)
 		s.reportBacklog(snapshot, sched.Plan{})
+		s.sumUpLoad(snapshot, sched.Plan{})
 		return
 	}
 	snapshot.Explain = s.backlogDue()
@@ -54,6 +55,7 @@
 	p.Placements = s.withinStartBudget(p.Placements)
 	s.reportBacklog(snapshot, p)
 	s.countNeighbours(p.Placements, snapshot.Slowdowns)
+	s.sumUpLoad(snapshot, p)
 	s.applyPlacements(p.Placements)
 	for _, e := range p.Evictions {
 		s.evict(e)
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -144,6 +144,7 @@
 	organisationBacklog map[model.OrganisationID]*organisationBacklog
 	// startsUnderWay are the start orders of this term without an answer yet.
 	startsUnderWay int
+	load           loadState
 	replan         bool
 	lastPlan       time.Time
 	lastRoundTook  time.Duration
