Backfill counts a server's pace only where those of its service are unlike

Cause: paces and packing were built side by side; a fleet of like paces planned otherwise than one without known paces (TestLikePacesChangeNoPlan). Change: one effective pace for a round.

--- a/internal/sched/earmark.go
+++ b/internal/sched/earmark.go
@@ -36,14 +36,10 @@
 
 // runtime is how long a task of the step runs on the server; 0 if that is not known.
 func (srv *serverState) runtime(p *PendingStep) time.Duration {
-	switch {
-	case !srv.nearData(p):
+	if !srv.nearData(p) {
 		return 0
-	case srv.Pace > 0:
-		return time.Duration(float64(p.Runtime) / srv.Pace)
-	default:
-		return p.Runtime
 	}
+	return AtPace(p.Runtime, srv.pace)
 }
 
 // earmarkRoom earmarks room for a gang that found none: the servers on which all of its
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -28,6 +28,8 @@
 	// unproven and isolated are the server's, and include the round's placements.
 	unproven, isolated bool
 	rack               int // number of its rack in the round
+	// pace is the server's, 0 also where all of its service are alike.
+	pace float64
 	// kinds counts the tasks by kind of work, with those of the round.
 	kinds map[job.Kind]int
 }
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -73,6 +73,9 @@
 		*srv = serverState{
 			Server: v, index: i, kinds: maps.Clone(v.Kinds), free: v.Free, releasing: v.Releasing, ends: v.Ends, unproven: v.Unproven, isolated: v.Isolated, rack: racks[v.Rack],
 		}
+		if d.paceLevels[v.Service] != nil {
+			srv.pace = v.Pace
+		}
 		slices.SortFunc(srv.ends, func(a, b ExpectedEnd) int { return cmp.Compare(a.After, b.After) })
 		d.capacity[v.Service] += v.Capacity.CoreWeight()
 		d.servers = append(d.servers, srv)
