--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -105,6 +105,7 @@
 type fakeServer struct {
 	id            model.BackendServerID
 	rack          model.RackID
+	az            model.AZ
 	startedAt     time.Time
 	setBack       time.Duration // by how much the time of day of its machine was set back
 	dead          bool
@@ -124,6 +125,7 @@
 	refusesStops    Refusal     // the same for stop orders only
 	label           string      // besides those that all have
 	slowdown        int         // factor for the duration of new runs; 0 means 1
+	speed           float64     // how fast new runs work; 0 means 1
 	failsJob        model.JobID // the tasks of this job fail here
 	highestToken    int64
 	deadline        int64
@@ -138,7 +140,7 @@
 func (w *world) addServer() *fakeServer {
 	n := len(w.servers)
 	s := &fakeServer{
-		id: model.BackendServerID(fmt.Sprintf("s%02d", n)), rack: model.RackID(fmt.Sprintf("r%d", n%2)),
+		id: model.BackendServerID(fmt.Sprintf("s%02d", n)), rack: model.RackID(fmt.Sprintf("r%d", n%2)), az: fakeZone(n),
 		capacity: fakeCapacity, startedAt: w.now, runs: make(map[string]*fakeRun), highestEndedRun: make(map[string]int64),
 	}
 	w.servers[s.id] = s
@@ -146,6 +148,11 @@
 	return s
 }
 
+// fakeZones is the number of availability zones that the backend servers are in.
+const fakeZones = 3
+
+func fakeZone(n int) model.AZ { return model.AZ(fmt.Sprintf("az%d", n%fakeZones)) }
+
 // remoteDataFactor is how many times as long a task takes on another rack than its data.
 const remoteDataFactor = 3
 
@@ -157,7 +164,7 @@
 
 func (s *fakeServer) entry(w *world) ServerEntry {
 	return ServerEntry{
-		ID: s.id, Service: service, Address: string(s.id), Rack: s.rack, Labels: []string{"a", string(s.rack), s.label},
+		ID: s.id, Service: service, Address: string(s.id), AZ: s.az, Rack: s.rack, Labels: []string{"a", string(s.rack), s.label},
 		Capacity: s.capacity, Draining: s.draining, Remaining: s.stays, IncarnationStart: s.born(), Clock: s.clock(w), Sequence: s.heartbeats(w),
 	}
 }
@@ -280,6 +287,9 @@
 	}
 	r.startedAt = w.now
 	r.duration *= time.Duration(max(s.slowdown, 1))
+	if s.speed > 0 {
+		r.duration = time.Duration(float64(r.duration) / s.speed)
+	}
 	if rack := r.step(w).DataRack; rack != "" && rack != s.rack {
 		r.duration *= remoteDataFactor
 	}
@@ -344,7 +354,11 @@
 		if s.hangs || r.waiting {
 			percent = 0
 		}
-		report.Running = append(report.Running, RunReport{Task: name, Run: r.order.Run, Percent: min(percent, 99)})
+		most := 99
+		if r.step(w).Gang {
+			most = 100 // it waits for slower members
+		}
+		report.Running = append(report.Running, RunReport{Task: name, Run: r.order.Run, Percent: min(percent, most)})
 	}
 	return report, nil
 }
@@ -362,11 +376,28 @@
 
 func (r *fakeRun) step(w *world) *job.Step { return &w.oracle.jobs[r.key.Job].Steps[r.key.Step] }
 
+// slowNeighbours takes from the progress of the runs what they lose by each other, each time that endDueRuns is called.
+func (s *fakeServer) slowNeighbours(w *world) {
+	if len(w.slowdowns) == 0 {
+		return
+	}
+	for _, r := range s.runs {
+		kept := 1.0
+		for _, other := range s.runs {
+			if other != r {
+				kept *= 1 - w.slowdowns[[2]string{r.step(w).Image, other.step(w).Image}]
+			}
+		}
+		r.startedAt = r.startedAt.Add(time.Duration((1 - kept) * float64(50*time.Millisecond)))
+	}
+}
+
 // endDueRuns ends the runs that have finished, failed or lost their lease by now.
 func (s *fakeServer) endDueRuns(w *world) {
 	if s.dead {
 		return
 	}
+	s.slowNeighbours(w)
 	for _, name := range eventloop.SortedKeys(s.runs) {
 		r := s.runs[name]
 		switch {
--- a/internal/fleet/oracle_test.go
+++ b/internal/fleet/oracle_test.go
@@ -95,6 +95,9 @@
 	if since := s.drainingSince; !since.IsZero() && o.w.now.Sub(since) > drainBound && !o.w.carryingOutLate && o.w.inTouch(by) {
 		o.w.t.Fatalf("%v: task %s is started on %s by %s, %v after the announcement that it leaves", o.w.now, name, s.id, by, o.w.now.Sub(since))
 	}
+	if at, ok := o.w.evacuated[s.az]; ok && o.w.now.Sub(at) > evacuationBound && !o.w.carryingOutLate && o.w.inTouch(by) {
+		o.w.t.Fatalf("%v: task %s is started on %s by %s, %v after the evacuation of its zone", o.w.now, name, s.id, by, o.w.now.Sub(at))
+	}
 	if at, ok := o.acknowledgedDone[name]; ok && o.w.now.Sub(at) > time.Second && !(o.lateAfterDone && o.w.carryingOutLate) {
 		o.w.t.Fatalf("%v: task %s is started on %s after its end was acknowledged", o.w.now, name, s.id)
 	}
@@ -163,6 +166,11 @@
 		s.end(o.w, r, EndedDone)
 		return
 	}
+	for _, m := range o.members(r) {
+		if m.at.runs[m.run.order.Task] == m.run && o.w.now.Sub(m.run.startedAt) < m.run.duration {
+			return // it goes at the pace of its slowest member
+		}
+	}
 	for _, m := range o.members(r) {
 		if m.at.runs[m.run.order.Task] == m.run {
 			m.at.end(o.w, m.run, EndedDone)
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -40,17 +40,22 @@
 	}
 	s.replan, s.lastPlan = false, s.now
 	began := s.stopwatch()
+	s.updatePaces()
 	snapshot := s.snapshot()
 	if len(snapshot.Pending) == 0 {
 		s.lastRoundTook = s.stopwatch().Sub(began)
 		s.reportBacklog(snapshot, sched.Plan{})
+		s.sumUpLoad(snapshot, sched.Plan{})
 		return
 	}
+	snapshot.Explain = s.backlogDue()
 	p := sched.Decide(snapshot)
 	s.lastRoundTook = s.stopwatch().Sub(began)
 	s.metrics.RoundLatency.RecordDuration(s.lastRoundTook)
 	p.Placements = s.withinStartBudget(p.Placements)
 	s.reportBacklog(snapshot, p)
+	s.countNeighbours(p.Placements, snapshot.Slowdowns)
+	s.sumUpLoad(snapshot, p)
 	s.applyPlacements(p.Placements)
 	for _, e := range p.Evictions {
 		s.evict(e)
@@ -88,10 +93,10 @@
 	return kept
 }
 
-// canPlan reports whether enough is known to place tasks: the entries of the backend servers
-// were read recently, and most listed ones have reported or firstReportTimeout has passed.
+// canPlan reports whether enough is known to place tasks: the entries of the backend servers and the requests
+// for evacuations were read recently, and most listed servers have reported or firstReportTimeout has passed.
 func (s *State) canPlan() bool {
-	if s.config == nil || len(s.servers) == 0 || !s.serversKnown() {
+	if s.config == nil || len(s.servers) == 0 || !s.serversKnown() || !s.evacuationsKnown() {
 		return false
 	}
 	if s.now.Sub(s.term.takenAt) >= firstReportTimeout {
@@ -116,20 +121,25 @@
 }
 
 func (s *State) snapshot() sched.Snapshot {
-	snap := sched.Snapshot{Now: s.now}
+	snap := sched.Snapshot{Now: s.now, Slowdowns: s.slowdowns()}
 	if s.bounds.ReclaimBound > 0 {
 		snap.StopTime = s.bounds.StopTimeout + restartDelay
 	}
 	snap.FarFactor = s.bounds.FarFactor
 	for _, id := range eventloop.SortedKeys(s.servers) {
 		if v := s.servers[id]; s.usable(v) {
-			snap.Servers = append(snap.Servers, s.serverView(v))
+			view := s.serverView(v)
+			if len(snap.Slowdowns) > 0 {
+				view.Kinds = v.kinds()
+			}
+			snap.Servers = append(snap.Servers, view)
 		}
 	}
 	snap.UrgentRoom = s.urgentRoom(snap.Servers)
 	open := s.openJobs()
 	covered := s.jobsCoveredByGuarantees(open)
 	loads, shares := s.organisationLoads()
+	snap.Shapes = s.shapesOf(open)
 	for _, st := range open {
 		if s.cancellationsKnown(st.Job.ID) {
 			s.addPendingSteps(&snap, st, covered[st])
@@ -197,7 +207,7 @@
 
 // usable reports whether a backend server may take new tasks.
 func (s *State) usable(v *server) bool {
-	return v.listed && v.hasReported && v.failedCalls == 0 && !v.entry.Draining && v.clock != 0 && v.health.usable(s.now)
+	return v.listed && v.hasReported && v.failedCalls == 0 && !v.entry.Draining && !s.isEvacuated(v) && v.clock != 0 && v.health.usable(s.now)
 }
 
 func (s *State) serverView(v *server) sched.Server {
@@ -209,7 +219,8 @@
 	return sched.Server{
 		ID: v.entry.ID, Service: v.entry.Service, Rack: v.entry.Rack, Labels: v.entry.Labels,
 		Capacity: v.entry.Capacity, Free: v.entry.Capacity.Sub(l.used), Releasing: l.releasing, Ends: l.ends, Suspect: v.health.suspect(), Failing: v.health.failing(s.now),
-		Unproven: l.unproven, Isolated: l.isolated, UnsavedWork: l.unsavedWork, UrgentUse: l.urgent,
+		Cold:     v.listedAt.Add(v.entry.ColdFor).After(s.now),
+		Unproven: l.unproven, Isolated: l.isolated, UnsavedWork: l.unsavedWork, Pace: s.paceOf(v), UrgentUse: l.urgent,
 	}
 }
 
@@ -258,7 +269,7 @@
 // timeToEnd estimates when a run ends by itself, also before its start is confirmed.
 func (s *State) timeToEnd(r *run) time.Duration {
 	if r.phase == runRecording || r.phase == runOrdered {
-		return r.step().EstimatedRuntime
+		return s.expectedRuntime(r)
 	}
 	return s.remaining(r)
 }
@@ -332,14 +343,14 @@
 	st, step := g.State, g.Step()
 	p := sched.PendingStep{
 		Key: g.Key(), Service: s.currentService(st.Job), Step: step, Priority: st.Job.Priority, Guaranteed: covered, Urgent: st.Job.Priority == 0,
-		Due: s.dueAt(g), Remaining: st.Job.CriticalPath(), Avoid: s.avoidedNow(g.Key()), TasksPerServer: make(map[model.BackendServerID]int),
+		Due: s.dueAt(g), Remaining: st.Job.CriticalPathBy(s.runtimesOf(g)), Avoid: s.avoidedNow(g.Key()), TasksPerServer: make(map[model.BackendServerID]int),
 	}
-	p.Objective = p.Due.Add(st.Job.Objective())
+	p.Objective = p.Due.Add(st.Job.ObjectiveOf(p.Remaining))
 	if covered && s.bounds.ReclaimBound > 0 {
 		p.StartBy = p.Due.Add(s.bounds.ReclaimBound)
 	}
 	p.Organisation = st.Job.Organisation
-	p.Kind, p.Runtime = st.Job.Kind(g.Index), step.EstimatedRuntime
+	p.Kind, p.Runtime = st.Job.Kind(g.Index), s.runtime(g)
 	for i := range g.Tasks {
 		if g.Tasks[i].Phase == job.Waiting && !s.mayStillRun(g, i) {
 			p.Tasks = append(p.Tasks, i)
@@ -470,7 +481,7 @@
 	t.Phase, t.Run, t.Server = job.Placed, number, p.Server
 	r := &run{
 		group: g, index: p.Index, name: g.Key().TaskName(p.Index), number: number, server: p.Server,
-		phase: runRecording, placedAt: s.now,
+		phase: runRecording, placedAt: s.now, apart: p.Far,
 	}
 	s.servers[p.Server].putRun(r)
 	if rates := s.stepRates[p.Key]; rates != nil {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/eelgrassreach/eelgrassreach/internal/interference"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/straggler"
@@ -50,6 +51,8 @@
 	lossRecorded  bool // the loss of its backend server is recorded with its task
 	// earlier is the number of an earlier run of the task while reports list that on the same backend server; else 0.
 	earlier int64
+	// apart is set if the tasks of its step may have been placed on several racks.
+	apart bool
 	// reached is set if a start order may have reached the backend server.
 	reached bool
 
@@ -63,6 +66,8 @@
 	// listedSince is when a report first listed it in the present incarnation of its backend server, on the
 	// latter's clock, milliseconds; 0 before.
 	listedSince int64
+	// neighbours compares its pace beside different tasks.
+	neighbours interference.Watch
 }
 
 // step returns the step that the run belongs to.
@@ -115,7 +120,7 @@
 	name := g.Key().TaskName(index)
 	r := &run{
 		group: g, index: index, name: name, number: t.Run, server: t.Server, phase: runAdopting,
-		startedAt: s.now, progressAt: s.now,
+		startedAt: s.now, progressAt: s.now, apart: true,
 	}
 	if a := s.arrivals[name]; a.server == r.server {
 		r.unansweredAt = a.until.Add(-maxDeliveryDelay)
@@ -169,8 +174,12 @@
 		return
 	}
 	if r.phase == runOrdered && r.startInDoubt {
-		switch o := s.obstacle(v, r); {
-		case o == serverLeaves || o == serverUnlisted || o == capacityShrunk:
+		o := s.obstacle(v, r)
+		if o == noObstacle {
+			o = s.obstacleOfGang(r)
+		}
+		switch {
+		case o.lasts():
 			s.requestStop(r, stopInDoubt, "start without an answer: "+string(o))
 		case s.now.Sub(r.orderedAt) > startRetryPeriod && v.failedCalls > 0, s.now.Sub(r.orderedAt) > startRetryLimit:
 			s.requestStop(r, stopInDoubt, "start without an answer")
@@ -223,21 +232,29 @@
 const (
 	noObstacle           obstacle = ""
 	serverLeaves         obstacle = "the backend server leaves"
+	zoneEvacuated        obstacle = "the availability zone is evacuated"
 	serverUnlisted       obstacle = "the backend server is no longer listed"
 	serverRestarted      obstacle = "the backend server has started again"
 	capacityShrunk       obstacle = "the backend server's capacity has shrunk"
 	cancellationsUnknown obstacle = "cancellations are not known up to now"
-	listTooOld           obstacle = "the list of backend servers is too old"
+	listTooOld           obstacle = "the list of backend servers or of evacuations is too old"
 	termUnconfirmed      obstacle = "another VM may hold the term"
 	earlierRunWorks      obstacle = "an earlier run of the task has not ended"
 )
 
+// lasts reports whether the start can't be expected to become possible on the same backend server soon.
+func (o obstacle) lasts() bool {
+	return o == serverLeaves || o == zoneEvacuated || o == serverUnlisted || o == capacityShrunk
+}
+
 // obstacle looks again at what a placement rests on. It is called right before each start order,
 // since the run may have waited for its record or for an answer to an earlier order.
 func (s *State) obstacle(v *server, r *run) obstacle {
 	switch {
 	case v.entry.Draining:
 		return serverLeaves
+	case s.isEvacuated(v):
+		return zoneEvacuated
 	case !v.listed:
 		return serverUnlisted
 	case !v.hasReported:
@@ -257,6 +274,24 @@
 	}
 }
 
+// obstacleOfGang returns what lasts and keeps another member of the run's gang, whose start order is without an answer
+// too, from being started.
+func (s *State) obstacleOfGang(r *run) obstacle {
+	if !r.step().Gang {
+		return noObstacle
+	}
+	for i := range r.group.Tasks {
+		m := s.currentRun(r.group, i)
+		if m == nil || m == r || m.number != r.number || m.phase != runOrdered || !m.startInDoubt {
+			continue
+		}
+		if o := s.obstacle(s.servers[m.server], m); o.lasts() {
+			return o
+		}
+	}
+	return noObstacle
+}
+
 // earlierRunIsThere reports whether a run of the task that is not its current one is known to be on a backend server,
 // or one of any task of its gang.
 func (s *State) earlierRunIsThere(r *run) bool {
@@ -282,11 +317,15 @@
 }
 
 // startLimit is the latest time to send a start order for a task of the job with the present
-// knowledge of cancellations and of backend servers that leave.
+// knowledge of cancellations, of backend servers that leave and of evacuations.
 func (s *State) startLimit(id model.JobID) time.Time {
 	drains := s.announcementsKnownAsOf().Add(s.bounds.DrainBound - min(deliveryMargin, s.bounds.DrainBound/5))
 	cancellations := s.readAsOf[SubmissionPartition(id)].Add(s.bounds.CancelBound - deliveryMargin)
-	return minTime(drains, cancellations)
+	limit := minTime(drains, cancellations)
+	if s.bounds.EvacuationBound > 0 {
+		limit = minTime(limit, s.evacuationLimit())
+	}
+	return limit
 }
 
 // cancellationsKnown reports whether submissions were read recently enough to start a task of
@@ -574,6 +613,9 @@
 	s.replan = true
 	r := v.runs[e.Task]
 	if r != nil && r.number == e.Run {
+		if e.Outcome == EndedDone {
+			s.observeEnd(v, r)
+		}
 		s.removeRun(v, r)
 		s.keepAbandoned(v, r)
 		s.keepEarlier(v, r)
@@ -668,5 +710,5 @@
 
 // workDone estimates how long a run whose start was not confirmed has run, from its progress.
 func (s *State) workDone(r *run, percent int) time.Duration {
-	return r.step().EstimatedRuntime * time.Duration(percent) / 100
+	return s.expectedRuntime(r) * time.Duration(percent) / 100
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/eventloop"
+	"github.com/eelgrassreach/eelgrassreach/internal/interference"
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 	"github.com/eelgrassreach/eelgrassreach/internal/sched"
@@ -57,6 +58,8 @@
 	recordedEnds map[model.BackendServerID]endPosition
 	// arrivals holds until when start orders without an answer may arrive, by task.
 	arrivals map[string]arrival
+	// paceRecord is the newest record of a holder's paces; nil if there is none.
+	paceRecord []byte
 	// restartsSeen is set if a backend server has started again under its ID.
 	restartsSeen bool
 	peers        map[string]Peer
@@ -113,6 +116,7 @@
 	serversAsOf time.Time
 	// serversAwayAt is when the store last failed to serve these entries.
 	serversAwayAt time.Time
+	evacuations   evacuations
 	// losses are the backend servers that were lost recently.
 	losses []loss
 	// crashed are the backend servers whose loss is recorded with tasks.
@@ -124,8 +128,12 @@
 	avoid map[job.GroupKey]map[model.BackendServerID]time.Time
 	// stepRates holds the progress rates of the tasks of each step.
 	stepRates map[job.GroupKey]*straggler.StepRates
-	writer    writer
-	advice    map[string]*advice
+	// interference tells which kinds of work slow each other down.
+	interference           *interference.Model
+	interferenceReportedAt time.Time
+	paces                  paceState
+	writer                 writer
+	advice                 map[string]*advice
 	// backlog collects the next backlog report, by priority.
 	backlog           map[int]*priorityBacklog
 	backlogReportedAt time.Time
@@ -133,8 +141,14 @@
 	// make room.
 	urgentUse  map[string]*sched.UsedLately
 	madeRoomAt time.Time
+	// shapes are what the open jobs ask for, as counted at shapesAt.
+	shapes   []sched.Shape
+	shapesAt time.Time
+	// organisationBacklog is the same by organisation.
+	organisationBacklog map[model.OrganisationID]*organisationBacklog
 	// startsUnderWay are the start orders of this term without an answer yet.
 	startsUnderWay int
+	load           loadState
 	replan         bool
 	lastPlan       time.Time
 	lastRoundTook  time.Duration
@@ -153,22 +167,27 @@
 // NewState returns the state of a VM that has not read any records yet.
 func NewState(self Identity, bounds Bounds, log *zap.Logger, metrics Counters) *State {
 	s := &State{
-		self:       self,
-		bounds:     bounds,
-		log:        log,
-		metrics:    metrics,
-		replicated: newReplicated(),
-		servers:    make(map[model.BackendServerID]*server),
-		tokens:     make(map[model.BackendServerID]int64),
-		crashed:    make(map[model.BackendServerID]bool),
-		advice:     make(map[string]*advice),
-		backlog:    make(map[int]*priorityBacklog),
-		nextOf:     make(map[Partition]int64),
-		readAsOf:   make(map[Partition]time.Time),
-		touched:    make(map[model.BackendServerID]*server),
-		orphans:    make(map[string]int),
-		avoid:      make(map[job.GroupKey]map[model.BackendServerID]time.Time),
-		stepRates:  make(map[job.GroupKey]*straggler.StepRates),
+		self:                self,
+		bounds:              bounds,
+		log:                 log,
+		metrics:             metrics,
+		replicated:          newReplicated(),
+		servers:             make(map[model.BackendServerID]*server),
+		tokens:              make(map[model.BackendServerID]int64),
+		crashed:             make(map[model.BackendServerID]bool),
+		advice:              make(map[string]*advice),
+		backlog:             make(map[int]*priorityBacklog),
+		organisationBacklog: make(map[model.OrganisationID]*organisationBacklog),
+		nextOf:              make(map[Partition]int64),
+		readAsOf:            make(map[Partition]time.Time),
+		touched:             make(map[model.BackendServerID]*server),
+		orphans:             make(map[string]int),
+		avoid:               make(map[job.GroupKey]map[model.BackendServerID]time.Time),
+		stepRates:           make(map[job.GroupKey]*straggler.StepRates),
+		paces:               newPaceState(),
+
+		interference: interference.New(),
+		evacuations:  evacuations{zones: make(map[model.AZ]*evacuation)},
 	}
 	s.stopwatch = func() time.Time { return s.now }
 	s.role.namedSince, s.role.silentUntil, s.role.answersAsReplica = make(map[string]time.Time), make(map[string]time.Time), make(map[string]bool)
@@ -222,6 +241,10 @@
 		s.serversListed(e)
 	case ServersUnread:
 		s.serversUnread(e.Err)
+	case EvacuationsRead:
+		s.evacuationsRead(e.Evacuations)
+	case EvacuationsUnread:
+		s.evacuationsUnread(e.Err)
 	case AppendAnswered:
 		s.appendAnswered(e)
 	case ClaimAnswered:
@@ -263,6 +286,7 @@
 		due = s.servers
 		s.dropJobs()
 		s.reportAfterArrivals()
+		s.reportEvacuations()
 	}
 	ids := eventloop.SortedKeys(due)
 	for _, id := range ids {
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -112,6 +112,9 @@
 		}
 	}
 	records = append(records, w.drops...)
+	if r, due := s.paceRecordDue(); due {
+		records = append(records, r)
+	}
 	if presence {
 		records = append(records, job.Record{Key: presenceKey, Value: []byte("{}")})
 	}
@@ -190,6 +193,9 @@
 
 // observeStore keeps track of whether the store serves this VM.
 func (s *State) observeStore(err error) {
+	if err != nil {
+		s.load.storeFailedAt = s.now
+	}
 	switch {
 	case err == nil:
 		s.storeAnsweredAt, s.storeRefusingSince = s.now, time.Time{}
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -15,6 +15,7 @@
 	free  job.Resources
 	// earmarked is for gangs that wait; it is part of what is free or will become free.
 	earmarked job.Resources
+	marks     []mark
 	// releasing is what is being released and not yet reserved for a pending step.
 	releasing job.Resources
 	// ends lists the running tasks that end by themselves, the first one first.
@@ -27,6 +28,10 @@
 	// unproven and isolated are the server's, and include the round's placements.
 	unproven, isolated bool
 	rack               int // number of its rack in the round
+	// pace is the server's, 0 also where all of its service are alike.
+	pace float64
+	// kinds counts the tasks by kind of work, with those of the round.
+	kinds map[job.Kind]int
 }
 
 // supply selects the resources that a fit may use.
@@ -38,19 +43,19 @@
 	reclaimable               // also what preemptible tasks would release if stopped
 )
 
-// available returns the resources that the step may use on the server.
+// available returns the resources that the step may use on the server. What is kept for gangs that wait is
+// left out, unless the step ends before they can start, has to be at work at all times, or has a guarantee.
 func (srv *serverState) available(p *PendingStep, s supply) job.Resources {
+	free := srv.free.Sub(srv.keptFrom(p))
 	switch {
-	case s == freeNow && p.Step.LongRunning:
-		return srv.free // these tasks have to be at work at all times
 	case s == freeNow:
-		return srv.free.Sub(srv.earmarked)
+		return free
 	case s == freeSoon:
-		return srv.free.Add(srv.releasing)
+		return free.Add(srv.releasing)
 	case p.Guaranteed:
-		return srv.free.Add(srv.releasing).Add(srv.reclaimableByGuaranteed)
+		return free.Add(srv.releasing).Add(srv.reclaimableByGuaranteed)
 	default:
-		return srv.free.Add(srv.releasing).Add(srv.reclaimableByUrgent)
+		return free.Add(srv.releasing).Add(srv.reclaimableByUrgent)
 	}
 }
 
@@ -78,6 +83,7 @@
 	servers []*serverState
 	cost    float64
 	far     bool // uses other racks than the one that the step runs best on
+	gang    gangPace
 }
 
 // trialUsage tracks what an assignment has used so far.
@@ -176,8 +182,8 @@
 	cost   float64
 }
 
-// cheaper prefers servers that are not suspect, then the lower cost, then the order of the
-// snapshot.
+// cheaper prefers servers that are not suspect, then the lower cost, then warm servers, then the
+// order of the snapshot.
 func (o *option) cheaper(other *option) bool {
 	if o.server.Suspect != other.server.Suspect {
 		return !o.server.Suspect
@@ -185,6 +191,9 @@
 	if o.cost != other.cost {
 		return o.cost < other.cost
 	}
+	if o.server.Cold != other.server.Cold {
+		return !o.server.Cold
+	}
 	return o.server.index < other.server.index
 }
 
@@ -203,11 +212,10 @@
 	if !need.FitsIn(left) {
 		return option{}, false
 	}
-	cost := d.placementCost(t.pending, srv, left.Sub(need))
 	if t.supply == reclaimable {
-		cost = d.preemptionCost(t.pending, srv, used+1) - t.costs[srv.index]
+		return option{server: srv, cost: d.preemptionCost(t.pending, srv, used+1) - t.costs[srv.index]}, true
 	}
-	return option{server: srv, cost: cost}, true
+	return option{server: srv, cost: d.placementCost(t.pending, srv, left.Sub(need), used)}, true
 }
 
 // haveCapacity reports whether the servers together can hold n tasks, without choosing any.
@@ -250,6 +258,7 @@
 	guaranteed, mayPreempt bool
 	supply                 supply
 	evictions              int
+	runtime                time.Duration // decides who may use earmarked room
 }
 
 // fitKeyOf returns the step's key; ok is false when limits of its own make the step
@@ -265,6 +274,9 @@
 	if s == freeSoon {
 		k.evictions = len(d.plan.Evictions)
 	}
+	if len(d.plan.Earmarks) > 0 {
+		k.runtime = p.Runtime
+	}
 	return k, p.Step.MaxPerServer == 0 && p.Avoid == nil && p.Advised == nil
 }
 
@@ -335,6 +347,14 @@
 
 // allOrNothing places all tasks on the servers or none.
 func (d *round) allOrNothing(p *PendingStep, s supply, servers []*serverState) (assignment, bool) {
+	if levels := d.levelsFor(p); levels != nil {
+		return d.likePaced(p, s, servers, levels)
+	}
+	return d.assignAll(p, s, servers)
+}
+
+// assignAll places all tasks where each costs least, or none.
+func (d *round) assignAll(p *PendingStep, s supply, servers []*serverState) (assignment, bool) {
 	if !d.haveCapacity(p, s, len(p.Tasks), servers) {
 		return assignment{}, false
 	}
@@ -349,7 +369,7 @@
 func (d *round) cheapestRack(p *PendingStep, s supply, servers []*serverState) (best assignment, ok bool) {
 	for _, rack := range d.byRack(servers) {
 		a, fits := d.allOrNothing(p, s, rack)
-		if fits && (!ok || a.cost < best.cost) {
+		if fits && (!ok || a.cheaperGang(&best, s)) {
 			best, ok = a, true
 		}
 	}
--- a/internal/sched/keep.go
+++ b/internal/sched/keep.go
@@ -44,6 +44,7 @@
 			kept += part
 			for _, srv := range r.servers {
 				srv.earmarked = srv.earmarked.Add(srv.Capacity)
+				srv.marks = append(srv.marks, mark{need: srv.Capacity})
 			}
 		}
 	}
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +15,191 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
+// contest replays a load in virtual time, as load does, in which steps compete and others are stopped for them: steps arrive, rounds place their tasks and stop others, and tasks end after the
+// step's estimated runtime, times the load's drawn deviation. What is stopped starts anew.
+type contest struct {
+	cluster
+	waiting []PendingStep
+	running []contestTask
+	steps   map[job.GroupKey]*PendingStep
+	placed  map[job.GroupKey]time.Time // when the last task of a step was placed
+	ended   map[job.GroupKey]time.Time // when the last task of a step ended
+	done    map[job.GroupKey]int
+	stops   map[taskKey]int
+	lost    float64 // core-seconds of work of stopped tasks
+	random  *rand.Rand
+	// urgentRoom is what urgent tasks used lately; it is kept for them if keep is set.
+	urgentRoom UsedLately
+	keep       bool
+	// deviation is how far a task's runtime may be off its estimate, as a share of it.
+	deviation float64
+}
+
+type taskKey struct {
+	group job.GroupKey
+	index int
+}
+
+type contestTask struct {
+	taskKey
+	need                 job.Resources
+	server               int
+	began, ends, expects time.Time
+	stopped              bool
+}
+
+// stopTakes is the time until a stopped task has ended.
+const stopTakes = 300 * time.Millisecond
+
+func newContest(servers, perRack int) *contest {
+	l := &contest{
+		cluster: *newCluster(servers), placed: make(map[job.GroupKey]time.Time), steps: make(map[job.GroupKey]*PendingStep),
+		ended: make(map[job.GroupKey]time.Time), done: make(map[job.GroupKey]int), stops: make(map[taskKey]int), random: rand.New(rand.NewPCG(1, 2)),
+	}
+	for i := range l.Servers {
+		l.Servers[i].Rack = model.RackID(fmt.Sprintf("r%d", i/perRack))
+	}
+	return l
+}
+
+// submit adds a step that is due now and whose objective is three times its estimated runtime.
+func (l *contest) submit(name string, priority int, step job.Step) job.GroupKey {
+	return l.submitFor("", name, priority, 3, step)
+}
+
+// submitFor adds a step of an organisation that is due now. Its objective is a multiple of its estimated runtime.
+func (l *contest) submitFor(organisation model.OrganisationID, name string, priority int, stretch float64, step job.Step) job.GroupKey {
+	p := PendingStep{
+		Key: groupKey(name), Service: "desk", Step: &step, Priority: priority, Due: l.Now, Organisation: organisation,
+		Objective: l.Now.Add(time.Duration(stretch * float64(step.EstimatedRuntime))), Remaining: step.EstimatedRuntime, Runtime: step.EstimatedRuntime,
+	}
+	for i := range step.Count {
+		p.Tasks = append(p.Tasks, i)
+	}
+	l.steps[p.Key] = &p
+	l.waiting = append(l.waiting, p)
+	return p.Key
+}
+
+// round ends the tasks that are due and runs a scheduling round.
+func (l *contest) round() {
+	l.Now = l.Now.Add(roundInterval)
+	for _, r := range l.running {
+		if r.ends.After(l.Now) {
+			continue
+		}
+		if r.stopped {
+			l.wait(r.taskKey)
+			continue
+		}
+		l.done[r.group]++
+		l.ended[r.group] = l.Now
+	}
+	l.running = slices.DeleteFunc(l.running, func(r contestTask) bool { return !r.ends.After(l.Now) })
+	plan := Decide(l.snapshot())
+	for _, p := range plan.Placements {
+		l.start(p)
+	}
+	for _, e := range plan.Evictions {
+		for i := range l.running {
+			if r := &l.running[i]; r.group == e.Key && (r.index == e.Index || l.steps[e.Key].Step.Gang) {
+				l.stops[r.taskKey]++
+				l.lost += r.need.CoreWeight() * l.Now.Sub(r.began).Seconds()
+				r.stopped, r.ends = true, l.Now.Add(stopTakes)
+			}
+		}
+	}
+	l.waiting = slices.DeleteFunc(l.waiting, func(p PendingStep) bool { return len(p.Tasks) == 0 })
+}
+
+// wait makes a stopped task wait again; a gang once all of its tasks have ended.
+func (l *contest) wait(t taskKey) {
+	i := slices.IndexFunc(l.waiting, func(w PendingStep) bool { return w.Key == t.group })
+	if i < 0 {
+		i = len(l.waiting)
+		w := *l.steps[t.group]
+		w.Tasks = nil
+		l.waiting = append(l.waiting, w)
+	}
+	l.waiting[i].Tasks = append(slices.Clone(l.waiting[i].Tasks), t.index)
+}
+
+func (l *contest) start(p Placement) {
+	i := slices.IndexFunc(l.waiting, func(w PendingStep) bool { return w.Key == p.Key })
+	w := &l.waiting[i]
+	w.Tasks = slices.DeleteFunc(slices.Clone(w.Tasks), func(index int) bool { return index == p.Index })
+	server := slices.IndexFunc(l.Servers, func(v Server) bool { return v.ID == p.Server })
+	expects := l.Now.Add(w.Step.EstimatedRuntime)
+	l.running = append(l.running, contestTask{
+		taskKey: taskKey{p.Key, p.Index}, need: w.Step.Reserved(), server: server, began: l.Now, expects: expects,
+		ends: expects.Add(time.Duration(l.deviation * (2*l.random.Float64() - 1) * float64(w.Step.EstimatedRuntime))),
+	})
+	l.placed[p.Key] = l.Now
+}
+
+func (l *contest) snapshot() Snapshot {
+	s := Snapshot{Now: l.Now, Servers: slices.Clone(l.Servers), StopTime: stopTakes}
+	var urgent job.Resources
+	loads := make(map[model.OrganisationID]float64)
+	for i := range s.Servers {
+		s.Servers[i].Free, s.Servers[i].Ends = s.Servers[i].Capacity, nil
+	}
+	for _, r := range l.running {
+		v, step := &s.Servers[r.server], l.steps[r.group]
+		v.Free = v.Free.Sub(r.need)
+		loads[step.Organisation] += r.need.CoreWeight()
+		if step.Urgent {
+			v.UrgentUse, urgent = v.UrgentUse.Add(r.need), urgent.Add(r.need)
+		}
+		if r.stopped {
+			v.Releasing = v.Releasing.Add(r.need)
+			continue
+		}
+		after := max(r.expects.Sub(l.Now), 0)
+		if worked := l.Now.Sub(r.began); worked > r.ends.Sub(r.began)/10 { // its progress tells
+			after = r.ends.Sub(l.Now)
+		}
+		v.Ends = append(v.Ends, ExpectedEnd{Need: r.need, After: after})
+		s.Preemptible = append(s.Preemptible, PreemptibleTask{
+			Key: r.group, Index: r.index, Server: v.ID, Need: r.need, Gang: step.Step.Gang, Urgent: step.Urgent,
+			UnsavedWork: r.need.CoreWeight() * l.Now.Sub(r.began).Seconds(), Stops: l.stops[r.taskKey], EndsAfter: after,
+		})
+	}
+	if l.urgentRoom.Observe(l.Now, urgent); l.keep {
+		s.UrgentRoom = map[string]job.Resources{"desk": l.urgentRoom.Mean()}
+	}
+	for _, w := range l.waiting {
+		if w.Step.Gang && len(w.Tasks) < w.Step.Count {
+			continue // others are being stopped
+		}
+		w.OrganisationLoad = loads[w.Organisation]
+		s.Pending = append(s.Pending, w)
+	}
+	return s
+}
+
+// giveUp drops the oldest waiting step with a prefix.
+func (l *contest) giveUp(prefix string) {
+	if i := slices.IndexFunc(l.waiting, func(w PendingStep) bool { return strings.HasPrefix(string(w.Key.Job), prefix) }); i >= 0 {
+		l.waiting = slices.Delete(l.waiting, i, i+1)
+	}
+}
+
+// inTime returns the share of the steps with a prefix that ended by their objectives, of those that had to end by now.
+func (l *contest) inTime(prefix string) (share float64) {
+	met, all := 0, 0
+	for key, p := range l.steps {
+		if !strings.HasPrefix(string(key.Job), prefix) || p.Objective.After(l.Now) {
+			continue
+		}
+		all++
+		if ended, some := l.ended[key]; some && l.done[key] == p.Step.Count && !ended.After(p.Objective) {
+			met++
+		}
+	}
+	return float64(met) / float64(all)
+}
+
 // Bursts of urgent gangs over a cluster that is full of long tasks: nearly all gangs are in time, no task is stopped
 // more than maxStops times, and with room kept for urgent work far fewer are stopped, and more others get done.
 func TestBurstsOfUrgentGangsOverAFullCluster(t *testing.T) {
@@ -19,7 +207,7 @@
 	confirm := job.Step{Count: 5, Need: job.Resources{MilliCPU: 4000, MemoryMB: 4000, Accelerators: 4}, Gang: true, SameRack: true, EstimatedRuntime: 2500 * time.Millisecond}
 	type outcome struct{ stops, done int }
 	replay := func(keep bool) (o outcome) {
-		l := newLoad(36, 12)
+		l := newContest(36, 12)
 		l.deviation, l.keep = 0.3, keep
 		for i := range 400 {
 			if i%10 == 0 && len(l.waiting) < 4 {
@@ -52,7 +240,7 @@
 
 // More work than fits, all the time: the share in time levels off instead of collapsing.
 func TestOverloadLevelsOff(t *testing.T) {
-	l := newLoad(24, 12)
+	l := newContest(24, 12)
 	l.deviation = 0.2
 	gang := job.Step{Count: 3, Need: whole, Gang: true, SameRack: true, EstimatedRuntime: 4 * time.Second}
 	for i := range 900 {
@@ -67,7 +255,7 @@
 
 // An organisation that asks for less than its share is served while another one asks for far more.
 func TestOrganisationsTakeTurns(t *testing.T) {
-	l := newLoad(24, 12)
+	l := newContest(24, 12)
 	l.deviation = 0.2
 	step := job.Step{Count: 3, Need: whole, EstimatedRuntime: 4 * time.Second}
 	for i := range 600 {
@@ -88,7 +276,7 @@
 // runtime take to end twice.
 func TestNoStepWaitsLongerThanItsBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := newLoad(8, 4)
+		l := newContest(8, 4)
 		priority := rapid.IntRange(0, 2).Draw(t, "priority")
 		width := rapid.IntRange(1, 8).Draw(t, "width")
 		gang := job.Step{Count: width, Need: whole, Gang: true, SameRack: width <= 4 && rapid.Bool().Draw(t, "sameRack"), EstimatedRuntime: 2 * time.Second}
--- a/internal/sched/round.go
+++ b/internal/sched/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -18,13 +19,20 @@
 	unplaceable map[fitKey]bool          // keys of steps for which no room was found
 	capacity    map[string]float64       // of each service, in cores
 	earmarked   map[string]float64       // what is earmarked of it for waiting gangs, in cores
+	reasons     map[fitKey]Reason        // of steps that found no place, if asked for
+	explain     bool
+	slowdowns   map[KindPair]float64
 	plan        Plan
 	stopTime    time.Duration
 	farFactor   float64
 	// neverInTime holds the longest time within which no room becomes free by itself for the steps with a key.
 	neverInTime map[fitKey]time.Duration
 
-	racks          int // number of racks
+	shapes         map[string][]*shapeState // that steps ask for, by service
+	racks          int                      // number of racks
+	paceLevels     map[string][]float64     // of the services with backend servers of unlike pace
+	byRackNumber   [][]*serverState
+	lost           []lostEntry
 	candidateLists map[candidateKey]candidateList
 	// trial, options and chosen are memory that is used again.
 	trial   trialUsage
@@ -58,8 +66,13 @@
 		capacity:    make(map[string]float64),
 		neverInTime: make(map[fitKey]time.Duration),
 		earmarked:   make(map[string]float64),
+		slowdowns:   s.Slowdowns,
+		reasons:     make(map[fitKey]Reason),
+		shapes:      make(map[string][]*shapeState),
+		explain:     s.Explain,
 
 		candidateLists: make(map[candidateKey]candidateList),
+		paceLevels:     paceLevels(s.Servers),
 	}
 	racks := make(map[model.RackID]int)
 	states := make([]serverState, len(s.Servers))
@@ -70,7 +83,10 @@
 		}
 		srv := &states[i]
 		*srv = serverState{
-			Server: v, index: i, free: v.Free, releasing: v.Releasing, ends: v.Ends, unproven: v.Unproven, isolated: v.Isolated, rack: racks[v.Rack],
+			Server: v, index: i, kinds: maps.Clone(v.Kinds), free: v.Free, releasing: v.Releasing, ends: v.Ends, unproven: v.Unproven, isolated: v.Isolated, rack: racks[v.Rack],
+		}
+		if d.paceLevels[v.Service] != nil {
+			srv.pace = v.Pace
 		}
 		slices.SortFunc(srv.ends, func(a, b ExpectedEnd) int { return cmp.Compare(a.After, b.After) })
 		d.capacity[v.Service] += v.Capacity.CoreWeight()
@@ -78,6 +94,7 @@
 		d.byID[v.ID] = srv
 	}
 	d.racks = len(racks)
+	d.addShapes(s.Shapes)
 	d.addPreemptible(s.Preemptible)
 	return d
 }
@@ -86,11 +103,24 @@
 // it room that is being released, or stops other tasks. For a gang that still does not fit,
 // it earmarks the room where the gang can start first.
 func (d *round) schedule(p *PendingStep) {
+	placedBefore := len(d.plan.Placements)
 	a := d.fit(p, freeNow, !d.mayPreempt(p) && d.shouldGoFar(p))
 	d.place(p, a)
 	if len(a.servers) == len(p.Tasks) {
 		return
 	}
+	var why Reason
+	if d.explain {
+		why = d.reason(p) // before room is kept for the step itself
+	}
+	d.scheduleRest(p, a)
+	if waiting := len(p.Tasks) - (len(d.plan.Placements) - placedBefore); waiting > 0 {
+		d.plan.Unplaced = append(d.plan.Unplaced, Unplaced{Key: p.Key, Tasks: waiting, Reason: why})
+	}
+}
+
+// scheduleRest is schedule for the tasks that the assignment has left.
+func (d *round) scheduleRest(p *PendingStep, a assignment) {
 	if !d.mayPreempt(p) {
 		d.earmarkRoom(p)
 		return
@@ -131,7 +161,7 @@
 		return true
 	}
 	slots := d.earliestSlots(p)
-	gain := time.Duration((d.farFactor - 1) * float64(p.Step.EstimatedRuntime))
+	gain := time.Duration((d.farFactor - 1) * float64(cmp.Or(p.Runtime, p.Step.EstimatedRuntime)))
 	return slots == nil || slots[len(slots)-1].after > gain
 }
 
@@ -163,11 +193,17 @@
 	need := p.Step.Reserved()
 	for i, srv := range a.servers {
 		srv.free = srv.free.Sub(need)
+		d.forgetRackShares(srv)
 		srv.unproven, srv.isolated = true, srv.isolated || p.Isolate
 		if p.Isolate {
 			clear(d.candidateLists) // others may no longer use the server
 		}
-		d.plan.Placements = append(d.plan.Placements, Placement{Key: p.Key, Index: p.Tasks[i], Server: srv.ID, Far: a.far})
+		placement := Placement{Key: p.Key, Index: p.Tasks[i], Server: srv.ID, Far: a.far}
+		if len(d.slowdowns) > 0 {
+			placement.Beside = d.slowdownBeside(p, srv, 0)
+			srv.addNeighbour(p.Kind)
+		}
+		d.plan.Placements = append(d.plan.Placements, placement)
 	}
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -32,6 +32,8 @@
 	// each failure breaks a whole gang, while a single task shows as well whether the backend
 	// server works again.
 	Failing bool
+	// Cold is set while it works slowly after its start. Among servers of equal cost the others go first.
+	Cold bool
 	// Unproven is set while a task on the backend server has not been seen running for a while.
 	Unproven bool
 	// Isolated is set while such a task is suspected of crashing its backend servers. Nothing
@@ -43,6 +45,8 @@
 	Pace float64
 	// UrgentUse is what urgent tasks use here.
 	UrgentUse job.Resources
+	// Kinds counts the tasks here by kind of work. It is set only if Snapshot.Slowdowns is.
+	Kinds map[job.Kind]int
 }
 
 // ExpectedEnd is a task that is expected to end and release its resources after a time.
@@ -123,8 +127,18 @@
 	// UrgentRoom is the room that urgent work of each service used lately, on average. It holds only services where
 	// tasks have been stopped lately to make room.
 	UrgentRoom map[string]job.Resources
+	// Shapes are what the demand asks for. A service with fewer than two is packed by the room that is left.
+	Shapes []Shape
+	// Explain asks for the reasons in Plan.Unplaced.
+	Explain bool
+	// Slowdowns holds the kinds of work that are known to slow each other down on one backend server: the share
+	// of its pace that the first one of a pair loses by each task of the second one.
+	Slowdowns map[KindPair]float64
 }
 
+// KindPair is a kind of work and a neighbour of it.
+type KindPair struct{ Slowed, By job.Kind }
+
 // Placement starts a task on a backend server.
 type Placement struct {
 	Key    job.GroupKey
@@ -133,6 +147,9 @@
 	// Far is set when tasks of the step are placed on other racks than the one that it runs
 	// best on: away from its data, or on several racks.
 	Far bool
+	// Beside is how much of its pace the task, and those that are on the backend server already, lose by each other as
+	// far as that is known: the sum of shares.
+	Beside float64
 }
 
 // Eviction stops a task to make room for another step.
@@ -148,13 +165,24 @@
 	Evictions  []Eviction
 	// Unplaced are the steps of which some tasks found no place, in the order of the round.
 	Unplaced []Unplaced
+	// Earmarks tell for which gangs that wait room is kept.
+	Earmarks []Earmark
+}
+
+// Earmark is room that is kept for a gang that waits.
+type Earmark struct {
+	Key job.GroupKey
+	// After is the time after which the gang is expected to start there.
+	After time.Duration
+	// Share is the room as a share of the capacity of the service.
+	Share float64
 }
 
 // Unplaced is a step that waits on, and why.
 type Unplaced struct {
 	Key    job.GroupKey
-	Tasks  int // that found no place
-	Reason Reason
+	Tasks  int    // that found no place
+	Reason Reason // empty unless the snapshot asks for reasons
 }
 
 // Reason is why a step finds no place.
