--- a/internal/sched/earmark.go
+++ b/internal/sched/earmark.go
@@ -19,6 +19,10 @@
 	start time.Duration
 }
 
+// estimateSlack is how many times as long as expected a step may take, since estimates may be off by nine tenths:
+// a gang must not wait for what was let in beside it.
+const estimateSlack = 2
+
 // keptFrom returns the earmarked room that the step may not use.
 func (srv *serverState) keptFrom(p *PendingStep) job.Resources {
 	var kept job.Resources
@@ -27,7 +31,7 @@
 	}
 	runtime := srv.runtime(p)
 	for _, m := range srv.marks {
-		if runtime == 0 || runtime > m.start {
+		if runtime == 0 || estimateSlack*runtime > m.start {
 			kept = kept.Add(m.need)
 		}
 	}
@@ -68,6 +72,9 @@
 	if p.expired(d.now.Add(start)) || size > bound && start > max(p.Remaining, d.now.Sub(p.Due)) {
 		return
 	}
+	if slices.ContainsFunc(slots, func(s slot) bool { return s.overdue }) && d.mostIsFree(p.Service) {
+		return
+	}
 	d.earmarked[p.Service] += size
 	d.plan.Earmarks = append(d.plan.Earmarks, Earmark{Key: p.Key, After: start, Share: size / d.capacity[p.Service]})
 	for _, slot := range slots {
@@ -76,10 +83,23 @@
 	}
 }
 
+// mostIsFree reports whether more than half of each resource of a service is free. What is kept then for a gang
+// that waits for tasks which should have ended already may be kept for long, while there is room for others.
+func (d *round) mostIsFree(service string) bool {
+	var free, capacity job.Resources
+	for _, srv := range d.servers {
+		if srv.Service == service {
+			free, capacity = free.Add(job.Resources{}.Max(srv.free)), capacity.Add(srv.Capacity)
+		}
+	}
+	return capacity.FitsIn(free.Times(2))
+}
+
 // slot is room for one task of a step on a server, expected to be free after a time.
 type slot struct {
-	server *serverState
-	after  time.Duration
+	server  *serverState
+	after   time.Duration
+	overdue bool // a task that should have ended is still there
 }
 
 // earliestSlots returns one slot for each task of a gang, where the last of them becomes
@@ -113,7 +133,15 @@
 	if len(slots) < len(p.Tasks) {
 		return nil
 	}
-	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.after, b.after) })
+	slices.SortStableFunc(slots, func(a, b slot) int {
+		if a.after == b.after && a.overdue != b.overdue {
+			if a.overdue {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.after, b.after)
+	})
 	return slots[:len(p.Tasks)]
 }
 
@@ -122,15 +150,15 @@
 func (srv *serverState) slots(p *PendingStep) []slot {
 	var slots []slot
 	available := srv.free.Add(srv.releasing).Sub(srv.earmarked)
-	addUntilFull := func(after time.Duration) {
+	addUntilFull := func(after time.Duration, overdue bool) {
 		for n := tasksThatFit(p.Step, available); len(slots) < n; {
-			slots = append(slots, slot{srv, after})
+			slots = append(slots, slot{srv, after, overdue})
 		}
 	}
-	addUntilFull(0)
+	addUntilFull(0, false)
 	for _, end := range srv.ends {
 		available = available.Add(end.Need)
-		addUntilFull(end.After)
+		addUntilFull(end.After, end.After <= 0)
 	}
 	return slots
 }
