--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -86,6 +86,9 @@
 
 // observePace takes note of a run's new rate of progress.
 func (s *State) observePace(v *server, r *run) {
+	if s.stepIsApart(r) {
+		return
+	}
 	o := observationOf(v, r)
 	o.Gained, o.Took = r.progress.Steady()
 	s.paces.estimator.Observe(o, s.now)
@@ -94,13 +97,27 @@
 func observationOf(v *server, r *run) pace.Observation {
 	return pace.Observation{
 		Group: r.group.Key(), Index: r.index, Server: paceServer(v), Service: v.entry.Service, Gang: r.step().Gang,
-		Kind: r.group.State.Job.Kind(r.group.Index), Estimate: r.step().EstimatedRuntime, Unusual: r.step().SameRack && r.apart,
+		Kind: r.group.State.Job.Kind(r.group.Index), Estimate: r.step().EstimatedRuntime,
+	}
+}
+
+// stepIsApart reports whether the tasks of a run's step should be on one rack and may be on several. They are then slower,
+// whatever the pace of their backend servers.
+func (s *State) stepIsApart(r *run) bool {
+	if !r.step().SameRack || r.apart {
+		return r.step().SameRack
+	}
+	for i := range r.group.Tasks {
+		if m := s.currentRun(r.group, i); !r.step().Gang && m != nil && m.apart {
+			return true
+		}
 	}
+	return false
 }
 
 // observeEnd takes note of how long a run took that this holder has placed, and that has worked from the begin of its task.
 func (s *State) observeEnd(v *server, r *run) {
-	if r.phase != runRunning || r.placedAt.IsZero() || !s.comparable(v, r) || r.group.Tasks[r.index].Checkpoint != "" {
+	if r.phase != runRunning || r.placedAt.IsZero() || !s.comparable(v, r) || s.stepIsApart(r) || r.group.Tasks[r.index].Checkpoint != "" {
 		return
 	}
 	slowest := cmp.Or(s.paceOf(v), 1)
--- a/internal/fleet/pace_test.go
+++ b/internal/fleet/pace_test.go
@@ -156,3 +156,24 @@
 		}
 	}
 }
+
+// A gang for one rack takes three times as long on several. That tells nothing of its servers or of its work.
+func TestRunsOnSeveralRacksTellNothing(t *testing.T) {
+	for _, apart := range []bool{false, true} {
+		w := newWorldWithHolder(t, 1, 4)
+		for i := range 4 {
+			w.fake(i).slowdown = 3
+		}
+		j := gangOf(2, 8)
+		j.Steps[0].SameRack = true
+		id := w.submit(j).ID
+		w.run(200 * time.Millisecond)
+		s := w.holder().state
+		g := s.jobs.Job(id).Group(0, 0)
+		for i := range g.Tasks {
+			s.currentRun(g, i).apart = apart
+		}
+		w.run(8 * time.Second)
+		assert.Equal(t, s.runtime(g) == 8*time.Second, apart, "%v", s.runtime(g))
+	}
+}
--- a/internal/pace/kinds.go
+++ b/internal/pace/kinds.go
@@ -49,7 +49,7 @@
 func (e *Estimator) fitKinds(now time.Time) {
 	estimates, actuals := make(map[job.Kind][]float64), make(map[job.Kind][]float64)
 	for _, st := range e.order {
-		if st.known && !st.unusual && st.estimate > 0 && len(st.kind) <= maxKindName {
+		if st.known && st.estimate > 0 && len(st.kind) <= maxKindName {
 			estimates[st.kind] = append(estimates[st.kind], math.Log(st.estimate.Seconds()))
 			actuals[st.kind] = append(actuals[st.kind], st.runtime)
 		}
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -39,7 +39,8 @@
 	Incarnation int64
 }
 
-// Observation is the progress of one run, as of its newest report.
+// Observation is the progress of one run, as of its newest report. All runs of a step that are observed work under the same
+// conditions: near their data, and on one rack if they are slower on several.
 type Observation struct {
 	Group   job.GroupKey
 	Index   int
@@ -50,9 +51,6 @@
 	// Kind and Estimate are those of the step, Estimate in the submitter's words.
 	Kind     job.Kind
 	Estimate time.Duration
-	// Unusual is set if all tasks of the step take longer than elsewhere, as far from their data. The step then tells
-	// nothing of its kind.
-	Unusual bool
 	// Gained is the progress in percent, made within Took on the backend server's clock. Both begin after the start,
 	// which takes time by itself.
 	Gained int
@@ -103,7 +101,6 @@
 	key      job.GroupKey
 	service  string
 	gang     bool
-	unusual  bool
 	kind     job.Kind
 	estimate time.Duration
 	members  []member
@@ -178,7 +175,7 @@
 		e.order = append(e.order, st)
 		e.count++
 	}
-	st.seenAt, st.unusual = now, st.unusual || o.Unusual
+	st.seenAt = now
 	return st
 }
 
