--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -363,11 +364,11 @@
 // forgetfulStore has dropped the removal of a request that its reader has not read.
 type forgetfulStore struct {
 	Store
-	forgets bool
+	forgets atomic.Bool
 }
 
 func (f *forgetfulStore) Newest(context.Context, Partition, string) (NewestPage, error) {
-	if f.forgets {
+	if f.forgets.Load() {
 		return NewestPage{Records: evacuationRecords("evacuate/b", "{}"), End: 9}, nil
 	}
 	return NewestPage{Records: evacuationRecords("evacuate/a", "{}"), End: 1}, nil
@@ -375,7 +376,7 @@
 
 func (f *forgetfulStore) Read(_ context.Context, _ Partition, from int64, wait time.Duration) (ReadResult, error) {
 	time.Sleep(wait)
-	if f.forgets && from < 9 {
+	if f.forgets.Load() && from < 9 {
 		return ReadResult{First: 9, Next: from, Trimmed: true}, nil
 	}
 	return ReadResult{Next: from, End: from}, nil
@@ -399,7 +400,7 @@
 		time.Sleep(3 * time.Second)
 		synctest.Wait()
 		assert.DeepEqual(t, newest().AZs, map[model.AZ]bool{"a": true})
-		store.forgets = true
+		store.forgets.Store(true)
 		time.Sleep(3 * time.Second)
 		synctest.Wait()
 		assert.DeepEqual(t, newest().AZs, map[model.AZ]bool{"b": true})
