--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -144,6 +144,7 @@
 			a.fleetCommand(),
 			a.checkCommand(),
 			a.explainCommand(),
+			a.whereCommand(),
 			a.configCommand(),
 			a.jobCommand(),
 			a.requestCommand(),
--- a/internal/fleet/neighbours.go
+++ b/internal/fleet/neighbours.go
@@ -90,10 +90,15 @@
 		s.log.Info("tasks no longer slow each other down", pairFields(p)...)
 	}
 	s.reportInterference()
-	pairs := s.interference.Pairs()
 	if len(named)+len(dropped) > 0 {
-		s.metrics.SlowPairs.Update(float64(len(pairs)))
+		s.metrics.SlowPairs.Update(float64(len(s.interference.Pairs())))
 	}
+	return s.knownSlowdowns()
+}
+
+// knownSlowdowns returns what slowdowns has found last.
+func (s *State) knownSlowdowns() map[sched.KindPair]float64 {
+	pairs := s.interference.Pairs()
 	if len(pairs) == 0 {
 		return nil
 	}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -68,20 +68,27 @@
 // It answers more placements than this VM can send: their orders would wait until their leases have
 // run out, while the backend servers stay idle and the tasks that could use them wait.
 func (s *State) withinStartBudget(list []sched.Placement) []sched.Placement {
+	kept, limited := s.affordable(list, s.jobs.Job)
+	s.replan = s.replan || limited
+	return kept
+}
+
+// affordable returns the placements that withinStartBudget keeps, and whether there were more than the budget. It
+// changes nothing.
+func (s *State) affordable(list []sched.Placement, find func(model.JobID) *job.State) (kept []sched.Placement, limited bool) {
 	if s.bounds.StartOrders == 0 {
-		return list
+		return list, false
 	}
 	budget := startBacklog*s.bounds.StartOrders - s.startsUnderWay - len(s.writer.started)
 	if b := s.writer.inFlight; b != nil {
 		budget -= len(b.runs)
 	}
 	if budget >= len(list) {
-		return list
+		return list, false
 	}
-	var kept []sched.Placement
 	var previous job.GroupKey
 	for _, p := range list {
-		st := s.jobs.Job(p.Key.Job)
+		st := find(p.Key.Job)
 		sameGang := p.Key == previous && st.Job.Steps[p.Key.Step].Gang
 		if budget > 0 || sameGang || st.Job.Priority == 0 {
 			kept = append(kept, p)
@@ -89,8 +96,7 @@
 		}
 		budget--
 	}
-	s.replan = true
-	return kept
+	return kept, true
 }
 
 // canPlan reports whether enough is known to place tasks: the entries of the backend servers and the requests
@@ -120,8 +126,24 @@
 	return s.now.Sub(s.announcementsKnownAsOf()) <= s.bounds.DrainBound-min(startMargin, s.bounds.DrainBound*2/5)
 }
 
+// snapshot is the input of a round. Drawing it updates what is remembered from round to round, asks the policy for
+// advice and logs.
 func (s *State) snapshot() sched.Snapshot {
-	snap := sched.Snapshot{Now: s.now, Slowdowns: s.slowdowns()}
+	return s.snapshotOf(s.openJobs(), drawing{slowdowns: s.slowdowns(), urgentRoom: s.urgentRoom, shapes: s.shapesOf, advised: s.applyAdvice})
+}
+
+// drawing is what a snapshot takes from earlier rounds.
+type drawing struct {
+	slowdowns  map[sched.KindPair]float64
+	urgentRoom func([]sched.Server) map[string]job.Resources
+	shapes     func(open []*job.State) []sched.Shape
+	// advised reports whether a step may start by the policy's advice, and restricts it to the backend servers advised.
+	advised func(*sched.PendingStep, *job.Group) bool
+}
+
+// snapshotOf draws a snapshot with the given open jobs, the oldest first. It changes nothing but caches.
+func (s *State) snapshotOf(open []*job.State, d drawing) sched.Snapshot {
+	snap := sched.Snapshot{Now: s.now, Slowdowns: d.slowdowns}
 	if s.bounds.ReclaimBound > 0 {
 		snap.StopTime = s.bounds.StopTimeout + restartDelay
 	}
@@ -135,14 +157,13 @@
 			snap.Servers = append(snap.Servers, view)
 		}
 	}
-	snap.UrgentRoom = s.urgentRoom(snap.Servers)
-	open := s.openJobs()
+	snap.UrgentRoom = d.urgentRoom(snap.Servers)
 	covered := s.jobsCoveredByGuarantees(open)
+	snap.Shapes = d.shapes(open)
 	loads, shares := s.organisationLoads()
-	snap.Shapes = s.shapesOf(open)
 	for _, st := range open {
 		if s.cancellationsKnown(st.Job.ID) {
-			s.addPendingSteps(&snap, st, covered[st])
+			s.addPendingSteps(&snap, st, covered[st], d.advised)
 		}
 	}
 	for i := range snap.Pending {
@@ -162,24 +183,35 @@
 // urgentRoom returns the room that urgent work of each service used lately, if runs were stopped lately to make room.
 // A new holder starts with what is used then.
 func (s *State) urgentRoom(servers []sched.Server) map[string]job.Resources {
+	room, use := s.urgentRoomNow(servers)
+	if s.urgentUse == nil {
+		s.urgentUse = make(map[string]*sched.UsedLately)
+	}
+	for service, u := range use {
+		s.urgentUse[service] = &u
+	}
+	return room
+}
+
+// urgentRoomNow returns what urgentRoom does, and what it remembers, and changes nothing.
+func (s *State) urgentRoomNow(servers []sched.Server) (room map[string]job.Resources, use map[string]sched.UsedLately) {
 	used := make(map[string]job.Resources)
 	for i := range servers {
 		used[servers[i].Service] = used[servers[i].Service].Add(servers[i].UrgentUse)
 	}
-	if s.urgentUse == nil {
-		s.urgentUse = make(map[string]*sched.UsedLately)
-	}
 	keep := s.bounds.ReclaimBound > 0 && !s.madeRoomAt.IsZero() && s.now.Sub(s.madeRoomAt) < keepRoomFor
-	room := make(map[string]job.Resources)
+	room, use = make(map[string]job.Resources), make(map[string]sched.UsedLately)
 	for service, r := range used {
-		if s.urgentUse[service] == nil {
-			s.urgentUse[service] = new(sched.UsedLately)
+		var u sched.UsedLately
+		if known := s.urgentUse[service]; known != nil {
+			u = *known
 		}
-		if s.urgentUse[service].Observe(s.now, r); keep {
-			room[service] = s.urgentUse[service].Mean()
+		if u.Observe(s.now, r); keep {
+			room[service] = u.Mean()
 		}
+		use[service] = u
 	}
-	return room
+	return room, use
 }
 
 // organisationLoads returns what the runs of each organisation take, in cores, and its share of the room as a multiple
@@ -322,7 +354,7 @@
 }
 
 // addPendingSteps adds the steps of a job that have waiting tasks and may start to the snapshot.
-func (s *State) addPendingSteps(snap *sched.Snapshot, st *job.State, covered bool) {
+func (s *State) addPendingSteps(snap *sched.Snapshot, st *job.State, covered bool, advised func(*sched.PendingStep, *job.Group) bool) {
 	for k := range st.Job.OccurrenceCount() {
 		if st.Job.Due(k).After(s.wall) && st.Job.Occurrences > 0 {
 			return
@@ -333,13 +365,13 @@
 				return
 			}
 			if !g.Done() && g.Ready() {
-				s.addPendingStep(snap, g, covered)
+				s.addPendingStep(snap, g, covered, advised)
 			}
 		}
 	}
 }
 
-func (s *State) addPendingStep(snap *sched.Snapshot, g *job.Group, covered bool) {
+func (s *State) addPendingStep(snap *sched.Snapshot, g *job.Group, covered bool, advised func(*sched.PendingStep, *job.Group) bool) {
 	st, step := g.State, g.Step()
 	p := sched.PendingStep{
 		Key: g.Key(), Service: s.currentService(st.Job), Step: step, Priority: st.Job.Priority, Guaranteed: covered, Urgent: st.Job.Priority == 0,
@@ -365,7 +397,7 @@
 	if len(p.Tasks) == 0 || step.Gang && len(p.Tasks) < len(g.Tasks) {
 		return
 	}
-	if st.Job.Advised && !s.applyAdvice(&p, g) {
+	if st.Job.Advised && !advised(&p, g) {
 		return
 	}
 	snap.Pending = append(snap.Pending, isolateSuspected(p, g)...)
--- a/internal/fleet/shapes.go
+++ b/internal/fleet/shapes.go
@@ -16,6 +16,11 @@
 	if s.shapes != nil && s.now.Sub(s.shapesAt) < shapesInterval {
 		return s.shapes
 	}
+	s.shapes, s.shapesAt = s.countShapes(open), s.now
+	return s.shapes
+}
+
+func (s *State) countShapes(open []*job.State) []sched.Shape {
 	largest := make(map[string]job.Resources)
 	for _, v := range s.servers {
 		if v.listed {
@@ -31,6 +36,5 @@
 			}
 		}
 	}
-	s.shapes, s.shapesAt = demand.Shapes(), s.now
-	return s.shapes
+	return demand.Shapes()
 }
--- a/internal/intake/admit.go
+++ b/internal/intake/admit.go
@@ -47,17 +47,7 @@
 // admit refuses a job that cannot end in useful time. A refusal says that nothing of the job ever runs, so it
 // takes a VM that follows the jobs and finds none in the store; where that is in doubt, the job is let in.
 func (s *Service) admit(ctx context.Context, c Call, j *job.Job) Answer {
-	var digest *admission.Digest
-	var age time.Duration
-	follows, doubt := false, false
-	err := s.options.Loop.Query(ctx, func(st *fleet.State) {
-		digest, age = st.Load()
-		follows, doubt = st.IsReplica() && st.Synced(), st.StoreInDoubt()
-	})
-	if err != nil || digest == nil || doubt || s.mayBeStoring(j.ID) {
-		return Answer{}
-	}
-	v := s.decide(digest, age, j)
+	v, age, follows := s.verdict(ctx, j)
 	switch {
 	case !v.Refused:
 		if v.Reason != "" {
@@ -83,6 +73,21 @@
 	return Answer{Result: Refused, Reason: string(v.Reason) + "; it has not run", RetryAfter: v.RetryAfter}
 }
 
+// verdict decides whether a job comes too late, by a picture of the load of the given age, and tells whether this VM
+// follows the jobs. It notes nothing.
+func (s *Service) verdict(ctx context.Context, j *job.Job) (v admission.Verdict, age time.Duration, follows bool) {
+	var digest *admission.Digest
+	doubt := false
+	err := s.options.Loop.Query(ctx, func(st *fleet.State) {
+		digest, age = st.Load()
+		follows, doubt = st.IsReplica() && st.Synced(), st.StoreInDoubt()
+	})
+	if err != nil || digest == nil || doubt || s.mayBeStoring(j.ID) {
+		return admission.Verdict{}, age, follows
+	}
+	return s.decide(digest, age, j), age, follows
+}
+
 func (s *Service) decide(digest *admission.Digest, age time.Duration, j *job.Job) admission.Verdict {
 	guaranteed := 0
 	if config, _ := s.options.Loop.Config(); config != nil {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -105,6 +106,7 @@
 	newestVersion atomic.Int64
 	appenders     map[fleet.Partition]*appender
 	admission     admissionState
+	asking        sync.Mutex // held while it is worked out where a job would go
 }
 
 // New returns a service that stores nothing until Run is called.
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -145,7 +145,7 @@
 	servers := map[string]http.Handler{
 		n.settings.Front:     n.ingress.Handler(),
 		n.settings.Readiness: n.ingress.Readiness(),
-		net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.FirstPort)): n.ingress.Handler(),
+		net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.FirstPort)): n.ingress.PeerHandler(),
 		net.JoinHostPort(n.settings.IP, strconv.Itoa(metricsPort)):          n.metrics.Handler,
 	}
 	running, failed, err := serveAll(servers)
