--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,5 +1,5 @@
 // Package cli implements the command line. `serve` and `fleet` run a VM. `config`,
-// `job`, `request`, `ticket` and `status` are clients of the HTTP API of a VM.
+// `job`, `request`, `ticket` and `status` are clients of the HTTP API of a VM; `where` asks the VMs that `fleet` runs.
 package cli
 
 import (
--- a/internal/cli/where.go
+++ b/internal/cli/where.go
@@ -109,13 +109,19 @@
 
 // describedJob returns the body of the job's submission.
 func (a *app) describedJob(f whereFlags) ([]byte, error) {
-	if f.step.Count != 0 {
+	described := f.step.Need != job.Resources{} || f.step.EstimatedRuntime != 0 || f.step.Gang || f.step.SameRack || f.step.Label != ""
+	switch {
+	case f.step.Count != 0 && f.path != "-":
+		return nil, errors.New("-job and -tasks: only one of them allowed")
+	case f.step.Count != 0:
 		return platform.EncodeStep(&f.step)
-	}
-	if f.path == "-" {
+	case described:
+		return nil, errors.New("-tasks: missing, 1 or more allowed with flags that describe tasks")
+	case f.path == "-":
 		return io.ReadAll(a.In)
+	default:
+		return os.ReadFile(f.path)
 	}
-	return os.ReadFile(f.path)
 }
 
 func (a *app) printWhere(format, vm string, passedOn bool, where intake.Where) error {
--- a/internal/cli/where_test.go
+++ b/internal/cli/where_test.go
@@ -23,6 +23,8 @@
 		{"{", []string{"-vms", "127.0.0.1:1", "-queue", "h/p"}, "job: unexpected end"},
 		{`{"spec":"","steps":[{"count":"x"}]}`, []string{"-vms", "127.0.0.1:1", "-queue", "h/p"}, "steps.count: a string is given, int is allowed"},
 		{"", []string{"-vms", "127.0.0.1:1", "-queue", "h/p", "-tasks", "-1"}, "steps[0].count: -1 is not in 1 to 3000"},
+		{"", []string{"-vms", "127.0.0.1:1", "-queue", "h/p", "-gang"}, "-tasks: missing"},
+		{"", []string{"-vms", "127.0.0.1:1", "-queue", "h/p", "-tasks", "1", "-job", "f"}, "only one of them"},
 	} {
 		code, out, errs := run(t, c.stdin, append([]string{"where"}, c.args...)...)
 		assert.Equal(t, code, ExitUsage, errs)
