--- a/internal/fleet/where_test.go
+++ b/internal/fleet/where_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/job"
@@ -65,7 +68,15 @@
 					s := w.holder().state
 					known, actions, dirty := s.jobs.Len(), len(s.actions), len(s.writer.started)
 					shapesAt, use := s.shapesAt, maps.Clone(s.urgentUse)
+					log, metrics := s.log, s.metrics
+					core, lines := observer.New(zap.DebugLevel)
+					scope := tally.NewTestScope("", nil)
+					s.log, s.metrics = zap.New(core), NewCounters(scope)
+					before := scope.Snapshot()
 					w.asked(newJob(8, oneAccelerator, 3))
+					s.log, s.metrics = log, metrics
+					assert.Equal(t, lines.Len(), 0)
+					assertSameMetrics(t, before, scope.Snapshot())
 					assert.Equal(t, s.jobs.Len(), known)
 					assert.Equal(t, len(s.actions), actions)
 					assert.Equal(t, len(s.writer.started), dirty)
@@ -87,6 +98,18 @@
 	assert.DeepEqual(t, with, without)
 }
 
+func assertSameMetrics(t *testing.T, before, after tally.Snapshot) {
+	t.Helper()
+	assert.Equal(t, len(after.Counters()), len(before.Counters()))
+	for name, c := range after.Counters() {
+		assert.Equal(t, c.Value(), before.Counters()[name].Value(), name)
+	}
+	assert.Equal(t, len(after.Gauges()), len(before.Gauges()))
+	for name, g := range after.Gauges() {
+		assert.Equal(t, g.Value(), before.Gauges()[name].Value(), name)
+	}
+}
+
 // A gang that finds too little room is told for how many tasks there is room, and when it should start.
 func TestWhereTellsWhatAGangWaitsFor(t *testing.T) {
 	w := newWorldWithHolder(t, 2, 2)
