--- a/internal/sched/earmark.go
+++ b/internal/sched/earmark.go
@@ -54,7 +54,7 @@
 // Without it they take each part of the room as it becomes free, and the gang starves. What ends in time
 // is let in, since one task that ends late would else keep all the room of a wide gang idle.
 func (d *round) earmarkRoom(p *PendingStep) {
-	if !p.Step.Gang || p.expired(d.now) {
+	if !p.Step.Gang || p.Expired(d.now) {
 		return
 	}
 	need := p.Step.Reserved()
@@ -69,7 +69,7 @@
 		return
 	}
 	start := slots[len(slots)-1].after
-	if p.expired(d.now.Add(start)) || size > bound && start > max(p.Remaining, d.now.Sub(p.Due)) {
+	if p.Expired(d.now.Add(start)) || size > bound && start > max(p.Remaining, d.now.Sub(p.Due)) {
 		return
 	}
 	if slices.ContainsFunc(slots, func(s slot) bool { return s.overdue }) && d.mostIsFree(p.Service) {
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -9,9 +9,9 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
-// lateFactor bounds how long after its due time an occurrence may end and still be of use,
+// LateFactor bounds how long after its due time an occurrence may end and still be of use,
 // as a multiple of the time from Due to Objective.
-const lateFactor = 3
+const LateFactor = 3
 
 // starvedAfterFirst is the bound on the wait of a step of priority 0 that others may pass; each further priority has
 // twice the bound of the one before. It is far beyond the last use of the work, so that only what would never be
@@ -47,7 +47,7 @@
 		return classGuaranteed
 	case p.starved(now):
 		return classStarved
-	case p.expired(now):
+	case p.Expired(now):
 		return classExpired
 	default:
 		return classUseful
@@ -57,9 +57,9 @@
 // starved reports whether the step has waited longer than starvedAfter.
 func (p *PendingStep) starved(now time.Time) bool { return now.Sub(p.Due) > starvedAfter(p.Priority) }
 
-// expired reports whether the occurrence will end too late to be of use. What has starved is started nevertheless.
-func (p *PendingStep) expired(now time.Time) bool {
-	allowed := p.Objective.Sub(p.Due) * lateFactor
+// Expired reports whether the occurrence will end too late to be of use. What has starved is started nevertheless.
+func (p *PendingStep) Expired(now time.Time) bool {
+	allowed := p.Objective.Sub(p.Due) * LateFactor
 	return now.Add(p.Remaining).Sub(p.Due) > allowed && !p.starved(now)
 }
 
--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -82,7 +82,7 @@
 // enough for that, by when it is last of use. 0 means that any pace will do, or none.
 func (d *round) neededPace(p *PendingStep, levels []float64) float64 {
 	fastest := levels[len(levels)-1]
-	for _, factor := range []time.Duration{1, lateFactor} {
+	for _, factor := range []time.Duration{1, LateFactor} {
 		left := p.Due.Add(factor * p.Objective.Sub(p.Due)).Sub(d.now)
 		if left > 0 && p.Remaining <= time.Duration(float64(left)*fastest) {
 			return min(paceReserve*float64(p.Remaining)/float64(left), fastest)
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -66,7 +66,7 @@
 // step must not preempt: it goes after the steps whose tasks it would stop, and they
 // would take the room from each other in turn.
 func (d *round) mayPreempt(p *PendingStep) bool {
-	return p.Guaranteed || p.Urgent && !p.expired(d.now)
+	return p.Guaranteed || p.Urgent && !p.Expired(d.now)
 }
 
 // mayPreemptTask reports whether the step, if it may preempt at all, may have the task
@@ -94,7 +94,7 @@
 	}
 	longest, endBy := d.stopTime, p.Objective
 	if p.late(d.now) {
-		endBy = p.Due.Add(p.Objective.Sub(p.Due) * lateFactor)
+		endBy = p.Due.Add(p.Objective.Sub(p.Due) * LateFactor)
 		longest = endBy.Sub(p.Due)
 	}
 	left := endBy.Sub(d.now) - time.Duration((1+estimateError)*float64(p.Remaining))
