--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -54,6 +54,9 @@
 	Err    error
 }
 
+// SubmissionUnanswered reports that the store has not answered an append of a job's submission by this VM.
+type SubmissionUnanswered struct{ Job model.JobID }
+
 // ClaimAnswered carries the outcome of a Claim action with this epoch.
 type ClaimAnswered struct {
 	Epoch int64
@@ -103,23 +106,24 @@
 // Ticked makes Step check what depends on time alone.
 type Ticked struct{}
 
-func (RecordsRead) event()       {}
-func (StoreAnswered) event()     {}
-func (ConfigChanged) event()     {}
-func (ServersListed) event()     {}
-func (ServersUnread) event()     {}
-func (EvacuationsRead) event()   {}
-func (EvacuationsUnread) event() {}
-func (AppendAnswered) event()    {}
-func (ClaimAnswered) event()     {}
-func (StartAnswered) event()     {}
-func (StopAnswered) event()      {}
-func (HoldAnswered) event()      {}
-func (HeartbeatReceived) event() {}
-func (DrainStarted) event()      {}
-func (QueryRequested) event()    {}
-func (AdviceAnswered) event()    {}
-func (Ticked) event()            {}
+func (RecordsRead) event()          {}
+func (StoreAnswered) event()        {}
+func (ConfigChanged) event()        {}
+func (ServersListed) event()        {}
+func (ServersUnread) event()        {}
+func (EvacuationsRead) event()      {}
+func (EvacuationsUnread) event()    {}
+func (AppendAnswered) event()       {}
+func (ClaimAnswered) event()        {}
+func (SubmissionUnanswered) event() {}
+func (StartAnswered) event()        {}
+func (StopAnswered) event()         {}
+func (HoldAnswered) event()         {}
+func (HeartbeatReceived) event()    {}
+func (DrainStarted) event()         {}
+func (QueryRequested) event()       {}
+func (AdviceAnswered) event()       {}
+func (Ticked) event()               {}
 
 // Action is an output of State.Step.
 type Action interface{ action() }
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -536,31 +536,46 @@
 	}
 }
 
-// FindSubmission reports whether a job's submission is stored, also beyond the records that
-// this VM has read so far.
-func (l *Loop) FindSubmission(ctx context.Context, id model.JobID) (found bool, err error) {
+// ReportUnanswered notes that the store has not answered an append of a job's submission, and tells the other VMs.
+func (l *Loop) ReportUnanswered(ctx context.Context, id model.JobID) {
+	l.post(ctx, SubmissionUnanswered{Job: id})
+}
+
+// FoundJob is what a search of the store has shown of a job.
+type FoundJob struct {
+	Submitted, Cancelled bool
+	// InDoubt is set if the job was not found, but its submission may still be under way to the store.
+	InDoubt bool
+}
+
+// FindJob searches the store for a job, also beyond the records that this VM has read so far.
+func (l *Loop) FindJob(ctx context.Context, id model.JobID) (FoundJob, error) {
 	p := SubmissionPartition(id)
 	var next int64
 	if err := l.Query(ctx, func(s *State) { next = s.nextOf[p] }); err != nil {
-		return false, err
+		return FoundJob{}, err
 	}
+	var found FoundJob
 	for {
 		read, err := l.options.Store.Read(ctx, p, next, 0)
 		if err != nil {
-			return false, err
+			return FoundJob{}, err
 		}
 		if read.Trimmed {
-			return false, fmt.Errorf("history of %s was dropped: %w", p.Topic, ErrNoEffect)
+			return FoundJob{}, fmt.Errorf("history of %s was dropped: %w", p.Topic, ErrNoEffect)
 		}
 		for _, r := range read.Records {
-			if isSubmission(r, id) {
-				return true, nil
-			}
+			found.Submitted = found.Submitted || isSubmission(r, id)
+			found.Cancelled = found.Cancelled || job.IsCancellation(r.Record, id)
 		}
 		if next = read.Next; next >= read.End {
 			break
 		}
 	}
-	err = l.Query(ctx, func(s *State) { _, found = s.JobStatus(id) })
+	err := l.Query(ctx, func(s *State) {
+		_, known := s.JobStatus(id)
+		found.Submitted = found.Submitted || known
+		found.InDoubt = !found.Submitted && (found.Cancelled || s.SubmissionInDoubt(id))
+	})
 	return found, err
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -107,6 +107,9 @@
 	// does not.
 	laggingSince time.Time
 
+	// ownDoubts are the submissions by this VM that have no answer from the store, heardDoubts those by other VMs.
+	ownDoubts, heardDoubts doubtTable
+
 	term    termState
 	role    roleState
 	servers map[model.BackendServerID]*server
@@ -247,6 +250,8 @@
 		s.evacuationsUnread(e.Err)
 	case AppendAnswered:
 		s.appendAnswered(e)
+	case SubmissionUnanswered:
+		s.submissionUnanswered(e.Job)
 	case ClaimAnswered:
 		s.claimAnswered(e)
 	case StartAnswered:
@@ -284,7 +289,11 @@
 	if s.now.Sub(s.lastFullCheck) >= fullCheckInterval {
 		s.lastFullCheck = s.now
 		due = s.servers
-		s.dropJobs()
+		if s.now.Sub(s.lastDrop) >= dropInterval {
+			s.lastDrop = s.now
+			s.dropJobs()
+			s.dropEarlyCancels()
+		}
 		s.reportAfterArrivals()
 		s.reportEvacuations()
 	}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -77,6 +77,8 @@
 	// Load is the holder's newest digest of the load, and LoadAgeMs how old its figures were when this was sent.
 	Load      json.RawMessage `json:"load,omitempty"`
 	LoadAgeMs int64           `json:"loadAgeMs,omitempty"`
+	// Doubts are the submissions without an answer that the sender knows of; nil if there are none.
+	Doubts *Doubts `json:"doubts,omitempty"`
 	// Relay is set in what a replica tells the VMs of its zone. HolderHeard then tells whether it has
 	// heard the holder lately, and HolderForward where that receives forwarded calls.
 	Relay         bool   `json:"relay,omitempty"`
@@ -309,6 +311,7 @@
 		Replica:     s.role.active && s.synced(),
 
 		HolderForward: s.HolderForwardAddress(),
+		Doubts:        s.doubts(),
 	}
 }
 
@@ -456,6 +459,7 @@
 			return
 		}
 		s.term.peerAnswers[h.Node] = s.now
+		s.doubtsHeard(h)
 		s.confirmTerm(h)
 		s.role.answersAsReplica[h.Node] = h.Replica
 		switch {
@@ -480,6 +484,7 @@
 	s.role.heardAt, s.role.heard, s.role.holderHeardAt = s.now, true, s.now
 	s.rolesHeard(h)
 	s.loadHeard(h)
+	s.doubtsHeard(h)
 	if slices.Contains(h.Named, s.self.Node) {
 		s.role.namedAt = s.now
 	}
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -171,7 +171,11 @@
 }
 
 func (s *State) appendAnswered(e AppendAnswered) {
-	s.observeStore(e.Err)
+	if errors.Is(e.Err, ErrConflict) {
+		s.observeStore(nil) // the store has answered
+	} else {
+		s.observeStore(e.Err)
+	}
 	b := s.writer.inFlight
 	if !s.holdsTerm() || b == nil || b.number != e.Number || b.append.Epoch != e.Epoch {
 		return
@@ -281,10 +285,6 @@
 // dropJobs deletes the submissions of jobs whose final state need no longer be kept, and repeats that until it has
 // read them back as deleted. Only then jobDropped deletes their progress: a submission without it would run again.
 func (s *State) dropJobs() {
-	if s.now.Sub(s.lastDrop) < dropInterval {
-		return
-	}
-	s.lastDrop = s.now
 	keep := s.bounds.FinalStateRetention + dropDelay
 	records, count := make(map[Partition][]job.Record), 0
 	s.jobs.ForEach(func(st *job.State) {
--- a/internal/intake/admit.go
+++ b/internal/intake/admit.go
@@ -62,11 +62,11 @@
 	}
 	call, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	switch found, err := s.options.Loop.FindSubmission(call, j.ID); {
-	case err != nil:
+	switch found, err := s.options.Loop.FindJob(call, j.ID); {
+	case err != nil || found.InDoubt:
 		s.options.Counters.RefusalsInDoubt.Inc(1)
 		return Answer{}
-	case found || s.mayBeStoring(j.ID):
+	case found.Submitted || s.mayBeStoring(j.ID):
 		return Answer{} // stored a second time, it counts once
 	}
 	s.refuse(j, v, age)
@@ -134,6 +134,14 @@
 	return a.storing[id] > 0 || !a.inDoubtAt.IsZero() && boottime.Now().Sub(a.inDoubtAt) < storeDoubt
 }
 
+// isStoring reports whether this VM is storing a job.
+func (s *Service) isStoring(id model.JobID) bool {
+	a := &s.admission
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.storing[id] > 0
+}
+
 // storingBegins notes that a job is being stored; storingEnds must follow.
 func (s *Service) storingBegins(id model.JobID) {
 	a := &s.admission
@@ -142,17 +150,25 @@
 	a.storing[id]++
 }
 
+// storingUnanswered notes that the store has not answered an append of a job, and tells the other VMs.
+func (s *Service) storingUnanswered(id model.JobID) {
+	s.admission.mu.Lock()
+	s.admission.inDoubtAt = boottime.Now()
+	s.admission.mu.Unlock()
+	s.options.Loop.ReportUnanswered(context.Background(), id)
+}
+
 // storingEnds notes how storing a job has ended.
 func (s *Service) storingEnds(j *job.Job, answer Answer) {
+	if answer.InDoubt { // the append may still be under way
+		s.storingUnanswered(j.ID)
+	}
 	a := &s.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.storing[j.ID]--; a.storing[j.ID] == 0 {
 		delete(a.storing, j.ID)
 	}
-	if answer.InDoubt {
-		a.inDoubtAt = boottime.Now()
-	}
 	if answer.Result == OK || answer.InDoubt {
 		a.ledger.LetIn(j, j.Service, boottime.Now())
 	}
--- a/internal/intake/appender.go
+++ b/internal/intake/appender.go
@@ -36,6 +36,8 @@
 type waitingRecord struct {
 	record job.Record
 	done   chan error
+	// unanswered is called for each append of the record that gets no answer; it may be nil.
+	unanswered func()
 	// sent is set when the record may have been stored, inDoubt when the outcome of an
 	// earlier append of it is not known.
 	sent, inDoubt bool
@@ -49,8 +51,8 @@
 // add stores a record and waits for the outcome. The error wraps fleet.ErrNoEffect
 // when the record was certainly not stored, and fleet.ErrInDoubt when ctx ended before
 // the outcome was known.
-func (a *appender) add(ctx context.Context, r job.Record) error {
-	w := &waitingRecord{record: r, done: make(chan error, 1)}
+func (a *appender) add(ctx context.Context, r job.Record, unanswered func()) error {
+	w := &waitingRecord{record: r, done: make(chan error, 1), unanswered: unanswered}
 	a.mu.Lock()
 	a.queue = append(a.queue, w)
 	a.mu.Unlock()
@@ -96,6 +98,9 @@
 		}
 		err := a.send(ctx, batch)
 		a.finishBatch(batch, err)
+		if err != nil && !errors.Is(err, fleet.ErrNoEffect) {
+			reportUnanswered(batch)
+		}
 		if err != nil && ctx.Err() == nil {
 			time.Sleep(appendRetry)
 		}
@@ -126,6 +131,14 @@
 	return err
 }
 
+func reportUnanswered(batch []*waitingRecord) {
+	for _, w := range batch {
+		if w.unanswered != nil {
+			w.unanswered()
+		}
+	}
+}
+
 // finishBatch passes the outcome of an append to the callers of its records. Records whose
 // outcome is not known stay queued and are sent again until their callers give up; a
 // record that is stored twice counts once.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -43,6 +43,8 @@
 	Version int64 // of the configuration that decided, when one did
 	Status  job.Status
 	Pending int
+	// Note tells the submitter more about a success; mostly empty.
+	Note string
 	// InDoubt is set when the call may have had its effect here. It may still be forwarded,
 	// since a job that is submitted or cancelled twice counts once.
 	InDoubt bool
@@ -223,7 +225,7 @@
 		return a
 	}
 	s.storingBegins(j.ID)
-	a := s.store(ctx, c, j.ID, record)
+	a := s.store(ctx, c, j.ID, record, func() { s.storingUnanswered(j.ID) })
 	s.storingEnds(j, a)
 	return a
 }
@@ -284,7 +286,8 @@
 	return Answer{}
 }
 
-func (s *Service) store(ctx context.Context, c Call, id model.JobID, r job.Record) Answer {
+// store stores a record. It calls unanswered, if that is not nil, for each append of it that gets no answer.
+func (s *Service) store(ctx context.Context, c Call, id model.JobID, r job.Record, unanswered func()) Answer {
 	timeout := min(c.Timeout-answerMargin, maxStoreTimeout)
 	if !c.Forwarded {
 		timeout = min(timeout, localStoreTimeout)
@@ -292,7 +295,7 @@
 	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	began := boottime.Now()
-	err := s.appenders[fleet.SubmissionPartition(id)].add(call, r)
+	err := s.appenders[fleet.SubmissionPartition(id)].add(call, r, unanswered)
 	s.options.Counters.StoreLatency.RecordDuration(boottime.Now().Sub(began))
 	switch {
 	case err == nil:
@@ -337,27 +340,56 @@
 	if err := s.options.Loop.Query(call, func(st *fleet.State) { synced = st.Synced() }); err != nil || !synced {
 		return Answer{Result: TryAnotherVM, Reason: "the stored jobs have not been read yet", RetryAfter: storeRetryAfter}
 	}
-	found, err := s.options.Loop.FindSubmission(call, id)
+	found, err := s.options.Loop.FindJob(call, id)
 	switch {
 	case err != nil:
 		return Answer{Result: TryAnotherVM, Reason: "job not known here, and the store does not answer: " + err.Error(), RetryAfter: storeRetryAfter}
-	case found:
+	case found.Submitted && found.Cancelled:
+		return Answer{Status: job.StatusCancelled}
+	case found.Submitted:
 		return Answer{Status: job.StatusQueued}
+	case found.InDoubt || s.isStoring(id):
+		return Answer{Result: Unavailable, Reason: "the store has no such job yet, but its submission may be under way", RetryAfter: storeRetryAfter}
 	default:
 		return Answer{Result: NoSuchJob, Reason: "the store has no such job"}
 	}
 }
 
-// Cancel stores a cancellation and acknowledges it.
+// Cancel stores a cancellation and acknowledges it, also that of a job that is not known: no read can prove that a
+// submission without an answer never arrives.
 func (s *Service) Cancel(ctx context.Context, c Call, t Target) Answer {
-	status := s.Status(ctx, t)
-	if status.Result != OK || status.Status.Final() {
-		return status
+	if !validID(t.Job) {
+		return Answer{Result: NoSuchJob, Reason: "not a job ID"}
+	}
+	var needed fleet.Cancellation
+	follows, note := false, ""
+	err := s.options.Loop.Query(ctx, func(st *fleet.State) {
+		needed, follows = st.Cancellation(t.Job), st.IsReplica()
+		if _, known := st.JobStatus(t.Job); !known {
+			note = "no such job is stored; one that arrives under this ID stays cancelled"
+		}
+	})
+	switch {
+	case err != nil:
+		return Answer{Result: Unavailable, Reason: err.Error(), RetryAfter: storeRetryAfter}
+	case !follows:
+		return notFollowed
+	case needed == fleet.CancellationUndecided:
+		return Answer{Result: TryAnotherVM, Reason: "the stored jobs have not been read yet", RetryAfter: storeRetryAfter}
+	case needed == fleet.CancellationHolds:
+		return Answer{Note: note}
+	case needed == fleet.CancellationRefused:
+		s.options.Counters.CancelsRefused.Inc(1)
+		return Answer{Result: Unavailable, Reason: "too many jobs that were never submitted are cancelled", RetryAfter: fleet.StoreDoubt}
 	}
 	if a := s.checkStore(ctx); a.Result != OK {
 		return a
 	}
-	return s.store(ctx, c, t.Job, job.CancellationRecord(t.Job))
+	a := s.store(ctx, c, t.Job, job.CancellationRecord(t.Job), nil)
+	if a.Result == OK {
+		a.Note = note
+	}
+	return a
 }
 
 // Pending returns how many jobs of a queue have not begun.
--- a/internal/intake/metrics.go
+++ b/internal/intake/metrics.go
@@ -14,15 +14,18 @@
 	StoreLatency tally.Histogram
 	// RefusalsInDoubt counts jobs that were let in since it was not certain that they are not stored.
 	RefusalsInDoubt tally.Counter
-	scope           tally.Scope
-	buckets         tally.Buckets
+	// CancelsRefused counts cancellations that were refused since too many jobs that were never submitted are cancelled.
+	CancelsRefused tally.Counter
+	scope          tally.Scope
+	buckets        tally.Buckets
 }
 
 // NewCounters registers the metrics.
 func NewCounters(scope tally.Scope) Counters {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12) // 1 ms to 2 s
 	return Counters{
-		StoreLatency: scope.Histogram("store_seconds", buckets), RefusalsInDoubt: scope.Counter("refusals_in_doubt"), scope: scope, buckets: buckets,
+		StoreLatency: scope.Histogram("store_seconds", buckets), RefusalsInDoubt: scope.Counter("refusals_in_doubt"),
+		CancelsRefused: scope.Counter("cancels_refused"), scope: scope, buckets: buckets,
 	}
 }
 
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -48,10 +48,12 @@
 	case strings.HasPrefix(r.Key, submissionPrefix):
 		changed, err = t.applySubmission(r, now)
 	case strings.HasPrefix(r.Key, cancellationPrefix):
+		id := model.JobID(strings.TrimPrefix(r.Key, cancellationPrefix))
 		if len(r.Value) == 0 {
+			delete(t.earlyCancels, id) // a job that is known stays cancelled until it is dropped
 			return nil, true, nil
 		}
-		changed = t.Cancel(model.JobID(strings.TrimPrefix(r.Key, cancellationPrefix)), now)
+		changed = t.Cancel(id, now)
 	case strings.HasPrefix(r.Key, chunkPrefix):
 		changed, err = t.applyChunk(r, now)
 		changed.recordProgress(now)
@@ -112,9 +114,19 @@
 	return model.JobID(id), ok && len(r.Value) == 0
 }
 
+// CancellationTombstone returns the record that deletes a job's cancellation.
+func CancellationTombstone(id model.JobID) Record {
+	return Record{Key: cancellationPrefix + string(id)}
+}
+
+// IsCancellation reports whether a record stores the cancellation of a job.
+func IsCancellation(r Record, id model.JobID) bool {
+	return len(r.Value) > 0 && r.Key == cancellationPrefix+string(id)
+}
+
 // JobTombstones returns the records that delete a job's submission and cancellation.
 func JobTombstones(id model.JobID) []Record {
-	return []Record{{Key: cancellationPrefix + string(id)}, {Key: submissionPrefix + string(id)}}
+	return []Record{CancellationTombstone(id), {Key: submissionPrefix + string(id)}}
 }
 
 // ProgressTombstones returns the records that delete the progress of a group.
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -153,8 +153,8 @@
 // arrive in any order.
 type Table struct {
 	jobs map[model.JobID]*State
-	// earlyCancels and earlyProgress hold what arrived before the job's submission.
-	earlyCancels  map[model.JobID]bool
+	// earlyCancels and earlyProgress hold what arrived before the job's submission; the former with when it did.
+	earlyCancels  map[model.JobID]time.Time
 	earlyProgress map[GroupKey][]progress
 }
 
@@ -170,7 +170,7 @@
 func NewTable() *Table {
 	return &Table{
 		jobs:          make(map[model.JobID]*State),
-		earlyCancels:  make(map[model.JobID]bool),
+		earlyCancels:  make(map[model.JobID]time.Time),
 		earlyProgress: make(map[GroupKey][]progress),
 	}
 }
@@ -204,7 +204,7 @@
 			}
 		}
 	}
-	if t.earlyCancels[j.ID] {
+	if _, cancelled := t.earlyCancels[j.ID]; cancelled {
 		delete(t.earlyCancels, j.ID)
 		s.Cancelled = true
 	}
@@ -216,7 +216,9 @@
 func (t *Table) Cancel(id model.JobID, now time.Time) *State {
 	s := t.jobs[id]
 	if s == nil {
-		t.earlyCancels[id] = true
+		if _, known := t.earlyCancels[id]; !known {
+			t.earlyCancels[id] = now
+		}
 		return nil
 	}
 	s.Cancelled = true
@@ -224,6 +226,22 @@
 	return s
 }
 
+// EarlyCancel returns when the cancellation of a job without a submission arrived; false if there is none.
+func (t *Table) EarlyCancel(id model.JobID) (time.Time, bool) {
+	at, known := t.earlyCancels[id]
+	return at, known
+}
+
+// EarlyCancels returns how many jobs without a submission are cancelled.
+func (t *Table) EarlyCancels() int { return len(t.earlyCancels) }
+
+// ForEachEarlyCancel calls f for each job without a submission that is cancelled, with when that arrived.
+func (t *Table) ForEachEarlyCancel(f func(model.JobID, time.Time)) {
+	for id, at := range t.earlyCancels {
+		f(id, at)
+	}
+}
+
 // setProgress replaces tasks of a group.
 func (t *Table) setProgress(key GroupKey, p progress) {
 	if s := t.jobs[key.Job]; s != nil {
