--- a/internal/fleet/arrival.go
+++ b/internal/fleet/arrival.go
@@ -93,11 +93,14 @@
 	return records
 }
 
-// arrivalTombstones forgets the times of a group's tasks, and returns the records that drop them from the store.
-func (s *State) arrivalTombstones(g *job.Group) []job.Record {
+// arrivalTombstonesOf forgets the times of a group's tasks, and returns the records that drop them from the store.
+func (s *State) arrivalTombstonesOf(key job.GroupKey, tasks int) []job.Record {
+	if len(s.arrivals) == 0 {
+		return nil
+	}
 	var records []job.Record
-	for i := range g.Tasks {
-		name := g.Key().TaskName(i)
+	for i := range tasks {
+		name := key.TaskName(i)
 		if _, known := s.arrivals[name]; known {
 			delete(s.arrivals, name)
 			delete(s.writer.arrivals, name)
--- a/internal/fleet/backlog.go
+++ b/internal/fleet/backlog.go
@@ -97,6 +97,7 @@
 		return
 	}
 	s.backlogReportedAt = s.now
+	s.reportOverdue(s.occurrenceBudget(s.openJobs()))
 	reasons := make(map[job.GroupKey]sched.Reason, len(plan.Unplaced))
 	for _, u := range plan.Unplaced {
 		reasons[u.Key] = u.Reason
@@ -141,7 +142,7 @@
 	if p.Step.Gang {
 		b.gangs++
 	}
-	wait := s.now.Sub(p.Due)
+	wait := s.now.Sub(p.WaitsSince())
 	if wait > b.oldestWait {
 		b.oldestWait, b.oldestStep = wait, p.Key
 	}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -191,7 +191,7 @@
 	l.waiting = l.waiting.Add(w)
 	admission.AddRow(l.rows, admission.Row{
 		Priority: p.Priority, Organisation: s.jobs.Job(p.Key.Job).Job.Organisation, Waiting: w,
-		RuntimeMs: runtime.Milliseconds(), OldestMs: max(0, s.now.Sub(p.Due).Milliseconds()),
+		RuntimeMs: runtime.Milliseconds(), OldestMs: max(0, s.now.Sub(p.WaitsSince()).Milliseconds()),
 	})
 }
 
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -27,6 +27,8 @@
 	// DigestsDropped counts digests of the load that could not be read or were older than the one held,
 	// DigestsLeftOut those that did not fit into a heartbeat.
 	DigestsDropped, DigestsLeftOut tally.Counter
+	// OccurrencesOverdue is the largest number of occurrences of one job that are due and not done.
+	OccurrencesOverdue tally.Gauge
 	// Replica is 1 while this VM follows all records.
 	Replica tally.Gauge
 	// EvacuatedZones is the number of evacuated availability zones, EvacuatedRuns what the holder still has running there.
@@ -63,6 +65,8 @@
 		DigestsDropped: scope.Counter("digests_dropped"),
 		DigestsLeftOut: scope.Counter("digests_left_out"),
 
+		OccurrencesOverdue: scope.Gauge("occurrences_overdue"),
+
 		Replica:        scope.Gauge("replica"),
 		EvacuatedZones: scope.Gauge("evacuated_zones"),
 		EvacuatedRuns:  scope.Gauge("evacuated_runs"),
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -178,8 +178,10 @@
 
 // runtimesOf returns how long a task of each step takes in an occurrence of a job.
 func (s *State) runtimesOf(g *job.Group) func(step int) time.Duration {
+	j := g.State.Job
 	return func(step int) time.Duration {
-		return s.runtime(g.State.Group(g.Occurrence, step))
+		key := job.GroupKey{Job: j.ID, Occurrence: g.Occurrence, Step: step}
+		return s.paces.estimator.Runtime(key, j.Kind(step), j.Steps[step].EstimatedRuntime)
 	}
 }
 
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -42,6 +42,7 @@
 	began := s.stopwatch()
 	s.updatePaces()
 	snapshot := s.snapshot()
+	s.observeTurns(snapshot.Pending)
 	if len(snapshot.Pending) == 0 {
 		s.lastRoundTook = s.stopwatch().Sub(began)
 		s.reportBacklog(snapshot, sched.Plan{})
@@ -161,8 +162,14 @@
 	covered := s.jobsCoveredByGuarantees(open)
 	snap.Shapes = d.shapes(open)
 	loads, shares := s.organisationLoads()
+	budget := s.occurrenceBudget(open)
 	for _, st := range open {
-		if s.cancellationsKnown(st.Job.ID) {
+		if !s.cancellationsKnown(st.Job.ID) {
+			continue
+		}
+		if st.Job.Occurrences > 0 {
+			s.addDueOccurrences(&snap, st, covered[st], budget, d.advised)
+		} else {
 			s.addPendingSteps(&snap, st, covered[st], d.advised)
 		}
 	}
@@ -353,29 +360,36 @@
 	return covered
 }
 
-// addPendingSteps adds the steps of a job that have waiting tasks and may start to the snapshot.
+// addPendingSteps adds the steps of a job without occurrences that have waiting tasks and may start to the snapshot.
 func (s *State) addPendingSteps(snap *sched.Snapshot, st *job.State, covered bool, advised func(*sched.PendingStep, *job.Group) bool) {
-	for k := range st.Job.OccurrenceCount() {
-		if st.Job.Due(k).After(s.wall) && st.Job.Occurrences > 0 {
+	for i := range st.Job.Steps {
+		g := st.Group(0, i)
+		if g.Failed() {
 			return
 		}
-		for i := range st.Job.Steps {
-			g := st.Group(k, i)
-			if g.Failed() {
-				return
-			}
-			if !g.Done() && g.Ready() {
-				s.addPendingStep(snap, g, covered, advised)
-			}
+		if !g.Done() && g.Ready() {
+			s.addPendingStep(snap, g, covered, s.dueAt(g), advised)
 		}
 	}
 }
 
-func (s *State) addPendingStep(snap *sched.Snapshot, g *job.Group, covered bool, advised func(*sched.PendingStep, *job.Group) bool) {
+// waitingTasks returns the tasks of a group that may be placed.
+func (s *State) waitingTasks(g *job.Group) []int {
+	var list []int
+	for i := range g.Tasks {
+		if g.Tasks[i].Phase == job.Waiting && !s.mayStillRun(g, i) {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// addPendingStep adds a step whose turn to wait began at since.
+func (s *State) addPendingStep(snap *sched.Snapshot, g *job.Group, covered bool, since time.Time, advised func(*sched.PendingStep, *job.Group) bool) {
 	st, step := g.State, g.Step()
 	p := sched.PendingStep{
 		Key: g.Key(), Service: s.currentService(st.Job), Step: step, Priority: st.Job.Priority, Guaranteed: covered, Urgent: st.Job.Priority == 0,
-		Due: s.dueAt(g), Remaining: st.Job.CriticalPathBy(s.runtimesOf(g)), Avoid: s.avoidedNow(g.Key()), TasksPerServer: make(map[model.BackendServerID]int),
+		Due: s.dueAt(g), Since: since, Remaining: st.Job.CriticalPathBy(s.runtimesOf(g)), Avoid: s.avoidedNow(g.Key()), TasksPerServer: make(map[model.BackendServerID]int),
 	}
 	p.Objective = p.Due.Add(st.Job.ObjectiveOf(p.Remaining))
 	if covered && s.bounds.ReclaimBound > 0 {
@@ -383,10 +397,8 @@
 	}
 	p.Organisation = st.Job.Organisation
 	p.Kind, p.Runtime = st.Job.Kind(g.Index), s.runtime(g)
+	p.Tasks = s.waitingTasks(g)
 	for i := range g.Tasks {
-		if g.Tasks[i].Phase == job.Waiting && !s.mayStillRun(g, i) {
-			p.Tasks = append(p.Tasks, i)
-		}
 		if g.Tasks[i].Phase == job.Placed {
 			p.TasksPerServer[g.Tasks[i].Server]++
 			if v := s.servers[g.Tasks[i].Server]; v != nil && step.SameRack {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -89,7 +89,12 @@
 		v.nextHoldAt = s.now
 		s.observeUnreached(id, v)
 	}
-	s.jobs.ForEach(func(st *job.State) { s.adoptJob(st, leaseEnd) })
+	s.jobs.ForEach(func(st *job.State) {
+		s.adoptJob(st, leaseEnd)
+		if st.CompactionDue() {
+			s.writer.compact[st.Job.ID] = st
+		}
+	})
 }
 
 // adoptJob adds the runs of a job's placed tasks that are not known yet.
@@ -690,6 +695,7 @@
 	}
 	if g.Done() {
 		delete(s.stepRates, g.Key())
+		s.retire(g)
 	}
 }
 
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -124,4 +124,6 @@
 	// maxBatchRecords and maxBatchBytes keep an append well below the store's limit of 2 MB per call.
 	maxBatchRecords = 200
 	maxBatchBytes   = 1 << 20
+	// maxDropRecords bounds the records of one batch that delete the progress of jobs.
+	maxDropRecords = 2000
 )
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -136,7 +136,9 @@
 	interferenceReportedAt time.Time
 	paces                  paceState
 	writer                 writer
-	advice                 map[string]*advice
+	// turns tells for jobs with occurrences which one waits first, and since when.
+	turns  map[model.JobID]turn
+	advice map[string]*advice
 	// backlog collects the next backlog report, by priority.
 	backlog           map[int]*priorityBacklog
 	backlogReportedAt time.Time
@@ -185,6 +187,7 @@
 		readAsOf:            make(map[Partition]time.Time),
 		touched:             make(map[model.BackendServerID]*server),
 		orphans:             make(map[string]int),
+		turns:               make(map[model.JobID]turn),
 		avoid:               make(map[job.GroupKey]map[model.BackendServerID]time.Time),
 		stepRates:           make(map[job.GroupKey]*straggler.StepRates),
 		paces:               newPaceState(),
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -293,6 +293,7 @@
 	s.orphans = make(map[string]int)
 	s.avoid = make(map[job.GroupKey]map[model.BackendServerID]time.Time)
 	s.stepRates = make(map[job.GroupKey]*straggler.StepRates)
+	s.turns = make(map[model.JobID]turn)
 	s.paces = newPaceState()
 	s.resync()
 }
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -26,6 +26,7 @@
 	arrivals map[string]bool                // tasks with start orders that may arrive later than was stored
 	started  []*run                         // placed since the previous batch
 	drops    []job.Record                   // tombstones of deleted jobs
+	compact  map[model.JobID]*job.State     // jobs with more done groups in the store than it needs to hold
 	inFlight *batch
 	sequence int64
 }
@@ -44,12 +45,19 @@
 }
 
 func newWriter() writer {
-	return writer{groups: make(map[job.GroupKey]*job.Group), servers: make(map[model.BackendServerID]bool), arrivals: make(map[string]bool)}
+	return writer{
+		groups: make(map[job.GroupKey]*job.Group), servers: make(map[model.BackendServerID]bool), arrivals: make(map[string]bool),
+		compact: make(map[model.JobID]*job.State),
+	}
 }
 
 // markDirty marks a task to be stored with the next batch. All tasks of a gang are stored together,
 // so that they agree on the checkpoint to start from.
 func (s *State) markDirty(g *job.Group, index int) {
+	if g.Retired() && s.writer.groups[g.Key()] != g {
+		s.replan = true
+		return // all of it is stored
+	}
 	if g.Step().Gang {
 		s.markAllDirty(g)
 		return
@@ -87,7 +95,7 @@
 func (s *State) nextBatch() *batch {
 	w := &s.writer
 	presence := s.presenceDue()
-	if len(w.groups) == 0 && len(w.servers) == 0 && len(w.arrivals) == 0 && len(w.drops) == 0 && !presence {
+	if len(w.groups) == 0 && len(w.servers) == 0 && len(w.arrivals) == 0 && len(w.drops) == 0 && len(w.compact) == 0 && !presence {
 		return nil
 	}
 	b := &batch{
@@ -111,7 +119,9 @@
 			b.ends[id] = n
 		}
 	}
-	records = append(records, w.drops...)
+	drops := min(len(w.drops), maxDropRecords)
+	records, remaining.drops = append(records, w.drops[:drops]...), w.drops[drops:]
+	records = append(records, s.compactionRecords(&remaining)...)
 	if r, due := s.paceRecordDue(); due {
 		records = append(records, r)
 	}
@@ -126,6 +136,33 @@
 	return b
 }
 
+// compactionRecords returns records that replace the stored progress of done groups. Jobs that need more of them than one
+// batch takes are left for the next one.
+func (s *State) compactionRecords(remaining *writer) []job.Record {
+	var records []job.Record
+	for _, id := range eventloop.SortedKeys(s.writer.compact) {
+		st := s.writer.compact[id]
+		if len(records) >= maxBatchRecords {
+			remaining.compact[id] = st
+			continue
+		}
+		unstored := func(key job.GroupKey) bool { return remaining.groups[key] != nil }
+		compacted, groups, err := st.Compact(maxBatchRecords-len(records), unstored)
+		if err != nil {
+			s.log.Error("progress of done steps not compacted", zap.String("job", string(id)), zap.Error(err))
+			continue
+		}
+		records = append(records, compacted...)
+		for _, key := range groups {
+			records = append(records, s.arrivalTombstonesOf(key, st.Job.Steps[key.Step].Count)...)
+		}
+		if len(groups) > 0 && st.CompactionDue() {
+			remaining.compact[id] = st
+		}
+	}
+	return records
+}
+
 // groupRecords encodes the changed groups. Groups that do not fit in the batch are left for
 // the next one, with the runs that they start, unless the batch contains ends: these are
 // acknowledged with the batch, so the groups that they change must be in it.
@@ -303,11 +340,36 @@
 
 // jobDropped has the progress of a job deleted whose submission is deleted.
 func (s *State) jobDropped(st *job.State) {
+	delete(s.writer.compact, st.Job.ID)
+	delete(s.turns, st.Job.ID)
+	for key := range s.writer.groups {
+		if key.Job == st.Job.ID {
+			delete(s.writer.groups, key) // also one that is done and no longer kept
+		}
+	}
 	st.ForEachGroup(func(g *job.Group) {
-		delete(s.writer.groups, g.Key())
-		delete(s.avoid, g.Key())
-		delete(s.stepRates, g.Key())
+		s.forgetGroup(g.Key())
 		s.writer.drops = append(s.writer.drops, job.ProgressTombstones(g)...)
-		s.writer.drops = append(s.writer.drops, s.arrivalTombstones(g)...)
+		s.writer.drops = append(s.writer.drops, s.arrivalTombstonesOf(g.Key(), len(g.Tasks))...)
 	})
+	s.writer.drops = append(s.writer.drops, st.FinishedTombstones()...)
+}
+
+// retire no longer keeps a group that is done, if its job runs its steps several times.
+func (s *State) retire(g *job.Group) {
+	st := g.State
+	if st.Retire(g); !g.Retired() {
+		return
+	}
+	s.forgetGroup(g.Key())
+	if st.CompactionDue() {
+		s.writer.compact[st.Job.ID] = st
+	}
+}
+
+// forgetGroup forgets what rounds remember of a group.
+func (s *State) forgetGroup(key job.GroupKey) {
+	delete(s.avoid, key)
+	delete(s.stepRates, key)
+	delete(s.advice, key.String())
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -3,6 +3,7 @@
 package job
 
 import (
+	"math"
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
@@ -131,6 +132,9 @@
 	if j.Occurrences == 0 {
 		return j.Accepted
 	}
+	if k > 0 && j.Interval > math.MaxInt64/time.Duration(k) {
+		return j.FirstDue.Add(math.MaxInt64)
+	}
 	return j.FirstDue.Add(time.Duration(k) * j.Interval)
 }
 
--- /dev/null
+++ b/internal/job/main_test.go
@@ -0,0 +1,9 @@
+package job
+
+import (
+	"testing"
+
+	"github.com/eelgrassreach/eelgrassreach/internal/rapidseed"
+)
+
+func TestMain(m *testing.M) { rapidseed.Main(m) }
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -94,6 +94,8 @@
 	runReadAt []time.Time
 	// wholeGroup is set if a record of the whole group is stored, from an earlier release.
 	wholeGroup bool
+	// retired is set if the group is done and its job no longer keeps it.
+	retired bool
 }
 
 // Step returns the step that the group runs.
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -57,6 +57,9 @@
 	case strings.HasPrefix(r.Key, chunkPrefix):
 		changed, err = t.applyChunk(r, now)
 		changed.recordProgress(now)
+	case strings.HasPrefix(r.Key, finishedPrefix):
+		changed, err = t.applyFinished(r)
+		changed.recordProgress(now)
 	case strings.HasPrefix(r.Key, progressPrefix):
 		changed, err = t.applyProgress(r)
 		changed.recordProgress(now)
--- a/internal/job/table.go
+++ b/internal/job/table.go
@@ -36,18 +36,26 @@
 	// FinalSince is when Recorded became final.
 	FinalSince time.Time
 	groups     map[groupIndex]*Group
+	// finished tells for each step which occurrences are done; empty if the job has none. Their groups are not kept.
+	finished []finishedStep
+	// storedWhole is set if a record of a whole group of the job is stored, from an earlier release.
+	storedWhole bool
 }
 
 type groupIndex struct{ occurrence, step int }
 
 // Group returns the group for a step of an occurrence and creates it if necessary. It
-// returns nil when the job has no such step.
+// returns nil when the job has no such step. A group that is no longer kept is returned with
+// tasks that tell only that they are done.
 func (s *State) Group(occurrence, step int) *Group {
 	if occurrence < 0 || occurrence >= s.Job.OccurrenceCount() || step < 0 || step >= len(s.Job.Steps) {
 		return nil
 	}
 	index := groupIndex{occurrence, step}
 	g := s.groups[index]
+	if g == nil && s.stepDone(occurrence, step) {
+		return s.retiredGroup(occurrence, step)
+	}
 	if g == nil {
 		g = &Group{State: s, Occurrence: occurrence, Index: step, Tasks: make([]Task, s.Job.Steps[step].Count)}
 		s.groups[index] = g
@@ -63,17 +71,13 @@
 }
 
 // Ready reports whether all steps that the group depends on are done.
-func (g *Group) Ready() bool {
-	for _, d := range g.Step().DependsOn {
-		if !g.State.Group(g.Occurrence, d).Done() {
-			return false
-		}
-	}
-	return true
-}
+func (g *Group) Ready() bool { return g.State.dependenciesDone(g.Occurrence, g.Index) }
 
 // Begun reports whether any task has been placed at least once.
 func (s *State) Begun() bool {
+	if s.finishedGroups() > 0 {
+		return true
+	}
 	for _, g := range s.groups {
 		for i := range g.Tasks {
 			if g.Tasks[i].Run > 0 {
@@ -104,7 +108,8 @@
 	if s.Cancelled {
 		return StatusCancelled
 	}
-	begun, done := false, 0
+	done := s.finishedGroups()
+	begun := done > 0
 	for _, g := range s.groups {
 		if g.Failed() {
 			return StatusFailed
@@ -155,7 +160,8 @@
 	jobs map[model.JobID]*State
 	// earlyCancels and earlyProgress hold what arrived before the job's submission; the former with when it did.
 	earlyCancels  map[model.JobID]time.Time
-	earlyProgress map[GroupKey][]progress
+	earlyProgress map[model.JobID]map[GroupKey][]progress
+	earlyFinished map[model.JobID]map[int]packedFinished
 }
 
 // progress is the state of consecutive tasks of a group of count tasks, as read from a record.
@@ -171,7 +177,8 @@
 	return &Table{
 		jobs:          make(map[model.JobID]*State),
 		earlyCancels:  make(map[model.JobID]time.Time),
-		earlyProgress: make(map[GroupKey][]progress),
+		earlyProgress: make(map[model.JobID]map[GroupKey][]progress),
+		earlyFinished: make(map[model.JobID]map[int]packedFinished),
 	}
 }
 
@@ -195,15 +202,20 @@
 		return s, false
 	}
 	s := &State{Job: j, FirstSeen: now, Recorded: StatusQueued, groups: make(map[groupIndex]*Group)}
+	if s.repeats() {
+		s.finished = make([]finishedStep, len(j.Steps))
+	}
 	t.jobs[j.ID] = s
-	for key, early := range t.earlyProgress {
-		if key.Job == j.ID {
-			delete(t.earlyProgress, key)
-			for _, p := range early {
-				s.setTasks(key, p)
-			}
+	for step, m := range t.earlyFinished[j.ID] {
+		s.setFinished(step, m)
+	}
+	delete(t.earlyFinished, j.ID)
+	for key, early := range t.earlyProgress[j.ID] {
+		for _, p := range early {
+			s.setTasks(key, p)
 		}
 	}
+	delete(t.earlyProgress, j.ID)
 	if _, cancelled := t.earlyCancels[j.ID]; cancelled {
 		delete(t.earlyCancels, j.ID)
 		s.Cancelled = true
@@ -248,15 +260,20 @@
 		s.setTasks(key, p)
 		return
 	}
-	early := slices.DeleteFunc(t.earlyProgress[key], func(old progress) bool {
+	groups := t.earlyProgress[key.Job]
+	if groups == nil {
+		groups = make(map[GroupKey][]progress)
+		t.earlyProgress[key.Job] = groups
+	}
+	early := slices.DeleteFunc(groups[key], func(old progress) bool {
 		return old.first == p.first && old.wholeGroup == p.wholeGroup
 	})
-	t.earlyProgress[key] = append(early, p)
+	groups[key] = append(early, p)
 }
 
 func (s *State) setTasks(key GroupKey, p progress) {
 	g := s.Group(key.Occurrence, key.Step)
-	if g == nil || p.count != len(g.Tasks) || p.first+len(p.tasks) > len(g.Tasks) {
+	if g == nil || g.Retired() || p.count != len(g.Tasks) || p.first+len(p.tasks) > len(g.Tasks) {
 		return // the record belongs to another submission of the same ID, which does not count
 	}
 	g.wholeGroup = g.wholeGroup || p.wholeGroup
@@ -269,6 +286,7 @@
 		}
 	}
 	copy(g.Tasks[p.first:], p.tasks)
+	s.Retire(g)
 }
 
 // Drop removes a job from the table.
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -55,7 +55,17 @@
 }
 
 // starved reports whether the step has waited longer than starvedAfter.
-func (p *PendingStep) starved(now time.Time) bool { return now.Sub(p.Due) > starvedAfter(p.Priority) }
+func (p *PendingStep) starved(now time.Time) bool {
+	return now.Sub(p.WaitsSince()) > starvedAfter(p.Priority)
+}
+
+// WaitsSince is when the step began to wait for its turn.
+func (p *PendingStep) WaitsSince() time.Time {
+	if p.Since.After(p.Due) {
+		return p.Since
+	}
+	return p.Due
+}
 
 // Expired reports whether the occurrence will end too late to be of use. What has starved is started nevertheless.
 func (p *PendingStep) Expired(now time.Time) bool {
@@ -110,7 +120,7 @@
 		contended := false
 		class, priority := pending[first].orderClass(now), pending[first].Priority
 		for ; last < len(pending) && pending[last].orderClass(now) == class && pending[last].Priority == priority; last++ {
-			contended = contended || now.Sub(pending[last].Due) > contendedAfter
+			contended = contended || now.Sub(pending[last].WaitsSince()) > contendedAfter
 		}
 		if class == classUseful && contended {
 			orderCompeting(pending[first:last], now)
@@ -128,7 +138,7 @@
 		}
 	}
 	return cmp.Or(
-		a.Due.Compare(b.Due), strings.Compare(string(a.Key.Job), string(b.Key.Job)), a.Key.Occurrence-b.Key.Occurrence,
+		a.WaitsSince().Compare(b.WaitsSince()), strings.Compare(string(a.Key.Job), string(b.Key.Job)), a.Key.Occurrence-b.Key.Occurrence,
 		a.Key.Step-b.Key.Step, isolateLast,
 	)
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -69,6 +69,8 @@
 	Guaranteed, Urgent bool
 	// Due is when the occurrence became due, and Objective is when it should end.
 	Due, Objective time.Time
+	// Since is when the step began to wait for its turn, later than Due if other occurrences of its job went before.
+	Since time.Time
 	// Remaining is the estimated time to the end of the occurrence once the tasks run.
 	Remaining time.Duration
 	// Kind is the kind of work, and Runtime what one task takes on an ordinary backend server.
