--- a/internal/fleet/doubt.go
+++ b/internal/fleet/doubt.go
@@ -6,8 +6,12 @@
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
 )
 
-// maxDoubtsSent bounds the jobs that a heartbeat names as in doubt.
-const maxDoubtsSent = 24
+const (
+	// maxDoubtsSent bounds the jobs that a heartbeat names as in doubt.
+	maxDoubtsSent = 24
+	// tellDoubtsInterval is the shortest time between two heartbeats that only tell of doubts.
+	tellDoubtsInterval = 50 * time.Millisecond
+)
 
 // Doubts tells VMs which submissions have no answer from the store: a job may be stored although a read does not show
 // it. A doubt ends after ForMs, in milliseconds. Without Jobs it is about any job.
@@ -86,6 +90,33 @@
 func (s *State) submissionUnanswered(id model.JobID) {
 	s.ownDoubts.expire(s.now)
 	s.ownDoubts.add(id, s.now.Add(StoreDoubt))
+	s.doubtsUntold = true
+}
+
+// tellDoubts tells the replicas of new doubts of this VM at once, since they may be asked about the job next. The holder
+// repeats it with its heartbeats.
+func (s *State) tellDoubts() {
+	if !s.doubtsUntold || s.now.Sub(s.doubtsToldAt) < tellDoubtsInterval {
+		return
+	}
+	s.doubtsUntold, s.doubtsToldAt = false, s.now
+	var nodes []string
+	if s.LargeFleet() {
+		for _, r := range s.role.replicas {
+			if _, known := s.peers[r.Node]; known && r.Node != s.self.Node {
+				nodes = append(nodes, r.Node)
+			}
+		}
+	} else {
+		for node := range s.peers {
+			if node != s.self.Node {
+				nodes = append(nodes, node)
+			}
+		}
+	}
+	if len(nodes) > 0 {
+		s.emit(SendHeartbeat{Heartbeat: s.heartbeat(), To: s.addresses(nodes)})
+	}
 }
 
 // doubtsHeard adds what another VM's heartbeat tells.
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -109,6 +109,9 @@
 
 	// ownDoubts are the submissions by this VM that have no answer from the store, heardDoubts those by other VMs.
 	ownDoubts, heardDoubts doubtTable
+	// doubtsUntold is set while some of ownDoubts are not told, doubtsToldAt is when they last were.
+	doubtsUntold bool
+	doubtsToldAt time.Time
 
 	term    termState
 	role    roleState
@@ -285,6 +288,7 @@
 	s.superviseTerm()
 	s.sendHeartbeats()
 	s.relayHeartbeat()
+	s.tellDoubts()
 	if !s.holdsTerm() {
 		return
 	}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -438,6 +438,7 @@
 	if h.Node == s.self.Node {
 		return
 	}
+	s.doubtsHeard(h)
 	if h.Claiming {
 		s.handlePeerClaim(h)
 		return
@@ -460,7 +461,6 @@
 			return
 		}
 		s.term.peerAnswers[h.Node] = s.now
-		s.doubtsHeard(h)
 		s.confirmTerm(h)
 		s.role.answersAsReplica[h.Node] = h.Replica
 		switch {
@@ -485,7 +485,6 @@
 	s.role.heardAt, s.role.heard, s.role.holderHeardAt = s.now, true, s.now
 	s.rolesHeard(h)
 	s.loadHeard(h)
-	s.doubtsHeard(h)
 	if slices.Contains(h.Named, s.self.Node) {
 		s.role.namedAt = s.now
 	}
