Placement: no task is started by the entry of a backend server's earlier incarnation (ROUTE, LIMIT)

What callers saw: a task that requires a label ran on a backend server without it, which had crashed and come back as one of another kind. Cause: a report tells of a restart before the entry does, by up to 1.5 s, and labels and capacity were taken from the entry whatever incarnation it names. Change: while the entry names another incarnation than the one that reports, the server is not usable, and no start order is sent to it.

--- a/internal/fleet/fakes_test.go
+++ b/internal/fleet/fakes_test.go
@@ -133,8 +133,11 @@
 	ended           []EndReport
 	number          int64
 	highestEndedRun map[string]int64 // the highest run of a task that was stopped or ended
-	answeredHolds   int              // number of answered Hold orders
-	lastHold        Hold             // the newest of them
+	// listedEntry is listed instead of the present entry until listedUntil.
+	listedEntry   ServerEntry
+	listedUntil   time.Time
+	answeredHolds int  // number of answered Hold orders
+	lastHold      Hold // the newest of them
 }
 
 func (w *world) addServer() *fakeServer {
@@ -163,6 +166,9 @@
 func (s *fakeServer) born() int64 { return s.startedAt.Add(-s.setBack).UnixMilli() }
 
 func (s *fakeServer) entry(w *world) ServerEntry {
+	if w.now.Before(s.listedUntil) {
+		return s.listedEntry
+	}
 	return ServerEntry{
 		ID: s.id, Service: service, Address: string(s.id), AZ: s.az, Rack: s.rack, Labels: []string{"a", string(s.rack), s.label},
 		Capacity: s.capacity, Draining: s.draining, Remaining: s.stays, IncarnationStart: s.born(), Clock: s.clock(w), Sequence: s.heartbeats(w),
@@ -201,6 +207,13 @@
 }
 
 // crash ends all runs and restarts the backend server under the same ID, without its state.
+// crashWithOldEntry lets the backend server crash and start again, while its entry of before stays listed for some time.
+func (s *fakeServer) crashWithOldEntry(w *world, listed time.Duration) {
+	s.listedEntry = s.entry(w)
+	s.listedUntil = w.now.Add(listed)
+	s.crash(w)
+}
+
 func (s *fakeServer) crash(w *world) {
 	for _, name := range eventloop.SortedKeys(s.runs) {
 		r := s.runs[name]
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -246,7 +246,7 @@
 
 // usable reports whether a backend server may take new tasks.
 func (s *State) usable(v *server) bool {
-	return v.listed && v.hasReported && v.failedCalls == 0 && !v.entry.Draining && !s.isEvacuated(v) && v.clock != 0 && v.health.usable(s.now)
+	return v.listed && v.hasReported && v.failedCalls == 0 && !v.entryIsOld() && !v.entry.Draining && !s.isEvacuated(v) && v.clock != 0 && v.health.usable(s.now)
 }
 
 func (s *State) serverView(v *server) sched.Server {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -240,6 +240,7 @@
 	zoneEvacuated        obstacle = "the availability zone is evacuated"
 	serverUnlisted       obstacle = "the backend server is no longer listed"
 	serverRestarted      obstacle = "the backend server has started again"
+	entryOld             obstacle = "the backend server's entry is that of another incarnation"
 	capacityShrunk       obstacle = "the backend server's capacity has shrunk"
 	cancellationsUnknown obstacle = "cancellations are not known up to now"
 	listTooOld           obstacle = "the list of backend servers or of evacuations is too old"
@@ -264,6 +265,8 @@
 		return serverUnlisted
 	case !v.hasReported:
 		return serverRestarted
+	case v.entryIsOld():
+		return entryOld
 	case !v.reserved().FitsIn(v.entry.Capacity):
 		return capacityShrunk
 	case !s.cancellationsKnown(r.group.State.Job.ID):
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -201,6 +201,12 @@
 	return e.Clock < v.highestClock-passed.Milliseconds()
 }
 
+// entryIsOld reports whether the entry tells of another incarnation than the one that reports. Labels, service and
+// capacity of the latter are not known then.
+func (v *server) entryIsOld() bool {
+	return v.incarnationStart != 0 && v.entry.IncarnationStart != 0 && v.entry.IncarnationStart != v.incarnationStart
+}
+
 // poll requests a report from a backend server when that is due.
 func (s *State) poll(id model.BackendServerID, v *server) {
 	if v.holdInFlight || v.token == 0 || s.now.Before(v.nextHoldAt) || v.entry.Address == "" {
--- a/internal/fleet/where.go
+++ b/internal/fleet/where.go
@@ -212,6 +212,8 @@
 		return "evacuated"
 	case !v.hasReported || v.clock == 0:
 		return "no_report"
+	case v.entryIsOld():
+		return "old_entry"
 	case v.failedCalls > 0:
 		return "unreachable"
 	default:
