Compaction: bounded by records, not groups; doubts are told in a fixed order

Cause: a step of 3,000 tasks has 188 records of progress, so that a compaction of 200 groups was an append near the store's limit; and the order of the jobs in a heartbeat's doubts was that of a map. Change: Compact counts records, and needs no memory for the tasks of what it deletes. A search of the store that has found the job does not fail on a later page.

--- a/internal/fleet/doubt.go
+++ b/internal/fleet/doubt.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/eelgrassreach/eelgrassreach/internal/model"
@@ -53,7 +54,7 @@
 	if heard == nil || heard.ForMs <= 0 {
 		return
 	}
-	until := now.Add(min(time.Duration(min(heard.ForMs, StoreDoubt.Milliseconds()))*time.Millisecond, StoreDoubt))
+	until := now.Add(time.Duration(min(heard.ForMs, StoreDoubt.Milliseconds())) * time.Millisecond)
 	if len(heard.Jobs) == 0 {
 		d.any = maxTime(d.any, until)
 	}
@@ -79,6 +80,8 @@
 	if !now.Before(latest) {
 		return nil
 	}
+	slices.Sort(m.Jobs)
+	m.Jobs = slices.Compact(m.Jobs)
 	if all || len(m.Jobs) > maxDoubtsSent {
 		m.Jobs = nil
 	}
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -558,6 +558,9 @@
 	var found FoundJob
 	for {
 		read, err := l.options.Store.Read(ctx, p, next, 0)
+		if err != nil && found.Submitted {
+			return found, nil // only a cancellation may follow
+		}
 		if err != nil {
 			return FoundJob{}, err
 		}
--- a/internal/job/finished.go
+++ b/internal/job/finished.go
@@ -154,11 +154,11 @@
 }
 
 // Compact returns records that replace the progress of done groups in the store by the fact that they are done, and the
-// keys of these groups: about as many as are asked for at most. The caller stores all records together, or reads the job
+// keys of these groups. There are about as many records as asked for at most. The caller stores all records together, or reads the job
 // again from the store. Groups for which unstored is true are left out, as their progress is yet to be stored.
 func (s *State) Compact(most int, unstored func(GroupKey) bool) (records []Record, groups []GroupKey, err error) {
 	for i := range s.finished {
-		step := s.compactStep(i, most-len(groups), unstored)
+		step := s.compactStep(i, most-len(records), unstored)
 		if len(step) == 0 {
 			continue
 		}
@@ -175,11 +175,12 @@
 	return records, groups, nil
 }
 
-// compactStep marks done occurrences of a step as compacted, as far as their ranges do not get too many.
+// compactStep marks done occurrences of a step as compacted, as far as their ranges do not get too many, until their
+// progress has the given number of records.
 func (s *State) compactStep(step, most int, unstored func(GroupKey) bool) (groups []GroupKey) {
 	f := &s.finished[step]
-	ranges := len(f.compacted.ranges()) / 2
-	for k, ok := f.done.next(f.compacted.nextMissing(0)); ok && len(groups) < most; k, ok = f.done.next(f.compacted.nextMissing(k + 1)) {
+	ranges, chunks := len(f.compacted.ranges())/2, (s.Job.Steps[step].Count+ChunkTasks-1)/ChunkTasks
+	for k, ok := f.done.next(f.compacted.nextMissing(0)); ok && len(groups)*chunks < most; k, ok = f.done.next(f.compacted.nextMissing(k + 1)) {
 		key := GroupKey{Job: s.Job.ID, Occurrence: k, Step: step}
 		if f.compacted.contains(k) || unstored(key) {
 			continue
@@ -203,8 +204,7 @@
 
 // finishedTombstones returns the records that delete the progress of a done group.
 func (s *State) finishedTombstones(key GroupKey) []Record {
-	g := Group{State: s, Occurrence: key.Occurrence, Index: key.Step, Tasks: make([]Task, s.Job.Steps[key.Step].Count), wholeGroup: s.storedWhole}
-	return ProgressTombstones(&g)
+	return progressTombstones(key, s.Job.Steps[key.Step].Count, s.storedWhole)
 }
 
 // FinishedTombstones returns the records that delete what the store holds of the job's done groups.
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -134,12 +134,16 @@
 
 // ProgressTombstones returns the records that delete the progress of a group.
 func ProgressTombstones(g *Group) []Record {
+	return progressTombstones(g.Key(), len(g.Tasks), g.wholeGroup)
+}
+
+func progressTombstones(key GroupKey, tasks int, wholeGroup bool) []Record {
 	var records []Record
-	for first := 0; first < len(g.Tasks); first += ChunkTasks {
-		records = append(records, Record{Key: chunkKey(g.Key(), first)})
+	for first := 0; first < tasks; first += ChunkTasks {
+		records = append(records, Record{Key: chunkKey(key, first)})
 	}
-	if g.wholeGroup {
-		records = append(records, Record{Key: progressPrefix + g.Key().String()})
+	if wholeGroup {
+		records = append(records, Record{Key: progressPrefix + key.String()})
 	}
 	return records
 }
