Placement: a server with an old entry takes what requires no label, where it guards its capacity

Cause: to keep all tasks off a restarted server until its entry is there costs room that no rule asks for: ROUTE is about labels, LIMIT about capacity that is not guarded. Change: only these starts wait for the entry. Measured: TestRestartedServerGetsNoTaskByItsOldEntry and TestRestartedServerIsNotFilledByItsOldEntry pass, the latter with a service that does not guard its capacity; without the rule for it that test fails (5 of 4 accelerators).

--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -246,7 +246,7 @@
 
 // usable reports whether a backend server may take new tasks.
 func (s *State) usable(v *server) bool {
-	return v.listed && v.hasReported && v.failedCalls == 0 && !v.entryIsOld() && !v.entry.Draining && !s.isEvacuated(v) && v.clock != 0 && v.health.usable(s.now)
+	return v.listed && v.hasReported && v.failedCalls == 0 && !s.capacityUnknown(v) && !v.entry.Draining && !s.isEvacuated(v) && v.clock != 0 && v.health.usable(s.now)
 }
 
 func (s *State) serverView(v *server) sched.Server {
@@ -255,8 +255,12 @@
 		l = s.loadOf(v)
 		v.load = l
 	}
+	var labels []string
+	if !v.entryIsOld() {
+		labels = v.entry.Labels
+	}
 	return sched.Server{
-		ID: v.entry.ID, Service: v.entry.Service, Rack: v.entry.Rack, Labels: v.entry.Labels,
+		ID: v.entry.ID, Service: v.entry.Service, Rack: v.entry.Rack, Labels: labels,
 		Capacity: v.entry.Capacity, Free: v.entry.Capacity.Sub(l.used), Releasing: l.releasing, Ends: l.ends, Suspect: v.health.suspect(), Failing: v.health.failing(s.now),
 		Cold:     v.listedAt.Add(v.entry.ColdFor).After(s.now),
 		Unproven: l.unproven, Isolated: l.isolated, UnsavedWork: l.unsavedWork, Pace: s.paceOf(v), UrgentUse: l.urgent,
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -270,7 +270,7 @@
 		return serverUnlisted
 	case !v.hasReported:
 		return serverRestarted
-	case v.entryIsOld():
+	case v.entryIsOld() && r.step().Label != "" || s.capacityUnknown(v):
 		return entryOld
 	case !v.reserved().FitsIn(v.entry.Capacity):
 		return capacityShrunk
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -204,12 +204,18 @@
 	return e.Clock < v.highestClock-passed.Milliseconds()
 }
 
-// entryIsOld reports whether the entry tells of another incarnation than the one that reports. Labels, service and
-// capacity of the latter are not known then.
+// entryIsOld reports whether the entry tells of another incarnation than the one that reports. The latter may be of
+// another kind: its labels and its capacity are not known then.
 func (v *server) entryIsOld() bool {
 	return v.incarnationStart != 0 && v.entry.IncarnationStart != 0 && v.entry.IncarnationStart != v.incarnationStart
 }
 
+// capacityUnknown reports whether a backend server could be filled beyond its capacity, which is not known and which it
+// does not guard.
+func (s *State) capacityUnknown(v *server) bool {
+	return v.entryIsOld() && !s.config.Services[v.entry.Service].EnforcesCapacity
+}
+
 // poll requests a report from a backend server when that is due.
 func (s *State) poll(id model.BackendServerID, v *server) {
 	if v.holdInFlight || v.token == 0 || s.now.Before(v.nextHoldAt) || v.entry.Address == "" {
--- a/internal/fleet/where.go
+++ b/internal/fleet/where.go
@@ -212,7 +212,7 @@
 		return "evacuated"
 	case !v.hasReported || v.clock == 0:
 		return "no_report"
-	case v.entryIsOld():
+	case s.capacityUnknown(v):
 		return "old_entry"
 	case v.failedCalls > 0:
 		return "unreachable"
