--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -238,7 +238,7 @@
 // longer extended, so that it is certain when they end.
 func (s *State) sendHold(id model.BackendServerID, v *server) {
 	o := Hold{Server: id, Address: v.entry.Address, Token: v.token}
-	if v.hasReported && v.failedCalls == 0 && (len(v.runs) > 0 || s.startsMayArriveAt(v)) { // else its restart is to be told at once
+	if v.hasReported && v.failedCalls == 0 && len(v.runs) > 0 { // after a failed call, a restart is to be told at once
 		o.Wait = s.reportWait(v)
 	}
 	if v.hasReported && v.failedCalls == 0 { // else it may have started again, with ends and a clock of its own
@@ -450,16 +450,15 @@
 	if v.appliedEnd > v.recordedEnd {
 		return s.now.Add(unrecordedHoldInterval)
 	}
-	if len(v.runs) > 0 || v.recordedEnd > v.acknowledgedEnd || s.startsMayArriveAt(v) {
+	if len(v.runs) > 0 || v.recordedEnd > v.acknowledgedEnd {
 		return s.now
 	}
+	if s.now.Before(v.startsArriveUntil) {
+		return s.now.Add(lateStartHoldInterval)
+	}
 	return s.now.Add(idleHoldInterval)
 }
 
-// startsMayArriveAt reports whether a start order without an answer may still arrive at a backend server. It is then
-// asked for reports all the time, so that a restart is noticed, and its next incarnation refuses the order, soon.
-func (s *State) startsMayArriveAt(v *server) bool { return s.now.Before(v.startsArriveUntil) }
-
 // holdFailed handles a call without a report. A refusal counts too: the leases were not extended, and what
 // runs there is not known. If another incarnation answers at the address, the one that was called has ended.
 func (s *State) holdFailed(e HoldAnswered, v *server) {
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -104,6 +104,9 @@
 	// often enough to extend leases and to see further ends.
 	unrecordedHoldInterval = 500 * time.Millisecond
 	idleHoldInterval       = 5 * time.Second // for backend servers without runs
+	// lateStartHoldInterval is the same while a start order without an answer may still arrive there: its next incarnation
+	// refuses the order only once the holder has noticed the restart.
+	lateStartHoldInterval = 400 * time.Millisecond
 	// startRetryPeriod is how long a start without an answer is repeated on a backend server that does not
 	// report either, and startRetryLimit on one that does: long enough for several orders, and shorter than the
 	// members of a gang wait for each other.
